--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,30 @@
+import neostandard from 'neostandard'
+import typescriptEslint from 'typescript-eslint'
+
+export default [
+  { ignores: ['**/dist/**', 'node_modules/**', 'coverage/**'] },
+  ...neostandard({ ts: true, noJsx: true }),
+  ...typescriptEslint.configs.recommendedTypeChecked.map(config => ({ ...config, files: ['**/*.ts'] })),
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: { project: ['./packages/*/tsconfig.json', './tsconfig.tests.json'], tsconfigRootDir: import.meta.dirname }
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
+      '@stylistic/max-len': ['error', { code: 120, ignoreUrls: true, ignoreTemplateLiterals: true, ignoreStrings: true, ignoreRegExpLiterals: true }],
+      'max-depth': ['error', 4]
+    }
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    rules: {
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 200, skipBlankLines: true, skipComments: true }],
+      complexity: ['error', 16]
+    }
+  }
+]
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,2 @@
+/** Waiting queues of an entry: urgency, quota shares, bounds and deadlines. */
+export {}
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,2 @@
+/** The agent process beside an upstream. */
+export {}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Benchmarks with real processes on loopback. */
+export {}
--- /dev/null
+++ b/packages/burn-report/src/index.ts
@@ -0,0 +1,2 @@
+/** Service-level objectives: burn rates over several windows and the error budget left. */
+export {}
--- /dev/null
+++ b/packages/command-line/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+export {}
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+/** Templates, customers, quotas, objectives and policy: publishing, checking and applying them. */
+export {}
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,2 @@
+/** The whole fleet in one process on loopback, and the main job run through it. */
+export {}
--- /dev/null
+++ b/packages/execution/src/index.ts
@@ -0,0 +1,2 @@
+/** The agent's decisions: the fence before a start, slots, windows, the record of what was started. */
+export {}
--- /dev/null
+++ b/packages/link/src/index.ts
@@ -0,0 +1,2 @@
+/** JSON-RPC links between the system's processes over kept-alive HTTP, batched and authenticated. */
+export {}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Which agents and entries are alive, suspected, leaving or departed. */
+export {}
--- /dev/null
+++ b/packages/stand-in-platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in for the platform's log, with injectable faults. */
+export {}
--- /dev/null
+++ b/packages/stand-in-upstream/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in for an upstream with slots, a speed and injectable faults. */
+export {}
--- /dev/null
+++ b/packages/trials/src/index.ts
@@ -0,0 +1,2 @@
+/** The fault matrix and the randomised run on the real decision code. */
+export {}
