Define the messages, identities, error kinds and the ownership design

Cause: slices can only be built side by side against fixed contracts. Change: schemas of link messages, registers, caller bodies; error table; settings, logs, metrics, random source; contracts of admission, placement and requests; design note on submission ownership.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,10 @@
       '@typescript-eslint/explicit-module-boundary-types': 'error',
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
       '@stylistic/max-len': ['error', { code: 120, ignoreUrls: true, ignoreTemplateLiterals: true, ignoreStrings: true, ignoreRegExpLiterals: true }],
-      'max-depth': ['error', 4]
+      'max-depth': ['error', 4],
+      // A schema and the type inferred from it share a name; the compiler finds true redeclarations.
+      '@typescript-eslint/no-redeclare': 'off',
+      'no-redeclare': 'off'
     }
   },
   {
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,2 +1,3 @@
 /** Waiting queues of an entry: urgency, quota shares, bounds and deadlines. */
-export {}
+export type * from './waiting-task.js'
+export type * from './admission-queue.js'
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,2 +1,11 @@
 /** Identities, error kinds, clock, settings, logs and metrics that every package shares. */
-export {}
+export * from './identities.js'
+export * from './partition.js'
+export * from './error-kinds.js'
+export * from './dispatch-error.js'
+export * from './invariants.js'
+export * from './logger.js'
+export * from './metrics.js'
+export * from './random.js'
+export * from './settings.js'
+export * from './setting-schemas.js'
--- /dev/null
+++ b/packages/messages/src/caller.ts
@@ -0,0 +1,61 @@
+/** Bodies of the callers' HTTP interface; `docs/INTERFACE.md` describes the routes. */
+import { ErrorKindSchema, Name, SubmissionKey } from '@baobabpost/common'
+import { Schema } from 'effect'
+import { JsonRecord, Milliseconds, Whole } from './json.js'
+import { MAXIMUM_TASKS_PER_JOB } from './limits.js'
+import { NotRunReason, TaskOutcome } from './outcome.js'
+
+/** Body of `PUT /v1/submissions/KEY`: a job of 1 to 2,000 tasks against a template. */
+export const JobRequest = Schema.Struct({
+  template: Name,
+  customer: Name,
+  /** Input of each task; it is merged over the template's and the customer's parameters. */
+  tasks: Schema.Array(JsonRecord).check(Schema.isMinLength(1), Schema.isMaxLength(MAXIMUM_TASKS_PER_JOB)),
+  /** Whether the job goes ahead of jobs that are not urgent. */
+  urgent: Schema.optionalKey(Schema.Boolean),
+  /** Time from arrival after which tasks that have not started are not run. */
+  deadlineMilliseconds: Schema.optionalKey(Milliseconds)
+})
+export type JobRequest = typeof JobRequest.Type
+
+/** Body of `POST /v1/calls`: a single request. */
+export const CallRequest = Schema.Struct({
+  template: Name,
+  customer: Name,
+  input: JsonRecord,
+  /** Whether a repetition does no harm; the template's call type where absent. */
+  idempotent: Schema.optionalKey(Schema.Boolean),
+  deadlineMilliseconds: Schema.optionalKey(Milliseconds)
+})
+export type CallRequest = typeof CallRequest.Type
+
+/** State of a submission as told to callers. */
+export const SubmissionState = Schema.Literals(['running', 'complete', 'failed'])
+export type SubmissionState = typeof SubmissionState.Type
+
+/** Answer about a submission. `tasks` is there, whole and in order, once the state is `complete` or `failed`. */
+export const SubmissionAnswer = Schema.Struct({
+  submission: SubmissionKey,
+  state: SubmissionState,
+  taskCount: Whole,
+  finishedCount: Whole,
+  tasks: Schema.optionalKey(Schema.Array(TaskOutcome)),
+  retryAfterMilliseconds: Schema.optionalKey(Milliseconds)
+})
+export type SubmissionAnswer = typeof SubmissionAnswer.Type
+
+/** Body of every error answer. */
+export const Problem = Schema.Struct({
+  kind: ErrorKindSchema,
+  title: Schema.String,
+  detail: Schema.String,
+  ran: Schema.Literals(['no', 'yes', 'unknown']),
+  next: Schema.String,
+  reason: Schema.optionalKey(NotRunReason),
+  retryAfterMilliseconds: Schema.optionalKey(Milliseconds)
+})
+export type Problem = typeof Problem.Type
+
+/** Answer of a call that succeeded. */
+export const CallAnswer = Schema.Struct({ answer: Schema.Unknown })
+export type CallAnswer = typeof CallAnswer.Type
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -1,2 +1,10 @@
-/** Schemas of everything that crosses a process boundary: link messages, log records, caller bodies. */
-export {}
+/** Schemas of everything that crosses a process boundary. */
+export * from './json.js'
+export * from './limits.js'
+export * from './outcome.js'
+export * from './caller.js'
+export * from './problem.js'
+export * from './register.js'
+export * from './register-values.js'
+export * from './link.js'
+export * from './outbox.js'
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,2 +1,2 @@
-/** Choice of the agent that a task goes to: window accounting, speed estimates, ejection of bad workers. */
-export {}
+/** Choice of the agent that a task goes to. */
+export * from './placement.js'
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,2 +1,2 @@
-/** Single calls: retries and hedges within a budget, at most once where marked non-idempotent. */
-export {}
+/** Single calls: retries and hedges within a budget. */
+export type * from './requests.js'
--- /dev/null
+++ b/packages/requests/src/requests.ts
@@ -0,0 +1,46 @@
+/** Contract of the single calls at an entry. */
+import type { AgentIdentity } from '@baobabpost/common'
+import type { Problem, TaskOutcome } from '@baobabpost/messages'
+
+/** A single call as it was admitted. */
+export interface RequestCall {
+  /** Identity of the call, made by the entry. */
+  readonly request: string
+  readonly template: string
+  readonly customer: string
+  readonly service: string
+  readonly idempotent: boolean
+  /** Unix time in milliseconds by which the caller wants the answer. */
+  readonly answerBefore: number
+  readonly expectedMilliseconds: number
+}
+
+/** Final result of a call. */
+export type RequestResult =
+  | { readonly kind: 'answer', readonly answer: unknown }
+  | { readonly kind: 'problem', readonly problem: Problem }
+
+/** What the entry has to do for a call. An attempt is dispatched as a submission of one task of its own. */
+export type RequestAction =
+  | {
+    readonly kind: 'attempt'
+    readonly request: string
+    readonly attempt: string
+    readonly excludedAgents: readonly AgentIdentity[]
+  }
+  | { readonly kind: 'withdraw', readonly attempt: string }
+  | { readonly kind: 'answer', readonly request: string, readonly result: RequestResult }
+
+/** The single calls of one entry: retries and hedges within a budget. */
+export interface Requests {
+  begin: (call: RequestCall, now: number) => readonly RequestAction[]
+  /** The attempt was sent to an agent. */
+  dispatched: (attempt: string, agent: AgentIdentity, now: number) => readonly RequestAction[]
+  /** The attempt ended: at an agent, in the queue (not run), or with its agent (outcome unknown). */
+  finished: (attempt: string, outcome: TaskOutcome, now: number) => readonly RequestAction[]
+  /** The caller broke off. */
+  abandon: (request: string, now: number) => readonly RequestAction[]
+  tick: (now: number) => readonly RequestAction[]
+  /** Number of calls that have no answer yet. */
+  pending: () => number
+}
