Give the contracts of log, configuration and membership

Cause: the lead composes these slices in the entry before they are finished. Change: types with doc comments of the register fold, the log client, the configuration, the publisher and membership.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,2 +1,3 @@
 /** Templates, customers, quotas, objectives and policy: publishing, checking and applying them. */
-export {}
+export type * from './configuration.js'
+export type * from './publisher.js'
--- /dev/null
+++ b/packages/configuration/src/publisher.ts
@@ -0,0 +1,36 @@
+/** Contract of publishing configuration. */
+import type { Problem } from '@baobabpost/messages'
+import type { RegisterChange, WriteOutcome } from '@baobabpost/platform-log'
+
+/** A publication: sets the register to the value, or removes it with `null`, if its version is `replaces`. */
+export interface Publication {
+  readonly register: string
+  readonly value: unknown
+  readonly replaces: number
+}
+
+/** What became of a publication. */
+export type PublishResult =
+  | { readonly kind: 'held', readonly register: string, readonly version: number }
+  /** The kind is `malformed-request`, `version-conflict` or `outcome-unknown`. */
+  | {
+    readonly kind: 'problem'
+    readonly register: string
+    /** Version in force when the problem was told. */
+    readonly version: number
+    readonly problem: Problem
+  }
+
+/** Publishes configuration at one process. */
+export interface Publisher {
+  /** Checks and appends; `answer` is called once, perhaps at once. The same publication again is published once. */
+  publish: (publication: Publication, now: number, answer: (result: PublishResult) => void) => void
+  /** Takes in the outcomes of writes; call it after the fold applied the batch. */
+  settled: (outcomes: readonly WriteOutcome[], now: number) => void
+  /** Takes in changes that came from a peer. */
+  changed: (changes: readonly RegisterChange[], now: number) => void
+  /** Answers what waited too long with `outcome-unknown`. */
+  tick: (now: number) => void
+  /** Number of publications without an answer. */
+  pending: () => number
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,2 @@
 /** Which agents and entries are alive, suspected, leaving or departed. */
-export {}
+export type * from './membership.js'
