Fold registers from the log and speak to it over HTTP

Cause: ownership, membership and configuration rest on registers that every process reads alike. Change: register fold with recovery from the middle of the log, adoption from peers and restatements; client with a bounded append queue that settles doubtful appends by reading back; stand-in platform with injectable faults.

--- /dev/null
+++ b/packages/platform-log/src/register-table.ts
@@ -0,0 +1,72 @@
+/** The registers that a process holds, by kind. */
+import type { RegisterKind } from '@baobabpost/messages'
+import { isIdentityKind, registerKind } from './register-judgement.js'
+
+/** A register as it is held. */
+export interface HeldRegister {
+  version: number
+  value: unknown
+  /**
+   * Whether the log itself showed this version: a history without a gap, or a restatement. A register that is not
+   * settled is corrected by the next restatement.
+   */
+  settled: boolean
+  /** When a record that gives this version was last appended, Unix milliseconds; 0 where that is not known. */
+  appearedAt: number
+  /** When this process last asked for a restatement, Unix milliseconds. */
+  restatedAt: number
+}
+
+/** Registers by kind and name. */
+export interface RegisterTable {
+  get: (register: string) => HeldRegister | undefined
+  set: (register: string, held: HeldRegister) => void
+  /** The registers of one kind, or of all kinds; removed ones too. */
+  entries: (kind?: RegisterKind) => Iterable<[string, HeldRegister]>
+  /** Removals of identity registers, which are forgotten, with their offsets. */
+  forgotten: ReadonlyMap<string, number>
+  /** Forgets a removed register and notes the offset. */
+  forget: (register: string, offset: number) => void
+  /** Drops the notes of removals up to the offset. */
+  pruneForgotten: (upTo: number) => void
+}
+
+/** Makes an empty table. */
+export function createRegisterTable (): RegisterTable {
+  const byKind = new Map<RegisterKind, Map<string, HeldRegister>>()
+  const forgotten = new Map<string, number>()
+
+  function registersOf (register: string): Map<string, HeldRegister> | undefined {
+    const kind = registerKind(register)
+    return kind === undefined ? undefined : byKind.get(kind)
+  }
+
+  function * allEntries (): Iterable<[string, HeldRegister]> {
+    for (const registers of byKind.values()) yield * registers
+  }
+
+  return {
+    get: register => registersOf(register)?.get(register),
+    set (register, held) {
+      const kind = registerKind(register)
+      if (kind === undefined) return
+      const registers = byKind.get(kind) ?? new Map<string, HeldRegister>()
+      byKind.set(kind, registers)
+      registers.set(register, held)
+      if (isIdentityKind(kind)) forgotten.delete(register)
+    },
+    entries: kind => kind === undefined ? allEntries() : byKind.get(kind) ?? [],
+    forgotten,
+    forget (register, offset) {
+      registersOf(register)?.delete(register)
+      forgotten.delete(register)
+      forgotten.set(register, offset)
+    },
+    pruneForgotten (upTo) {
+      for (const [register, offset] of forgotten) {
+        if (offset > upTo) return
+        forgotten.delete(register)
+      }
+    }
+  }
+}
--- a/packages/stand-in-platform/src/index.ts
+++ b/packages/stand-in-platform/src/index.ts
@@ -1,2 +1,4 @@
 /** Stand-in for the platform's log, with injectable faults. */
-export {}
+export * from './faults.js'
+export type * from './log-store.js'
+export * from './stand-in-platform.js'
