Restate registers by the age of what a new reader can start from

Cause: a property test found a register that was written so often that it was never restated; a reader that started between two of its writes could not tell whether they held and came to another state. Change: only restatements and the write that made a register count as a base; other writes don't put the next one off.

--- a/packages/platform-log/src/create-register-fold.ts
+++ b/packages/platform-log/src/create-register-fold.ts
@@ -196,7 +196,7 @@
     const kind = registerKind(value.register)
     if (kind === undefined || valueFault(value.register, value.value) !== undefined) return
     if (held === undefined && value.value === null && isIdentityKind(kind)) return
-    const next = { version: value.version, value: value.value, settled: false, appearedAt: 0, restatedAt: 0 }
+    const next = { version: value.version, value: value.value, settled: false, basedAt: 0, restatedAt: 0 }
     judge.setRegister(value.register, next, version)
   }
 
@@ -232,7 +232,7 @@
     for (const [register, held] of table.entries()) {
       if (due.length === limit) break
       const share = held.settled ? SETTLED_RESTATEMENT_SHARE : UNSETTLED_RESTATEMENT_SHARE
-      if (now - held.appearedAt < retentionMilliseconds * share) continue
+      if (now - held.basedAt < retentionMilliseconds * share) continue
       if (now - held.restatedAt < RESTATEMENT_PATIENCE_MILLISECONDS || held.version > asOf) continue
       held.restatedAt = now
       due.push({ kind: 'restatement', register, version: held.version, value: held.value, asOf })
--- a/packages/platform-log/src/register-fold.ts
+++ b/packages/platform-log/src/register-fold.ts
@@ -68,6 +68,6 @@
   logPosition: () => number
   /** Offset that the next read should start from. */
   readFrom: () => number
-  /** Restatements of registers that last appeared on the log more than a third of the retention ago. */
+  /** Restatements of registers that were made or last restated more than a third of the retention ago. */
   restatementsDue: (now: number, limit: number) => readonly RegisterRestatement[]
 }
--- a/packages/platform-log/src/register-table.ts
+++ b/packages/platform-log/src/register-table.ts
@@ -11,8 +11,12 @@
    * settled is corrected by the next restatement.
    */
   settled: boolean
-  /** When a record that gives this version was last appended, Unix milliseconds; 0 where that is not known. */
-  appearedAt: number
+  /**
+   * When the record was appended from which a new reader can work out the register: its latest restatement, or the
+   * write that made it. Unix milliseconds; 0 where it is not known. Other writes don't count, as a reader that starts
+   * with one can't tell whether it held.
+   */
+  basedAt: number
   /** When this process last asked for a restatement, Unix milliseconds. */
   restatedAt: number
 }
--- a/packages/platform-log/tests/register-fold.test.ts
+++ b/packages/platform-log/tests/register-fold.test.ts
@@ -128,6 +128,16 @@
   })
 })
 
+test('a register that is written often is restated all the same, so that a new reader finds a base', () => {
+  const { fold } = createFoldFixture()
+  const log: LogEntry[] = []
+  for (let version = 0; version < 4; version += 1) {
+    log.push(entryOf(version + 1, [write('team/a', version, team('a', version + 1))]))
+    fold.apply(batchOf(log, fold.readFrom()), version * RETENTION_MILLISECONDS / 10)
+  }
+  expect(fold.restatementsDue(RETENTION_MILLISECONDS / 3, 10).map(({ version }) => version)).toEqual([4])
+})
+
 describe('adoption from a peer', () => {
   const log = [
     entryOf(1, [write('team/a', 0, team('a')), write(`agent/${AGENT}`, 0, agentRegistration(AGENT))]),
