--- /dev/null
+++ b/packages/configuration/src/built-in-policy.ts
@@ -0,0 +1,12 @@
+/** The policy in force where none was published. */
+import type { Policy } from '@baobabpost/messages'
+
+/**
+ * Makes the built-in policy under a name.
+ *
+ * @example
+ * builtInPolicy('lending').placement // 'late-binding'
+ */
+export function builtInPolicy (name: string): Policy {
+  return { name, placement: 'late-binding', prefetchTasks: 2, retryShare: 0.1, hedge: true }
+}
--- a/packages/configuration/src/publisher.ts
+++ b/packages/configuration/src/publisher.ts
@@ -1,6 +1,6 @@
 /** Contract of publishing configuration. */
 import type { Problem } from '@baobabpost/messages'
-import type { RegisterChange, WriteOutcome } from '@baobabpost/platform-log'
+import type { WriteOutcome } from '@baobabpost/platform-log'
 
 /** A publication: sets the register to the value, or removes it with `null`, if its version is `replaces`. */
 export interface Publication {
@@ -25,10 +25,10 @@
 export interface Publisher {
   /** Checks and appends; `answer` is called once, perhaps at once. The same publication again is published once. */
   publish: (publication: Publication, now: number, answer: (result: PublishResult) => void) => void
-  /** Takes in the outcomes of writes; call it after the fold applied the batch. */
-  settled: (outcomes: readonly WriteOutcome[], now: number) => void
-  /** Takes in changes that came from a peer. */
-  changed: (changes: readonly RegisterChange[], now: number) => void
+  /** Takes in the outcomes of writes. */
+  settled: (outcomes: readonly WriteOutcome[]) => void
+  /** Answers what the outcomes settled; to be called after `Configuration.changed` took in the batch. */
+  changed: () => void
   /** Answers what waited too long with `outcome-unknown`. */
   tick: (now: number) => void
   /** Number of publications without an answer. */
