Link the processes by signed JSON-RPC batches over kept-alive HTTP

Cause: nothing connects the processes. Change: packages/link; messages of one turn to one peer travel as one request, signed by HMAC under rotating keys, decoded by schemas, sizes and waiting messages bounded; a refused connection is told as proof of no delivery.

--- /dev/null
+++ b/packages/link/src/create-link.ts
@@ -0,0 +1,105 @@
+/** Makes links: one server for what comes in, one outgoing side for each address written to. */
+import type { AddressInfo } from 'node:net'
+import type { ProcessIdentity } from '@baobabpost/common'
+import type { LinkMessage } from '@baobabpost/messages'
+import { createIncomingServer, senderIdentity } from './incoming.js'
+import type { Link, LinkOptions } from './link.js'
+import { createOutgoingPeer, type OutgoingPeer } from './outgoing-peer.js'
+
+/** Longest wait for messages under way when a link closes. */
+const CLOSE_TIMEOUT_MILLISECONDS = 1_000
+
+/**
+ * Opens a link: listens, and is ready to send.
+ *
+ * @throws Error where the address can't be listened on, or no key is given.
+ * @example
+ * const link = await createLink({ identity, listenAddress: '127.0.0.1:0', keys, logger, metrics, onMessage })
+ * link.sendToAddress('10.0.0.4:7001', { method: 'announce', parameters })
+ */
+export async function createLink (options: LinkOptions): Promise<Link> {
+  const [signingKey] = options.keys
+  if (signingKey === undefined) throw new Error('a link needs a key')
+  const addresses = new Map<ProcessIdentity, string>()
+  const peers = new Map<string, OutgoingPeer>()
+
+  const server = createIncomingServer({
+    keys: options.keys,
+    logger: options.logger,
+    onMessage: (sender, message) => {
+      const identity = senderIdentity(sender)
+      setPeer(identity, sender.address)
+      options.onMessage(identity, sender.address, message)
+    }
+  })
+  const separator = options.listenAddress.lastIndexOf(':')
+  const host = options.listenAddress.slice(0, separator)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(Number(options.listenAddress.slice(separator + 1)), host, resolve)
+  })
+  const address = options.advertisedAddress ?? `${host}:${(server.address() as AddressInfo).port}`
+
+  function setPeer (identity: ProcessIdentity, peerAddress: string): void {
+    addresses.set(identity, peerAddress)
+  }
+
+  function forgetPeer (identity: ProcessIdentity): void {
+    const peerAddress = addresses.get(identity)
+    addresses.delete(identity)
+    if (peerAddress === undefined || [...addresses.values()].includes(peerAddress)) return
+    peers.get(peerAddress)?.close()
+    peers.delete(peerAddress)
+  }
+
+  function peerAt (peerAddress: string): OutgoingPeer {
+    const known = peers.get(peerAddress)
+    if (known !== undefined) return known
+    const peer = createOutgoingPeer({
+      identity: options.identity,
+      ownAddress: address,
+      peerAddress,
+      key: signingKey as string,
+      logger: options.logger,
+      metrics: options.metrics,
+      onUndelivered: messages => { tellUndelivered(peerAddress, messages) }
+    })
+    peers.set(peerAddress, peer)
+    return peer
+  }
+
+  function tellUndelivered (peerAddress: string, messages: readonly LinkMessage[]): void {
+    if (options.onUndelivered === undefined) return
+    for (const [identity, known] of addresses) {
+      if (known !== peerAddress) continue
+      for (const message of messages) options.onUndelivered(identity, message)
+    }
+  }
+
+  function send (to: ProcessIdentity, message: LinkMessage): void {
+    const peerAddress = addresses.get(to)
+    if (peerAddress === undefined) {
+      options.logger.debug('message to an unknown peer dropped', { peer: to, method: message.method })
+      return
+    }
+    peerAt(peerAddress).send(message)
+  }
+
+  async function close (): Promise<void> {
+    const drained = Promise.all([...peers.values()].map(peer => peer.drained()))
+    const timeout = new Promise<void>(resolve => { setTimeout(resolve, CLOSE_TIMEOUT_MILLISECONDS).unref() })
+    await Promise.race([drained, timeout])
+    for (const peer of peers.values()) peer.close()
+    server.closeAllConnections()
+    await new Promise<void>(resolve => { server.close(() => { resolve() }) })
+  }
+
+  return {
+    address,
+    send,
+    sendToAddress: (peerAddress, message) => { peerAt(peerAddress).send(message) },
+    setPeer,
+    forgetPeer,
+    close
+  }
+}
--- /dev/null
+++ b/packages/link/src/link.ts
@@ -0,0 +1,34 @@
+/** Contract of a link: the way in which a process of the system exchanges messages with the others. */
+import type { Logger, Metrics, ProcessIdentity } from '@baobabpost/common'
+import type { LinkMessage } from '@baobabpost/messages'
+
+/** What a link needs. */
+export interface LinkOptions {
+  readonly identity: ProcessIdentity
+  /** `IP:PORT` to listen on; port 0 takes any. */
+  readonly listenAddress: string
+  /** `IP:PORT` at which others reach this process; where it listens by default. */
+  readonly advertisedAddress?: string
+  /** Shared keys: the first signs, all are accepted. */
+  readonly keys: readonly string[]
+  readonly logger: Logger
+  readonly metrics: Metrics
+  /** Receives every message that came whole, authenticated and well-formed. */
+  readonly onMessage: (from: ProcessIdentity, fromAddress: string, message: LinkMessage) => void
+  /** Told of a message that provably never left: the connection was refused before a byte was written. */
+  readonly onUndelivered?: (to: ProcessIdentity, message: LinkMessage) => void
+}
+
+/** A link. Messages of one turn of the loop to one peer travel as one batch. */
+export interface Link {
+  /** `IP:PORT` at which others reach this process. */
+  readonly address: string
+  /** Sends to a peer whose address is known, from `setPeer` or from its own messages; else the message is dropped. */
+  send: (to: ProcessIdentity, message: LinkMessage) => void
+  /** Sends to whichever process listens at the address. */
+  sendToAddress: (address: string, message: LinkMessage) => void
+  setPeer: (identity: ProcessIdentity, address: string) => void
+  forgetPeer: (identity: ProcessIdentity) => void
+  /** Sends what waits, then closes. */
+  close: () => Promise<void>
+}
--- /dev/null
+++ b/packages/link/src/signature.ts
@@ -0,0 +1,46 @@
+/** Authentication of link batches: an HMAC over sender and body, under a key that all processes of a fleet share. */
+import { createHmac, timingSafeEqual } from 'node:crypto'
+
+/** What a signature covers besides the body. */
+export interface SignedSender {
+  readonly identity: string
+  readonly address: string
+}
+
+function hmac (key: string, sender: SignedSender, body: string | Buffer): Buffer {
+  return createHmac('sha256', key)
+    .update(sender.identity)
+    .update('\n')
+    .update(sender.address)
+    .update('\n')
+    .update(body)
+    .digest()
+}
+
+/**
+ * Signs a batch.
+ *
+ * @returns 64 hexadecimal digits.
+ * @example
+ * signBatch('shared secret', { identity, address: '10.0.0.4:7001' }, body)
+ */
+export function signBatch (key: string, sender: SignedSender, body: string | Buffer): string {
+  return hmac(key, sender, body).toString('hex')
+}
+
+/**
+ * Checks a signature against every accepted key, so that keys rotate without a gap.
+ *
+ * @example
+ * verifyBatch(['new secret', 'old secret'], signature, sender, body)
+ */
+export function verifyBatch (
+  keys: readonly string[], signature: string, sender: SignedSender, body: string | Buffer
+): boolean {
+  const given = Buffer.from(signature, 'hex')
+  for (const key of keys) {
+    const expected = hmac(key, sender, body)
+    if (given.length === expected.length && timingSafeEqual(given, expected)) return true
+  }
+  return false
+}
