--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,2 @@
 /** The agent process beside an upstream. */
-export {}
+export type * from './running-agent.js'
--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -1,2 +1,3 @@
 /** The agent's decisions: the fence before a start, slots, windows, the record of what was started. */
-export {}
+export type * from './execution.js'
+export * from './start-rules.js'
