Define the contracts of ownership and outcomes

Cause: the entry composes both with the queue and the links and needs their types first. Change: interfaces and ports; dispatches number their attempts, a handover names what stays uncertain.

--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -28,7 +28,15 @@
 export type SubmissionHeader = typeof SubmissionHeader.Type
 
 /** One task of a dispatch: its place in the submission and its input. */
-export const DispatchTask = Schema.Struct({ index: Whole, input: JsonRecord })
+export const DispatchTask = Schema.Struct({
+  index: Whole,
+  input: JsonRecord,
+  /**
+   * Number of this dispatch of the task under its epoch. A refusal holds for its epoch and attempt and all lower ones,
+   * so that a delayed copy stays refused while a later attempt may come to the same agent.
+   */
+  attempt: Schema.optionalKey(Whole)
+})
 export type DispatchTask = typeof DispatchTask.Type
 
 /** Tasks of one submission for one agent. */
@@ -67,6 +75,8 @@
 export const TaskReport = Schema.Struct({
   index: Whole,
   outcome: TaskOutcome,
+  /** Attempt of the dispatch that a `not-run` answers. */
+  attempt: Schema.optionalKey(Whole),
   runMilliseconds: Schema.Finite
 })
 export type TaskReport = typeof TaskReport.Type
@@ -224,7 +234,8 @@
 
 /** Stopping owner to next owner: all that it knows of partitions in which it starts nothing more. */
 export const Handover = Schema.Struct({
-  partitions: Schema.Array(PartitionEpoch),
+  /** Partitions with the epochs of their next owner. Unknown keys made before `uncertainBefore` may have run. */
+  partitions: Schema.Array(Schema.Struct({ ...PartitionEpoch.fields, uncertainBefore: Milliseconds })),
   part: Whole,
   parts: Whole,
   submissions: Schema.Array(SubmissionHandover)
--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -76,7 +76,11 @@
 export type Objective = typeof Objective.Type
 
 /** Register `partition/NUMBER`: the owner of a partition of submission keys; the version is the epoch. */
-export const PartitionOwner = Schema.Struct({ owner: EntryIdentity })
+export const PartitionOwner = Schema.Struct({
+  owner: EntryIdentity,
+  /** Set by the previous owner when it gives the partition away itself; it then sends `handover`. */
+  handedOverBy: Schema.optionalKey(EntryIdentity)
+})
 export type PartitionOwner = typeof PartitionOwner.Type
 
 /** Register `entry/IDENTITY`: an entry of the fleet. */
--- a/packages/outcomes/src/index.ts
+++ b/packages/outcomes/src/index.ts
@@ -1,2 +1,2 @@
 /** Submissions at their owner: the state of each task, whole answers, cancellation, takeover of jobs. */
-export {}
+export type * from './outcomes.js'
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,2 +1,2 @@
 /** Which entry owns which partition of submission keys: claims, owner leases, takeover. */
-export {}
+export type * from './ownership.js'
