--- /dev/null
+++ b/packages/access/src/access.ts
@@ -0,0 +1,81 @@
+/** Authentication of callers and operators by bearer keys, and authorization for customers. */
+import { timingSafeEqual } from 'node:crypto'
+import { DispatchError } from '@baobabpost/common'
+import { digestSecret, type AccessKey, type Principal } from './access-key.js'
+
+/** Settings of access. */
+export interface AccessOptions {
+  readonly keys: readonly AccessKey[]
+}
+
+/** Says who calls and what they may do. */
+export interface Access {
+  /**
+   * Tells who sent a request with this `Authorization` header.
+   *
+   * @returns The sender, or an error of kind `unauthenticated`.
+   */
+  authenticate: (header: string | undefined) => Principal | DispatchError
+  /** Replaces all keys, as when the key file changed. Takes effect with the next request. */
+  setKeys: (keys: readonly AccessKey[]) => void
+  /** Number of keys that are valid now. */
+  keyCount: () => number
+}
+
+const BEARER = /^Bearer +([\x21-\x7e]+) *$/i
+
+function unauthenticated (detail: string): DispatchError {
+  return new DispatchError({ kind: 'unauthenticated', detail })
+}
+
+/** Compares with every key whatever matches, so that the time tells nothing about the keys. */
+function findPrincipal (keys: readonly AccessKey[], digest: Buffer): Principal | undefined {
+  let found: Principal | undefined
+  for (const key of keys) {
+    if (timingSafeEqual(key.digest, digest)) found = key.principal
+  }
+  return found
+}
+
+/**
+ * Makes the check of access keys.
+ *
+ * @example
+ * const access = createAccess({ keys: readKeys('caller:medina:0123456789abcdef').keys })
+ * access.authenticate('Bearer 0123456789abcdef') // { role: 'caller', subject: 'medina' }
+ */
+export function createAccess (options: AccessOptions): Access {
+  let keys = options.keys
+  return {
+    authenticate (header) {
+      if (header === undefined) return unauthenticated('No key was given')
+      const secret = BEARER.exec(header)?.[1]
+      if (secret === undefined) return unauthenticated('The Authorization header is not of the form: Bearer KEY')
+      return findPrincipal(keys, digestSecret(secret)) ?? unauthenticated('The key is not valid')
+    },
+    setKeys (next) { keys = next },
+    keyCount: () => keys.length
+  }
+}
+
+/**
+ * Checks that a sender may act for a customer: its own callers and every operator may.
+ *
+ * @returns An error of kind `forbidden`, or nothing.
+ * @example
+ * authorizeCustomer({ role: 'caller', subject: 'medina' }, 'pikine')?.kind // 'forbidden'
+ */
+export function authorizeCustomer (principal: Principal, customer: string): DispatchError | undefined {
+  if (principal.role === 'operator' || principal.subject === customer) return undefined
+  return new DispatchError({ kind: 'forbidden', detail: 'The key belongs to another customer' })
+}
+
+/**
+ * Checks that a sender is an operator.
+ *
+ * @returns An error of kind `forbidden`, or nothing.
+ */
+export function authorizeOperator (principal: Principal): DispatchError | undefined {
+  if (principal.role === 'operator') return undefined
+  return new DispatchError({ kind: 'forbidden', detail: 'Only an operator may do this' })
+}
