--- a/packages/common/src/partition.ts
+++ b/packages/common/src/partition.ts
@@ -5,14 +5,16 @@
 /** Number of partitions; the same at every process of a fleet. */
 export const PARTITION_COUNT = 256
 
+const RANDOM_DIGITS = 4
+
 /**
- * Tells the partition of a submission key, from 0 to `PARTITION_COUNT - 1`.
+ * Tells the partition of a submission key, from 0 to `PARTITION_COUNT - 1`: the last bits of its random part.
  *
  * @example
  * partitionOf(createSubmissionKey()) // 17
  */
 export function partitionOf (key: SubmissionKey): number {
-  return createHash('sha256').update(key).digest().readUInt16BE(0) % PARTITION_COUNT
+  return Number.parseInt(key.slice(-RANDOM_DIGITS), 16) % PARTITION_COUNT
 }
 
 /**
--- /dev/null
+++ b/packages/entry/src/http/caller-server.ts
@@ -0,0 +1,125 @@
+/** The HTTP server of an entry towards callers and operators: routing, authentication, bounds and problem answers. */
+import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer as createSecureServer, type ServerOptions } from 'node:https'
+import { authorizeOperator, type Access, type Principal } from '@baobabpost/access'
+import { DispatchError, errorAnswer, type ErrorKind, type Logger, type Metrics } from '@baobabpost/common'
+import { createProblem, type Problem } from '@baobabpost/messages'
+import { BODY_TIMEOUT_MILLISECONDS, readBody } from './read-body.js'
+import type { HttpAnswer, Route } from './route.js'
+import { createRouter, type RouteMatch } from './router.js'
+
+const HEADERS_TIMEOUT_MILLISECONDS = 5_000
+const KEEP_ALIVE_MILLISECONDS = 30_000
+const MAXIMUM_CONNECTIONS = 10_000
+const MAXIMUM_HEADER_BYTES = 16_384
+
+/** What the server needs. */
+export interface CallerServerOptions {
+  readonly routes: readonly Route[]
+  readonly access: Access
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly now: () => number
+  /** Certificate and key; plain HTTP where absent. */
+  readonly transportSecurity?: ServerOptions
+}
+
+/**
+ * Turns an error into the answer that the table of error kinds gives.
+ *
+ * @example
+ * answerProblem(createProblem('not-run', 'The queue is full', { retryAfterMilliseconds: 500 })).status // 503
+ */
+export function answerProblem (problem: Problem): HttpAnswer {
+  const { status } = errorAnswer(problem.kind)
+  const { retryAfterMilliseconds } = problem
+  return retryAfterMilliseconds === undefined
+    ? { status, body: problem }
+    : { status, body: problem, retryAfterMilliseconds }
+}
+
+/** Makes the HTTP server; it does not listen yet. */
+export function createCallerServer (options: CallerServerOptions): Server {
+  const findRoute = createRouter(options.routes)
+
+  function authenticate (match: RouteMatch, header: string | undefined): Principal | undefined {
+    if (match.route.access === 'open') return undefined
+    const principal = options.access.authenticate(header)
+    if (principal instanceof DispatchError) throw principal
+    if (match.route.access !== 'operator') return principal
+    const fault = authorizeOperator(principal)
+    if (fault !== undefined) throw fault
+    return principal
+  }
+
+  async function answer (incoming: IncomingMessage, signal: AbortSignal): Promise<HttpAnswer> {
+    const arrivedAt = options.now()
+    const url = new URL(incoming.url ?? '/', 'http://entry')
+    const match = findRoute(incoming.method ?? '', url.pathname)
+    if (match === undefined) {
+      throw new DispatchError({ kind: 'unknown-route', detail: `${incoming.method ?? ''} ${url.pathname.slice(0, 200)}` })
+    }
+    const principal = authenticate(match, incoming.headers.authorization)
+    const body = await readBody(incoming)
+    return await match.route.handle({
+      parameters: match.parameters, query: url.searchParams, body, principal, arrivedAt, signal
+    })
+  }
+
+  function problemOf (failure: unknown): Problem {
+    if (failure instanceof DispatchError) {
+      const { retryAfterMilliseconds } = failure
+      return createProblem(
+        failure.kind, failure.detail, retryAfterMilliseconds === undefined ? {} : { retryAfterMilliseconds })
+    }
+    options.logger.error('request failed', { reason: failure instanceof Error ? failure.stack : String(failure) })
+    return createProblem('internal', 'The request met a fault inside the system')
+  }
+
+  function write (outgoing: ServerResponse, result: HttpAnswer, closeConnection: boolean): void {
+    if (outgoing.destroyed || outgoing.headersSent) return
+    const body = JSON.stringify(result.body)
+    if (result.status >= 400) {
+      options.metrics.count('errors.count', 1, (result.body as { kind?: ErrorKind }).kind ?? 'internal')
+    }
+    const retryAfter = result.retryAfterMilliseconds
+    outgoing.writeHead(result.status, {
+      'content-type': result.status >= 400 ? 'application/problem+json' : 'application/json',
+      'content-length': Buffer.byteLength(body),
+      ...(retryAfter === undefined ? {} : { 'retry-after': Math.max(1, Math.ceil(retryAfter / 1000)) }),
+      ...(closeConnection ? { connection: 'close' } : {})
+    })
+    outgoing.end(body)
+  }
+
+  function handle (incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const controller = new AbortController()
+    outgoing.on('close', () => { if (!outgoing.writableFinished) controller.abort() })
+    answer(incoming, controller.signal).then(
+      result => { write(outgoing, result, false) },
+      (failure: unknown) => {
+        write(outgoing, answerProblem(problemOf(failure)), !incoming.complete)
+        // What is left of a body that was refused is not read into memory.
+        if (!incoming.complete) outgoing.once('finish', () => { incoming.destroy() })
+      })
+  }
+
+  const limits = {
+    headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+    requestTimeout: BODY_TIMEOUT_MILLISECONDS + HEADERS_TIMEOUT_MILLISECONDS,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    maxHeaderSize: MAXIMUM_HEADER_BYTES
+  }
+  const server = options.transportSecurity === undefined
+    ? createPlainServer(limits, handle)
+    : createSecureServer({ ...limits, ...options.transportSecurity }, handle)
+  server.maxConnections = MAXIMUM_CONNECTIONS
+  server.on('clientError', (_failure, socket) => {
+    if (!socket.writable) return socket.destroy()
+    const problem = createProblem('malformed-request', 'The request is not well-formed HTTP')
+    const body = JSON.stringify(problem)
+    socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-type: application/problem+json\r\n' +
+      `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+  })
+  return server
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,29 @@
+#!/usr/bin/env node
+/** The binary `baobabpost-entry`. */
+import { settingsOrExit, VERSION } from '@baobabpost/common'
+import { Effect } from 'effect'
+import { startEntry } from './running-entry.js'
+import { ENTRY_SETTINGS } from './settings.js'
+
+const settings = settingsOrExit('baobabpost-entry', 'Entry of a baobabpost fleet.', VERSION, ENTRY_SETTINGS)
+
+const entry = Effect.acquireRelease(
+  Effect.promise(() => startEntry(settings)),
+  running => Effect.promise(() => running.stop())
+)
+
+const stopSignal = Effect.callback<void>(resume => {
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => { resume(Effect.void) })
+})
+
+const program = Effect.scoped(Effect.gen(function * () {
+  yield * entry
+  yield * stopSignal
+}))
+
+Effect.runPromise(program).then(
+  () => { process.exit(0) },
+  (failure: unknown) => {
+    process.stderr.write(`baobabpost-entry: ${String(failure)}\n`)
+    process.exit(1)
+  })
--- /dev/null
+++ b/packages/entry/src/running-entry.ts
@@ -0,0 +1,207 @@
+/** An entry that runs within a process: its decisions joined to links, the platform's log, callers and the clock. */
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createKeySource, createAccess, readTransportSecurity } from '@baobabpost/access'
+import {
+  createEntryIdentity, createInvariants, createLogger, createMetrics, createRandom, type EntryIdentity, type Logger,
+  type Metrics
+} from '@baobabpost/common'
+import { createLink, type Link } from '@baobabpost/link'
+import { createPlatformLogClient, type PlatformLogClient } from '@baobabpost/platform-log'
+import { createEntryCore, type EntryCore } from './entry-core.js'
+import { createCallerServer } from './http/caller-server.js'
+import { createRoutes } from './routes.js'
+import type { EntrySettings } from './settings.js'
+
+const TICK_MILLISECONDS = 50
+const STOP_POLL_MILLISECONDS = 20
+/** Time between saying unready and closing, in which the balancer takes this entry out. */
+const UNREADY_MILLISECONDS = 200
+
+/** An entry that runs. */
+export interface RunningEntry {
+  readonly identity: EntryIdentity
+  /** `http://IP:PORT` for callers and operators. */
+  readonly url: string
+  /** `IP:PORT` of the link. */
+  readonly linkAddress: string
+  readonly core: EntryCore
+  /** Violations of asserted invariants so far. */
+  readonly violations: () => number
+  /** Planned stop: unready first, hands partitions over, answers what is in flight, then closes. */
+  readonly stop: () => Promise<void>
+  /** Ends at once without a word, as a crash does; for tests. */
+  readonly kill: () => Promise<void>
+}
+
+function splitAddress (address: string): { host: string, port: number } {
+  const separator = address.lastIndexOf(':')
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
+}
+
+function listen (server: Server, address: string): Promise<string> {
+  const { host, port } = splitAddress(address)
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => { resolve(`${host}:${(server.address() as AddressInfo).port}`) })
+  })
+}
+
+function createEntryMetrics (settings: EntrySettings): Metrics {
+  if (settings.metricsAddress === '') return createMetrics({ role: 'entry' })
+  return createMetrics({ ...splitAddress(settings.metricsAddress), role: 'entry' })
+}
+
+function seedFrom (identity: EntryIdentity): number {
+  return Number.parseInt(identity.slice(-8), 16) | 0
+}
+
+/** Starts an entry; resolves once it listens. */
+export async function startEntry (settings: EntrySettings): Promise<RunningEntry> {
+  const identity = createEntryIdentity(settings.name)
+  const logger: Logger = createLogger({ level: settings.logLevel, fields: { entry: identity } })
+  const metrics = createEntryMetrics(settings)
+  const invariants = createInvariants((invariant, detail) => {
+    logger.error('invariant violated', { invariant, detail })
+    metrics.count('invariants.violated.count', 1, invariant)
+  })
+  const now = (): number => Date.now()
+  let flushPlanned = false
+  let closed = false
+
+  const link: Link = await createLink({
+    identity,
+    listenAddress: settings.linkAddress,
+    ...(settings.advertisedLinkAddress === '' ? {} : { advertisedAddress: settings.advertisedLinkAddress }),
+    keys: settings.linkKeys,
+    logger,
+    metrics,
+    onMessage: (from, _address, message) => {
+      if (closed) return
+      core.receive(from, message, now())
+      planFlush()
+    }
+  })
+  const log: PlatformLogClient = createPlatformLogClient({
+    address: settings.platformLogAddress,
+    author: identity,
+    readFrom: () => core.slices.fold.readFrom(),
+    logger,
+    random: createRandom(seedFrom(identity)),
+    listener: {
+      batch: batch => {
+        core.logRead(batch, now())
+        planFlush()
+      },
+      appended: outcome => {
+        if (outcome.kind !== 'appended') logger.warn('append did not settle', { outcome: outcome.kind })
+      }
+    }
+  })
+  const core: EntryCore = createEntryCore({
+    settings: {
+      identity,
+      address: link.address,
+      failureDomain: settings.failureDomain,
+      policy: settings.policy,
+      keyWindowMilliseconds: settings.keyWindowMilliseconds,
+      clockSkewMilliseconds: settings.clockSkewMilliseconds,
+      logRetentionMilliseconds: settings.logRetentionMilliseconds,
+      maximumQueuedTasks: settings.maximumQueuedTasks
+    },
+    startedAt: now(),
+    send: link.send,
+    append: changes => log.append(changes),
+    logStanding: log.standing,
+    sendToSeeds: message => {
+      for (const address of settings.peerAddresses) link.sendToAddress(address, message)
+    },
+    setPeer: link.setPeer,
+    forgetPeer: link.forgetPeer,
+    random: createRandom(seedFrom(identity) + 1),
+    invariants,
+    logger,
+    metrics
+  })
+
+  const access = createAccess({ keys: [] })
+  const keySource = createKeySource({ text: settings.accessKeys, file: settings.accessKeyFile, access, logger })
+  const transportSecurity = readTransportSecurity(settings.certificateFile, settings.certificateKeyFile)
+  const server = createCallerServer({
+    routes: createRoutes({ core, now, invariants }),
+    access,
+    logger,
+    metrics,
+    now,
+    ...(transportSecurity === undefined ? {} : { transportSecurity })
+  })
+
+  function planFlush (): void {
+    if (flushPlanned || closed) return
+    flushPlanned = true
+    setImmediate(flush)
+  }
+
+  function flush (): void {
+    flushPlanned = false
+    if (closed) return
+    if (core.flush(now())) planFlush()
+  }
+
+  core.start(now())
+  log.start()
+  const ticker = setInterval(() => {
+    core.tick(now())
+    planFlush()
+  }, TICK_MILLISECONDS)
+  const callerAddress = await listen(server, settings.listenAddress)
+  const scheme = transportSecurity === undefined ? 'http' : 'https'
+  logger.info('entry listens', { callers: callerAddress, link: link.address, failureDomain: settings.failureDomain })
+
+  async function waitUntilDrained (): Promise<boolean> {
+    const giveUpAt = now() + settings.stopTimeoutMilliseconds
+    while (!core.drained()) {
+      if (now() >= giveUpAt) return false
+      await new Promise(resolve => setTimeout(resolve, STOP_POLL_MILLISECONDS))
+    }
+    return true
+  }
+
+  async function close (): Promise<void> {
+    closed = true
+    clearInterval(ticker)
+    keySource.close()
+    log.close()
+    server.closeAllConnections()
+    await new Promise<void>(resolve => { server.close(() => { resolve() }) })
+    await link.close()
+    metrics.close()
+  }
+
+  async function stop (): Promise<void> {
+    logger.info('entry stops')
+    core.stop(now())
+    await new Promise(resolve => setTimeout(resolve, UNREADY_MILLISECONDS))
+    if (!await waitUntilDrained()) {
+      const { operations, calls, ownership } = core.slices
+      logger.error('stop took too long', {
+        operations: operations.pending(), calls: calls.pending(), partitions: ownership.ownedCount()
+      })
+    }
+    core.leave(now())
+    await log.settled()
+    server.closeIdleConnections()
+    await close()
+    logger.info('entry stopped')
+  }
+
+  return {
+    identity,
+    url: `${scheme}://${callerAddress}`,
+    linkAddress: link.address,
+    core,
+    violations: invariants.violations,
+    stop,
+    kill: close
+  }
+}
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -22,6 +22,7 @@
   if (signingKey === undefined) throw new Error('a link needs a key')
   const addresses = new Map<ProcessIdentity, string>()
   const peers = new Map<string, OutgoingPeer>()
+  const sent = { messages: 0, batches: 0, bytes: 0 }
 
   const server = createIncomingServer({
     keys: options.keys,
@@ -61,13 +62,21 @@
       peerAddress,
       key: signingKey as string,
       logger: options.logger,
-      metrics: options.metrics,
+      onSent: (messages, bytes) => { noteSent(messages, bytes) },
       onUndelivered: messages => { tellUndelivered(peerAddress, messages) }
     })
     peers.set(peerAddress, peer)
     return peer
   }
 
+  function noteSent (messages: number, bytes: number): void {
+    sent.messages += messages
+    sent.batches += 1
+    sent.bytes += bytes
+    options.metrics.count('link.messages.count', messages)
+    options.metrics.count('link.bytes.count', bytes)
+  }
+
   function tellUndelivered (peerAddress: string, messages: readonly LinkMessage[]): void {
     if (options.onUndelivered === undefined) return
     for (const [identity, known] of addresses) {
@@ -100,6 +109,7 @@
     sendToAddress: (peerAddress, message) => { peerAt(peerAddress).send(message) },
     setPeer,
     forgetPeer,
+    statistics: () => ({ ...sent }),
     close
   }
 }
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -19,6 +19,15 @@
   readonly onUndelivered?: (to: ProcessIdentity, message: LinkMessage) => void
 }
 
+/** What a link sent since it was opened. */
+export interface LinkStatistics {
+  readonly messages: number
+  /** Requests that carried them. */
+  readonly batches: number
+  /** Bytes of their bodies. */
+  readonly bytes: number
+}
+
 /** A link. Messages of one turn of the loop to one peer travel as one batch. */
 export interface Link {
   /** `IP:PORT` at which others reach this process. */
@@ -29,6 +38,7 @@
   sendToAddress: (address: string, message: LinkMessage) => void
   setPeer: (identity: ProcessIdentity, address: string) => void
   forgetPeer: (identity: ProcessIdentity) => void
+  statistics: () => LinkStatistics
   /** Sends what waits, then closes. */
   close: () => Promise<void>
 }
--- a/packages/link/src/outgoing-peer.ts
+++ b/packages/link/src/outgoing-peer.ts
@@ -1,6 +1,6 @@
 /** The outgoing side of a link to one address: coalesces what is ready in a turn of the loop into one request. */
 import { Agent, request } from 'node:http'
-import type { Logger, Metrics, ProcessIdentity } from '@baobabpost/common'
+import type { Logger, ProcessIdentity } from '@baobabpost/common'
 import { createJSONRPCNotification } from 'json-rpc-2.0'
 import type { LinkMessage } from '@baobabpost/messages'
 import { signBatch } from './signature.js'
@@ -29,7 +29,8 @@
   readonly peerAddress: string
   readonly key: string
   readonly logger: Logger
-  readonly metrics: Metrics
+  /** Told of each batch that is sent, with its bytes. */
+  readonly onSent: (messages: number, bytes: number) => void
   readonly onUndelivered: (messages: readonly LinkMessage[]) => void
 }
 
@@ -79,8 +80,7 @@
     let connected = false
     let settled = false
     requests += 1
-    options.metrics.count('link.messages.count', batch.length)
-    options.metrics.count('link.bytes.count', body.length)
+    options.onSent(batch.length, body.length)
 
     const outgoing = request({
       host,
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -8,6 +8,7 @@
 import { Schema } from 'effect'
 import { JobRequest, Problem, SubmissionAnswer } from './caller.js'
 import { JsonRecord, Milliseconds, Whole } from './json.js'
+import { Explanation } from './operator.js'
 import { TaskOutcome } from './outcome.js'
 import { RegisterValue } from './register.js'
 
@@ -190,7 +191,8 @@
 export const ForwardedOperation = Schema.Union([
   Schema.Struct({ kind: Schema.Literal('submit'), request: JobRequest, digest: Schema.String }),
   Schema.Struct({ kind: Schema.Literal('query') }),
-  Schema.Struct({ kind: Schema.Literal('cancel') })
+  Schema.Struct({ kind: Schema.Literal('cancel') }),
+  Schema.Struct({ kind: Schema.Literal('explain') })
 ])
 export type ForwardedOperation = typeof ForwardedOperation.Type
 
@@ -208,6 +210,7 @@
 /** Owner's answer to a forwarded operation. */
 export const OperationResult = Schema.Union([
   Schema.Struct({ kind: Schema.Literal('answer'), answer: SubmissionAnswer }),
+  Schema.Struct({ kind: Schema.Literal('explanation'), explanation: Explanation }),
   Schema.Struct({ kind: Schema.Literal('problem'), problem: Problem })
 ])
 export type OperationResult = typeof OperationResult.Type
