--- a/packages/stand-in-upstream/src/index.ts
+++ b/packages/stand-in-upstream/src/index.ts
@@ -1,2 +1,3 @@
 /** Stand-in for an upstream with slots, a speed and injectable faults. */
-export {}
+export * from './upstream-fault.js'
+export * from './stand-in-upstream.js'
