--- a/packages/admission/src/admission-queue.ts
+++ b/packages/admission/src/admission-queue.ts
@@ -32,14 +32,20 @@
   readonly slots: number
 }
 
+/** Lane of a service: urgent tasks go ahead of jobs. */
+export type Lane = 'urgent' | 'jobs'
+
 /** The waiting queues of one entry. */
 export interface AdmissionQueue {
   /** Takes all tasks or none. */
   offer: (tasks: readonly WaitingTask[], now: number) => AdmissionDecision
   /** Takes tasks that were admitted before and came back unstarted, or came by takeover; never refuses. */
   restore: (tasks: readonly WaitingTask[]) => void
-  /** Takes out the next task of a service: urgent first, then teams and customers by share. */
-  next: (service: string, now: number) => WaitingTask | undefined
+  /**
+   * Takes out the next task of a service: urgent first but for a bounded share of jobs, then teams and customers by
+   * share. With a lane, the next of that lane.
+   */
+  next: (service: string, now: number, lane?: Lane) => WaitingTask | undefined
   /** Puts a task that `next` gave back at the head. */
   putBack: (task: WaitingTask) => void
   /** Takes out all waiting tasks of a submission, or those with the given indexes. */
@@ -48,8 +54,8 @@
   expire: (now: number) => readonly WaitingTask[]
   /** Services with waiting tasks. */
   services: () => readonly string[]
-  /** Number of waiting tasks of a service, or of all. */
-  length: (service?: string) => number
+  /** Number of waiting tasks of a service, of one of its lanes, or of all. */
+  length: (service?: string, lane?: Lane) => number
   setCustomers: (customers: readonly CustomerShare[]) => void
   setTeams: (teams: readonly TeamShare[]) => void
   setCapacity: (capacity: ServiceCapacity) => void
--- /dev/null
+++ b/packages/admission/src/quota-table.ts
@@ -0,0 +1,47 @@
+/** Shares and bounds of teams and customers, with the number of their waiting tasks. */
+import type { CustomerShare, TeamShare } from './admission-queue.js'
+import type { ShareTable } from './waiting-lane.js'
+import type { WaitingTask } from './waiting-task.js'
+
+const UNKNOWN_SHARE = 1
+
+/** Quotas of an entry. */
+export interface QuotaTable extends ShareTable {
+  setCustomers: (customers: readonly CustomerShare[]) => void
+  setTeams: (teams: readonly TeamShare[]) => void
+  /** Whether so many more tasks of the customer and its team may wait. */
+  allows: (team: string, customer: string, tasks: number) => boolean
+  /** Notes that tasks like this one began to wait, or with a negative number, ended. */
+  count: (task: Pick<WaitingTask, 'team' | 'customer'>, tasks: number) => void
+}
+
+/** Makes a table that knows no quota: all may wait, with equal shares. */
+export function createQuotaTable (): QuotaTable {
+  let customerShares = new Map<string, CustomerShare>()
+  let teamShares = new Map<string, TeamShare>()
+  const waitingByCustomer = new Map<string, number>()
+  const waitingByTeam = new Map<string, number>()
+
+  function add (counts: Map<string, number>, name: string, tasks: number): void {
+    const sum = (counts.get(name) ?? 0) + tasks
+    if (sum > 0) counts.set(name, sum)
+    else counts.delete(name)
+  }
+
+  return {
+    setCustomers: customers => { customerShares = new Map(customers.map(share => [share.customer, share])) },
+    setTeams: teams => { teamShares = new Map(teams.map(share => [share.team, share])) },
+    teamShare: team => teamShares.get(team)?.share ?? UNKNOWN_SHARE,
+    customerShare: customer => customerShares.get(customer)?.share ?? UNKNOWN_SHARE,
+    allows: (team, customer, tasks) => {
+      const customerLimit = customerShares.get(customer)?.maximumQueuedTasks ?? Infinity
+      if ((waitingByCustomer.get(customer) ?? 0) + tasks > customerLimit) return false
+      const teamLimit = teamShares.get(team)?.maximumQueuedTasks ?? Infinity
+      return (waitingByTeam.get(team) ?? 0) + tasks <= teamLimit
+    },
+    count: (task, tasks) => {
+      add(waitingByCustomer, task.customer, tasks)
+      add(waitingByTeam, task.team, tasks)
+    }
+  }
+}
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -37,8 +37,12 @@
   /** Whether any agent of the service could take a task now. */
   abstract hasRoom (service: string, now: number): boolean
 
-  /** Chooses an agent for the task, or none if it should wait. */
-  abstract choose (task: WaitingTask, now: number): AgentIdentity | undefined
+  /**
+   * Chooses an agent for the task, or none if it should wait.
+   *
+   * @param waiting - Tasks that wait in the lane of the task, this one included.
+   */
+  abstract choose (task: WaitingTask, now: number, waiting: number): AgentIdentity | undefined
 
   /** Notes that the task was dispatched to the agent. */
   abstract dispatched (identity: AgentIdentity, task: WaitingTask, now: number): void
--- /dev/null
+++ b/packages/placement/src/round-robin.ts
@@ -0,0 +1,23 @@
+/** Round robin: agents in turn. The baseline. */
+import type { WaitingTask } from '@baobabpost/admission'
+import type { AgentState } from './agent-state.js'
+import { type ServiceState, TrackedPlacement } from './tracked-placement.js'
+
+/** Gives tasks to the agents in turn, those without room left out. */
+export class RoundRobinPlacement extends TrackedPlacement {
+  override readonly name = 'round-robin'
+  readonly #turns = new WeakMap<ServiceState, number>()
+
+  protected override pick (service: ServiceState, task: WaitingTask, now: number): AgentState | undefined {
+    const { agents } = service
+    const turn = this.#turns.get(service) ?? 0
+    for (let step = 0; step < agents.length; step += 1) {
+      const position = (turn + step) % agents.length
+      const state = agents[position]!
+      if (!this.mayTake(service, state, task, now)) continue
+      this.#turns.set(service, position + 1)
+      return state
+    }
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/placement/src/two-choices.ts
@@ -0,0 +1,35 @@
+/** Power of two choices: of two random agents the less loaded one. Queues form at the agents. */
+import type { WaitingTask } from '@baobabpost/admission'
+import type { Random } from '@baobabpost/common'
+import type { AgentState } from './agent-state.js'
+import { type ServiceState, TrackedPlacement } from './tracked-placement.js'
+
+const DRAWS = 4
+
+/** Pushes each task to the less loaded of two random agents; the windows bound the queues at the agents. */
+export class TwoChoicesPlacement extends TrackedPlacement {
+  override readonly name = 'two-choices'
+  readonly #random: Random
+
+  constructor (random: Random) {
+    super()
+    this.#random = random
+  }
+
+  protected override pick (service: ServiceState, task: WaitingTask, now: number): AgentState | undefined {
+    const { agents } = service
+    if (agents.length === 0) return undefined
+    let first: AgentState | undefined
+    for (let draw = 0; draw < DRAWS; draw += 1) {
+      const state = agents[this.#random.below(agents.length)]!
+      if (state === first || !this.mayTake(service, state, task, now)) continue
+      if (first !== undefined) return load(state) < load(first) ? state : first
+      first = state
+    }
+    return first ?? agents.find(state => this.mayTake(service, state, task, now))
+  }
+}
+
+function load (state: AgentState): number {
+  return state.outstanding.size / state.agent.slots
+}
--- a/packages/requests/src/requests.ts
+++ b/packages/requests/src/requests.ts
@@ -31,6 +31,14 @@
   | { readonly kind: 'withdraw', readonly attempt: string }
   | { readonly kind: 'answer', readonly request: string, readonly result: RequestResult }
 
+/** What the policy of the deployment says about single calls. */
+export interface RequestPolicy {
+  /** Retries and hedges as a share of successes, from 0 to 1. */
+  readonly retryShare: number
+  /** Whether idempotent calls may be hedged. */
+  readonly hedge: boolean
+}
+
 /** The single calls of one entry: retries and hedges within a budget. */
 export interface Requests {
   begin: (call: RequestCall, now: number) => readonly RequestAction[]
@@ -41,6 +49,7 @@
   /** The caller broke off. */
   abandon: (request: string, now: number) => readonly RequestAction[]
   tick: (now: number) => readonly RequestAction[]
+  setPolicy: (policy: RequestPolicy) => void
   /** Number of calls that have no answer yet. */
   pending: () => number
 }
