Repeat single calls within a budget

Cause: entries need retries and hedges that never start a non-idempotent call twice and never multiply load. Change: createRequests with a token budget fed by successes, jittered back-off, hedges, answers that tell what all attempts prove; the indexed heap moves to common, as queues and timers both use it.

--- a/packages/admission/src/create-admission-queue.ts
+++ b/packages/admission/src/create-admission-queue.ts
@@ -1,6 +1,6 @@
 /** Builds the waiting queues of an entry. */
 import type { AdmissionDecision, AdmissionQueue, Lane } from './admission-queue.js'
-import { createIndexedHeap } from './indexed-heap.js'
+import { createIndexedHeap } from '@baobabpost/common'
 import { createQuotaTable } from './quota-table.js'
 import { createServiceLanes, type ServiceLanes } from './service-lanes.js'
 import { chargeOf, createTaskGroup, extractTasks, groupLength, type TaskGroup } from './task-group.js'
--- a/packages/admission/src/share-scheduler.ts
+++ b/packages/admission/src/share-scheduler.ts
@@ -4,7 +4,7 @@
  * Each flow has a pass, the weighted service it was charged. The flow with the lowest pass is next. A flow that was
  * idle starts at the present virtual time, so that idleness saves up no claim. Every step costs O(log flows).
  */
-import { createIndexedHeap, type HeapItem } from './indexed-heap.js'
+import { createIndexedHeap, type HeapItem } from '@baobabpost/common'
 
 /** A flow of a scheduler; the scheduler alone changes `pass` and `position`. */
 export interface ShareFlow extends HeapItem {
--- a/packages/admission/src/task-group.ts
+++ b/packages/admission/src/task-group.ts
@@ -1,5 +1,5 @@
 /** The waiting tasks of one submission, in the order in which they start. */
-import type { HeapItem } from './indexed-heap.js'
+import type { HeapItem } from '@baobabpost/common'
 import type { Lane } from './admission-queue.js'
 import type { WaitingTask } from './waiting-task.js'
 
--- a/packages/placement/src/tracked-placement.ts
+++ b/packages/placement/src/tracked-placement.ts
@@ -113,7 +113,9 @@
   protected mayTake (service: ServiceState, state: AgentState, task: WaitingTask, now: number): boolean {
     if (roomOf(state) <= 0) return false
     const { identity } = state.agent
-    if (task.excludedAgents.length > 0 && task.excludedAgents.includes(identity)) return false
+    const excluded = task.excludedAgents
+    // Where all agents are excluded, any is better than none.
+    if (excluded.length > 0 && excluded.length < service.agents.length && excluded.includes(identity)) return false
     if (!this.failures.hasFailing(task.template)) return true
     return !this.failures.paused(task.template, identity, service.agents.length, now)
   }
--- /dev/null
+++ b/packages/requests/src/call-state.ts
@@ -0,0 +1,95 @@
+/** What is kept about one single call until its answer. */
+import type { AgentIdentity, HeapItem } from '@baobabpost/common'
+import type { NotRunReason } from '@baobabpost/messages'
+import type { RequestCall } from './requests.js'
+
+const MOST_EXCLUDED_AGENTS = 2
+
+/** One attempt of a call. */
+export interface Attempt {
+  readonly name: string
+  /** Where it was sent; undefined while it waits in the queue. */
+  agent: AgentIdentity | undefined
+  dispatchedAt: number
+}
+
+/** What ended attempts tell about the work: nothing of it ran, it ran and failed, or it may have run. */
+export type EndedAttempts = 'not-run' | 'failed' | 'unknown'
+
+/** A call without an answer; `time` orders the heap of timers. */
+export interface CallState extends HeapItem {
+  readonly call: RequestCall
+  /** Attempts without an outcome, by name. */
+  readonly attempts: Map<string, Attempt>
+  attemptCount: number
+  notRunCount: number
+  repeatCount: number
+  ended: EndedAttempts
+  /** Detail of the last failure. */
+  detail: string
+  excludedAgents: readonly AgentIdentity[]
+  /** Unix times in milliseconds; Infinity where nothing is planned. */
+  retryAt: number
+  hedgeAt: number
+  time: number
+}
+
+/** Makes the state of a call without attempts. */
+export function createCallState (call: RequestCall): CallState {
+  return {
+    call,
+    attempts: new Map(),
+    attemptCount: 0,
+    notRunCount: 0,
+    repeatCount: 0,
+    ended: 'not-run',
+    detail: '',
+    excludedAgents: [],
+    retryAt: Infinity,
+    hedgeAt: Infinity,
+    time: call.answerBefore,
+    position: -1
+  }
+}
+
+/** Adds an agent that further attempts should avoid; only the latest few are kept, so that some agent remains. */
+export function excludeAgent (state: CallState, agent: AgentIdentity | undefined): void {
+  if (agent === undefined || state.excludedAgents.includes(agent)) return
+  state.excludedAgents = [...state.excludedAgents, agent].slice(-MOST_EXCLUDED_AGENTS)
+}
+
+/** Whether an attempt without an outcome may be running. */
+export function mayBeRunning (state: CallState): boolean {
+  for (const attempt of state.attempts.values()) if (attempt.agent !== undefined) return true
+  return false
+}
+
+/** What a reason for not running means for a call. */
+export type NotRunMeaning = 'try-elsewhere' | 'invalid' | 'refused'
+
+/** Tells whether work that was not run for this reason may be tried again at once. */
+export function meaningOf (reason: NotRunReason): NotRunMeaning {
+  switch (reason) {
+    case 'stale-epoch':
+    case 'lease-lapsed':
+    case 'expired':
+    case 'leaving':
+    case 'window-exceeded':
+    case 'owner-lost':
+    case 'withdrawn':
+      return 'try-elsewhere'
+    case 'unknown-template':
+    case 'unknown-customer':
+    case 'unknown-parameter':
+    case 'missing-parameter':
+      return 'invalid'
+    case 'overloaded':
+    case 'deadline':
+    case 'quota':
+    case 'stopping':
+    case 'no-owner':
+    case 'no-worker':
+    case 'cancelled':
+      return 'refused'
+  }
+}
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,2 +1,3 @@
 /** Single calls: retries and hedges within a budget. */
 export type * from './requests.js'
+export * from './create-requests.js'
--- a/packages/requests/src/requests.ts
+++ b/packages/requests/src/requests.ts
@@ -39,13 +39,24 @@
   readonly hedge: boolean
 }
 
-/** The single calls of one entry: retries and hedges within a budget. */
+/**
+ * The single calls of one entry: retries and hedges within a budget.
+ *
+ * An attempt for which `dispatched` was not called is still in the entry's queue, so that a `withdraw` proves that it
+ * does not run. The entry carries out the actions in their order.
+ */
 export interface Requests {
   begin: (call: RequestCall, now: number) => readonly RequestAction[]
   /** The attempt was sent to an agent. */
   dispatched: (attempt: string, agent: AgentIdentity, now: number) => readonly RequestAction[]
-  /** The attempt ended: at an agent, in the queue (not run), or with its agent (outcome unknown). */
-  finished: (attempt: string, outcome: TaskOutcome, now: number) => readonly RequestAction[]
+  /**
+   * The attempt ended: at an agent, in the queue (not run), or with its agent (outcome unknown).
+   *
+   * @param retryAfterMilliseconds - When the caller may come back, where a refusal said so.
+   */
+  finished: (
+    attempt: string, outcome: TaskOutcome, now: number, retryAfterMilliseconds?: number
+  ) => readonly RequestAction[]
   /** The caller broke off. */
   abandon: (request: string, now: number) => readonly RequestAction[]
   tick: (now: number) => readonly RequestAction[]
