--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -95,15 +95,20 @@
       excludedAgents
     }
     const decision = queue.offer([task], now)
-    if (decision.kind === 'refused') settle(attempt, { status: 'not-run', reason: decision.reason }, now)
+    if (decision.kind === 'admitted') return
+    settle(attempt, { status: 'not-run', reason: decision.reason }, now, decision.retryAfterMilliseconds)
   }
 
   function withdraw (name: string): void {
     const attempt = attempts.get(name)
     if (attempt === undefined) return
     attempts.delete(name)
-    if (attempt.agent === undefined) queue.withdraw(name)
-    else outbox.send(attempt.agent, { method: 'withdraw', parameters: { selections: [{ submission: name, indexes: [0] }] } })
+    if (attempt.agent === undefined) {
+      queue.withdraw(name)
+      return
+    }
+    const selections = [{ submission: name, indexes: [0] }]
+    outbox.send(attempt.agent, { method: 'withdraw', parameters: { selections } })
   }
 
   function answer (request: string, result: RequestResult): void {
@@ -113,9 +118,9 @@
     call.answer(result)
   }
 
-  function settle (name: string, outcome: TaskOutcome, now: number): void {
+  function settle (name: string, outcome: TaskOutcome, now: number, retryAfterMilliseconds?: number): void {
     if (!attempts.delete(name)) return
-    perform(requests.finished(name, outcome, now), now)
+    perform(requests.finished(name, outcome, now, retryAfterMilliseconds), now)
   }
 
   function groupOf (attempt: Attempt): DispatchGroup {
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -1,6 +1,6 @@
 /** Moves tasks from the waiting queue to agents, and what agents report back to where it belongs. */
 import { partitionOf, type AgentIdentity, type SubmissionKey } from '@baobabpost/common'
-import type { AdmissionQueue, WaitingTask } from '@baobabpost/admission'
+import type { AdmissionQueue, Lane, WaitingTask } from '@baobabpost/admission'
 import type { DispatchGroup, Outbox, Report, SubmissionReport, TaskOutcome } from '@baobabpost/messages'
 import type { Outcomes } from '@baobabpost/outcomes'
 import type { Ownership } from '@baobabpost/ownership'
@@ -67,12 +67,17 @@
     return ownership.dispatchEpoch(partitionOf(task.submission as SubmissionKey), now) !== undefined
   }
 
+  /**
+   * Chooses agents for the tasks of a service. A task that has to wait for its agent holds up its lane alone: the
+   * other lane may still go.
+   */
   function select (service: string, selections: Map<AgentIdentity, AgentSelection>, limit: number, now: number): number {
     const placement = options.placement()
     const heldBack: WaitingTask[] = []
+    let openLane: Lane | undefined
     let selected = 0
     while (selected < limit && placement.hasRoom(service, now)) {
-      const task = queue.next(service, now)
+      const task = queue.next(service, now, openLane)
       if (task === undefined) break
       if (!isWanted(task)) continue
       if (!mayGo(task, now)) {
@@ -80,10 +85,13 @@
         if (heldBack.length >= limit) break
         continue
       }
-      const agent = placement.choose(task, now)
+      const lane: Lane = task.urgent ? 'urgent' : 'jobs'
+      const agent = placement.choose(task, now, queue.length(service, lane) + 1)
       if (agent === undefined) {
         heldBack.push(task)
-        break
+        if (openLane !== undefined) break
+        openLane = task.urgent ? 'jobs' : 'urgent'
+        continue
       }
       placement.dispatched(agent, task, now)
       inFlight.add(task, agent)
