--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -75,6 +75,10 @@
 })
 export type Objective = typeof Objective.Type
 
+/** Register `drain/NAME`: the agent of that name gets no new work while the register is there. */
+export const Drain = Schema.Struct({ name: Name, reason: Schema.String.check(Schema.isMaxLength(200)) })
+export type Drain = typeof Drain.Type
+
 /** Register `partition/NUMBER`: the owner of a partition of submission keys; the version is the epoch. */
 export const PartitionOwner = Schema.Struct({
   owner: EntryIdentity,
@@ -112,6 +116,7 @@
   team: Team,
   policy: Policy,
   objective: Objective,
+  drain: Drain,
   partition: PartitionOwner,
   entry: EntryRegistration,
   agent: AgentRegistration
