Decide at the agent what may start and tell what became of it

Cause: the agent has the last word on each start; nothing may start twice or under a lost lease. Change: the fence, memory of tasks, slots, windows, reports until acknowledged, collect in parts, heartbeat lease.

--- /dev/null
+++ b/packages/execution/src/agent-registers.ts
@@ -0,0 +1,61 @@
+/** The few registers that an agent acts on, as entries tell them. A version never goes back. */
+import { Policy, registerName, type RegisterValue } from '@baobabpost/messages'
+import { Result, Schema } from 'effect'
+
+/** Registers of an agent. */
+export interface AgentRegisters {
+  /** Takes in registers and the log offset that they bring the agent to. */
+  apply: (registers: readonly RegisterValue[], position: number) => void
+  position: () => number
+  prefetchTasks: () => number
+}
+
+const POLICY_PREFIX = 'policy/'
+const DEFAULT_POLICY = 'default'
+const decodePolicy = Schema.decodeUnknownResult(Policy)
+
+interface KnownPolicy {
+  readonly version: number
+  readonly prefetchTasks: number | undefined
+}
+
+/**
+ * Makes the registers of an agent. The policy named for the agent's service goes before the one named `default`.
+ *
+ * @param fallbackPrefetchTasks - In force until a policy comes.
+ */
+export function createAgentRegisters (service: string, fallbackPrefetchTasks: number): AgentRegisters {
+  const policies = new Map<string, KnownPolicy>()
+  const relevant = [registerName('policy', service), registerName('policy', DEFAULT_POLICY)]
+  let position = 0
+
+  function applyPolicy ({ register, version, value }: RegisterValue): void {
+    const known = policies.get(register)
+    if (known !== undefined && known.version >= version) return
+    if (value === null) {
+      policies.set(register, { version, prefetchTasks: undefined })
+      return
+    }
+    const decoded = decodePolicy(value)
+    // A policy that does not decode leaves the one before it in force.
+    const prefetchTasks = Result.isSuccess(decoded) ? decoded.success.prefetchTasks : known?.prefetchTasks
+    policies.set(register, { version, prefetchTasks })
+  }
+
+  return {
+    apply (registers, newPosition) {
+      for (const register of registers) {
+        if (register.register.startsWith(POLICY_PREFIX)) applyPolicy(register)
+      }
+      position = Math.max(position, newPosition)
+    },
+    position: () => position,
+    prefetchTasks () {
+      for (const name of relevant) {
+        const prefetchTasks = policies.get(name)?.prefetchTasks
+        if (prefetchTasks !== undefined) return prefetchTasks
+      }
+      return fallbackPrefetchTasks
+    }
+  }
+}
--- /dev/null
+++ b/packages/execution/src/announcer.ts
@@ -0,0 +1,123 @@
+/** Heartbeats: tells entries what the agent is and how many unfinished tasks each may have here. */
+import type { Announce, LinkMessage } from '@baobabpost/messages'
+import type { EntryBook } from './entry-book.js'
+import type { ExecutionOptions } from './execution.js'
+import type { HeartbeatLease } from './heartbeat-lease.js'
+import { shareWindows } from './share-windows.js'
+import type { EntryState } from './task-state.js'
+
+/** The heartbeats and windows of an agent. */
+export interface Announcer {
+  /** Shares the capacity out anew. */
+  updateWindows: (now: number) => void
+  /** Tells every entry as soon as possible, because the state changed. */
+  announceSoon: () => void
+  /** Sends a round of heartbeats if one is due. */
+  tick: (now: number) => void
+  /** Sends what can't wait for the next round: changes of state, and windows that grew for a waiting entry. */
+  flush: (now: number) => void
+}
+
+/** What the heartbeats work on. */
+export interface AnnouncerOptions {
+  readonly agent: Pick<ExecutionOptions, 'identity' | 'address' | 'service' | 'failureDomain' | 'slots' | 'connections'>
+  readonly ports: Pick<ExecutionOptions, 'outbox' | 'entries'>
+  readonly entries: EntryBook
+  readonly lease: HeartbeatLease
+  readonly heartbeatMilliseconds: number
+  /** Unfinished tasks to share out; 0 while nothing may start. */
+  readonly capacity: () => number
+  readonly leaving: () => boolean
+  readonly configurationPosition: () => number
+}
+
+const BACKLOG_HALF_LIFE_MILLISECONDS = 500
+const NEGLIGIBLE_BACKLOG_TASKS = 0.5
+const MINIMUM_GAP_MILLISECONDS = 20
+const SEEDS_AFTER_ROUNDS = 3
+
+/** Tasks that an entry has use for here; what it last told counts less with time. */
+function demandOf (entry: EntryState, now: number): number {
+  if (entry.backlog === 0) return entry.unfinished
+  const halvings = Math.max(0, now - entry.backlogAt) / BACKLOG_HALF_LIFE_MILLISECONDS
+  const backlog = entry.backlog * 0.5 ** halvings
+  if (backlog < NEGLIGIBLE_BACKLOG_TASKS) entry.backlog = 0
+  return entry.unfinished + (backlog < NEGLIGIBLE_BACKLOG_TASKS ? 0 : backlog)
+}
+
+/**
+ * Makes the heartbeats of an agent.
+ *
+ * @example
+ * announcer.updateWindows(now)
+ * announcer.tick(now)
+ */
+export function createAnnouncer (options: AnnouncerOptions): Announcer {
+  const { agent, ports, entries, lease, heartbeatMilliseconds } = options
+  let lastRoundAt = Number.NEGATIVE_INFINITY
+  let soon = false
+
+  function announcement (window: number, now: number): LinkMessage {
+    const { identity, address, service, failureDomain, slots, connections } = agent
+    const parameters: Announce = {
+      identity,
+      address,
+      service,
+      failureDomain,
+      slots,
+      connections,
+      state: options.leaving() ? 'leaving' : 'active',
+      sequence: lease.nextSequence(now),
+      window,
+      configurationPosition: options.configurationPosition()
+    }
+    return { method: 'announce', parameters }
+  }
+
+  function announceTo (entry: EntryState, now: number): void {
+    entry.toldWindow = entry.window
+    entry.announcedAt = now
+    ports.outbox.send(entry.identity, announcement(entry.window, now))
+  }
+
+  function announceRound (now: number): void {
+    lastRoundAt = now
+    soon = false
+    for (const entry of entries.all().values()) announceTo(entry, now)
+    if (now - entries.lastNamedAt() < SEEDS_AFTER_ROUNDS * heartbeatMilliseconds) return
+    const window = shareWindows(options.capacity(), [0])[0] ?? 0
+    ports.entries.sendToSeeds(announcement(window, now))
+  }
+
+  function updateWindows (now: number): void {
+    const all = [...entries.all().values()]
+    const capacity = options.capacity()
+    if (capacity === 0) {
+      for (const entry of all) entry.window = 0
+      return
+    }
+    const windows = shareWindows(capacity, all.map(entry => demandOf(entry, now)))
+    for (const [place, entry] of all.entries()) entry.window = windows[place] ?? 0
+  }
+
+  return {
+    updateWindows,
+    announceSoon () { soon = true },
+    tick (now) {
+      if (now - lastRoundAt < heartbeatMilliseconds) return
+      lease.forget(now)
+      updateWindows(now)
+      announceRound(now)
+    },
+    flush (now) {
+      if (soon) {
+        announceRound(now)
+        return
+      }
+      for (const entry of entries.all().values()) {
+        const waits = entry.backlog > 0 && entry.window > entry.toldWindow
+        if (waits && now - entry.announcedAt >= MINIMUM_GAP_MILLISECONDS) announceTo(entry, now)
+      }
+    }
+  }
+}
--- a/packages/execution/src/execution.ts
+++ b/packages/execution/src/execution.ts
@@ -25,12 +25,14 @@
   /** It may have run: the connection ended, or was given up, without a whole answer. */
   | { readonly kind: 'silent' }
 
-/** Port to the upstream. Neither method calls back before it returns. */
+/** Port to the upstream. No method calls back before it returns. */
 export interface UpstreamPort {
   /** Calls the upstream; the end is told to `Execution.completed` exactly once. */
   startTask: (request: TaskRequest) => void
   /** Gives up a call: closes its connection, then tells `Execution.completed`. */
   abortTask: (submission: string, index: number) => void
+  /** Tries to connect, and tells `Execution.upstreamReachable` if the upstream accepts. */
+  probe: () => void
 }
 
 /** Port to the links, beside the outbox. */
