--- a/packages/messages/src/burn.ts
+++ b/packages/messages/src/burn.ts
@@ -31,6 +31,10 @@
  */
 export const BurnBucket = Schema.Struct({
   entry: EntryIdentity,
+  /** Unix time at which the entry started. */
+  entryStartedAt: Milliseconds,
+  /** Unix time at which the entry stopped, where it did so as planned within this bucket. */
+  entryStoppedAt: Schema.optionalKey(Milliseconds),
   /** Unix time of the beginning, a multiple of the length. */
   start: Milliseconds,
   lengthMilliseconds: Milliseconds,
