--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -6,6 +6,7 @@
 import { createStandInUpstream, type StandInUpstream } from '@baobabpost/stand-in-upstream'
 
 const LINK_KEY = 'shared key of the links'
+const DEFAULT_WORK_MILLISECONDS = 100
 const ANY_PORT = '127.0.0.1:0'
 
 /** Secret of the operator's key. */
@@ -59,7 +60,8 @@
  * Starts a fleet.
  *
  * @example
- * const fleet = await startFleet({ failureDomains: ['dakar-1'], agents: [{ service: 'lending', speed: 1 }], slots: 8, customers: [], logLevel: 'warn' })
+ * const agents = [{ service: 'lending', speed: 1 }]
+ * const fleet = await startFleet({ failureDomains: ['dakar-1'], agents, slots: 8, customers: [], logLevel: 'warn' })
  */
 export async function startFleet (plan: FleetPlan): Promise<Fleet> {
   const platform = await createStandInPlatform()
@@ -91,7 +93,13 @@
   }
   const upstreams: FleetUpstream[] = []
   for (const [place, agentPlan] of plan.agents.entries()) {
-    const upstream = await createStandInUpstream({ name: `upstream-${place + 1}`, slots: plan.slots, speed: agentPlan.speed })
+    const upstream = await createStandInUpstream({
+      name: `upstream-${place + 1}`,
+      port: 0,
+      slots: plan.slots,
+      speed: agentPlan.speed,
+      defaultMilliseconds: DEFAULT_WORK_MILLISECONDS
+    })
     const agent = await startAgent({
       name: `agent-${place + 1}`,
       listenAddress: ANY_PORT,
--- /dev/null
+++ b/packages/entry/src/burn-accounts.ts
@@ -0,0 +1,71 @@
+/** Counts the answers of this entry against the objectives and exchanges the counts with the other entries. */
+import { computeBurn, createBurnRecorder, createBurnStream, type AnsweredRequest } from '@baobabpost/burn-report'
+import type { EntryIdentity } from '@baobabpost/common'
+import { NEVER_WRITTEN, type BurnReport, type Objective, type Outbox } from '@baobabpost/messages'
+import type { RegisterChange, RegisterFold } from '@baobabpost/platform-log'
+
+const PUBLISH_MILLISECONDS = 60_000
+const BURN_PREFIX = 'burn/'
+
+/** What the accounts need. */
+export interface BurnAccountsOptions {
+  readonly identity: EntryIdentity
+  readonly startedAt: number
+  readonly fold: RegisterFold
+  readonly outbox: Outbox
+  readonly objectives: () => readonly Objective[]
+  /** Entries that are registered now. */
+  readonly presentEntries: () => readonly EntryIdentity[]
+}
+
+/** The accounts of one entry. */
+export interface BurnAccounts {
+  record: (answer: AnsweredRequest, now: number) => void
+  changed: (changes: readonly RegisterChange[]) => void
+  tick: (now: number) => void
+  /** Writes the open bucket early, at a planned stop. */
+  close: (now: number) => void
+  report: (now: number) => BurnReport
+}
+
+/** Makes the accounts of an entry. */
+export function createBurnAccounts (options: BurnAccountsOptions): BurnAccounts {
+  const { identity, startedAt, fold, outbox } = options
+  const recorder = createBurnRecorder({ entry: identity, startedAt })
+  const stream = createBurnStream({
+    identity, versionOf: register => fold.read(register)?.version ?? NEVER_WRITTEN
+  })
+  let publishAt = startedAt + PUBLISH_MILLISECONDS
+
+  function publish (now: number): void {
+    const changes = stream.changes(options.presentEntries(), now)
+    if (changes.length > 0) outbox.append(changes)
+  }
+
+  return {
+    record: recorder.record,
+
+    changed (changes) {
+      if (changes.some(change => change.register.startsWith('objective/'))) recorder.setObjectives(options.objectives())
+      for (const change of changes) {
+        if (change.register.startsWith(BURN_PREFIX)) stream.applied(change.register, change.value)
+      }
+    },
+
+    tick (now) {
+      if (now < publishAt) return
+      publishAt = now + PUBLISH_MILLISECONDS
+      stream.addOwn(recorder.takeClosed(now))
+      publish(now)
+    },
+
+    close (now) {
+      stream.addOwn(recorder.close(now))
+      publish(now)
+    },
+
+    report: now => computeBurn({
+      objectives: options.objectives(), buckets: stream.buckets(), present: options.presentEntries()
+    }, now)
+  }
+}
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -34,6 +34,8 @@
   /** The partition moved away: its tasks no longer count here. */
   partitionLost: (partition: number, now: number) => void
   inFlight: () => number
+  /** Tasks that an agent holds for this entry; looks at all of them. */
+  inFlightAt: (agent: AgentIdentity) => number
 }
 
 /** Tasks chosen in one turn for one agent, by submission. */
@@ -201,6 +203,7 @@
       for (const { task, agent } of lost) options.placement().finished(agent, task, 'refused', 0, now)
     },
 
-    inFlight: () => inFlight.size()
+    inFlight: inFlight.size,
+    inFlightAt: inFlight.countAt
   }
 }
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -3,20 +3,25 @@
  * out through ports. No clock, socket or timer is used here, so the same code runs in a process and in a seeded run.
  */
 import { createAdmissionQueue } from '@baobabpost/admission'
-import type { AgentIdentity, EntryIdentity, Invariants, Logger, Metrics, ProcessIdentity, Random } from '@baobabpost/common'
+import {
+  PARTITION_COUNT, type AgentIdentity, type EntryIdentity, type Invariants, type Logger, type Metrics,
+  type ProcessIdentity, type Random
+} from '@baobabpost/common'
 import { createConfiguration, createPublisher, type Configuration, type Publisher } from '@baobabpost/configuration'
-import { createMembership, type Membership, type MembershipEvent } from '@baobabpost/membership'
-import type { LinkMessage, Outbox } from '@baobabpost/messages'
+import { createMembership, type AgentView, type Membership, type MembershipEvent } from '@baobabpost/membership'
+import type { CallRequest, LinkMessage, LogRecord, Outbox, QueueLength } from '@baobabpost/messages'
 import { createOutcomes, type Outcomes } from '@baobabpost/outcomes'
 import { createOwnership, type Ownership, type PartitionState } from '@baobabpost/ownership'
 import { createPlacement, type Placement } from '@baobabpost/placement'
 import {
-  createRegisterFold, type LogBatch, type LogStanding, type RegisterChange, type RegisterFold, type WriteOutcome
+  createRegisterFold, type LogBatch, type LogStanding, type RegisterChange, type RegisterFold
 } from '@baobabpost/platform-log'
-import { createRequests, type RequestResult } from '@baobabpost/requests'
-import type { CallRequest } from '@baobabpost/messages'
+import { createRequests, type RequestPolicy, type RequestResult } from '@baobabpost/requests'
+import { createBurnAccounts, type BurnAccounts } from './burn-accounts.js'
 import { createCalls, type Calls } from './calls.js'
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
+import { isDrained } from './drains.js'
+import { explainSubmission } from './explanation.js'
 import { createJobQueue } from './job-queue.js'
 import { createOperations, type OperationRequest, type Operations } from './operations.js'
 import { createQuotas } from './quotas.js'
@@ -47,7 +52,10 @@
 export interface EntryCoreOptions {
   readonly settings: EntryCoreSettings
   readonly startedAt: number
-  readonly outbox: Outbox
+  readonly send: Outbox['send']
+  /** Appends a record and gives its nonce, by which its author finds it on the log. */
+  readonly append: (changes: LogRecord['changes']) => string
+  readonly logStanding: () => LogStanding
   /** Sends to the link addresses of the settings, whose identities aren't known. */
   readonly sendToSeeds: (message: LinkMessage) => void
   /** Names the address at which a process is reached. */
@@ -78,6 +86,7 @@
   readonly operations: Operations
   readonly calls: Calls
   readonly dispatcher: Dispatcher
+  readonly burn: BurnAccounts
   readonly placement: () => Placement
 }
 
@@ -104,28 +113,44 @@
   /** Last act of a planned stop. */
   leave: (now: number) => void
   state: () => EntryState
-  slices: EntrySlices
+  readonly settings: EntryCoreSettings
+  readonly startedAt: number
+  readonly slices: EntrySlices
+  logStanding: () => LogStanding
+  /** Why the agent is ejected, or undefined where it isn't. */
+  ejection: (agent: AgentIdentity) => string | undefined
+  isDrained: (agent: AgentIdentity) => boolean
+  /** Usable agents that keyed work may go to. */
+  joinedAgentCount: () => number
+  /** Partitions of this entry whose takeover is not finished. */
+  collectingCount: () => number
+  queueLengths: () => readonly QueueLength[]
 }
 
 /** Makes the decisions of an entry. */
 export function createEntryCore (options: EntryCoreOptions): EntryCore {
-  const { settings, outbox, invariants, logger, metrics, random } = options
+  const { settings, invariants, logger, metrics, random } = options
   const { identity } = settings
+  const outbox: Outbox = { send: options.send, append: changes => { options.append(changes) } }
+  const ejections = new Map<AgentIdentity, string>()
   let state: EntryState = 'starting'
   let lastLogEnd = false
   let callCount = 0
   let handoverRemaining = 0
+  /** Time of the read of the log that is being applied. */
+  let batchTime = options.startedAt
 
   const fold = createRegisterFold({
     retentionMilliseconds: settings.logRetentionMilliseconds,
     invariants,
+    onOutcomes: outcomesOfWrites => { publisher.settled(outcomesOfWrites, batchTime) },
     onBadRecord: bad => {
       metrics.count('configuration.bad-record.count')
       logger.error('log record skipped', { offset: bad.offset, register: bad.register, reason: bad.fault })
     }
   })
   const configuration = createConfiguration({ fold })
-  const publisher = createPublisher({ fold, append: outbox.append })
+  const publisher = createPublisher({ fold, append: options.append })
   const membership = createMembership({
     identity,
     address: settings.address,
@@ -139,10 +164,10 @@
   })
   const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
   let placement = createPlacement(configuration.policy(settings.policy).placement, {
-    failureDomain: settings.failureDomain, random
+    failureDomain: settings.failureDomain, random, prefetchTasks: configuration.policy(settings.policy).prefetchTasks
   })
   const quotas = createQuotas({ fold, queue })
-  const requests = createRequests({ random, policy: () => configuration.policy(settings.policy) })
+  const requests = createRequests({ random, ...requestPolicy() })
   const calls = createCalls({
     requests, queue, outbox, expectedMilliseconds: template => placement.expectedMilliseconds(template)
   })
@@ -181,12 +206,29 @@
     clockSkewMilliseconds: settings.clockSkewMilliseconds
   })
   const operations = createOperations({
-    identity, outbox, partitionState: partition => ownership.partitionState(partition), outcomes
+    identity,
+    outbox,
+    partitionState: partition => ownership.partitionState(partition),
+    outcomes,
+    explain: (submission, customer) => explainSubmission(outcomes, identity, submission, customer)
+  })
+  const burn = createBurnAccounts({
+    identity,
+    startedAt: options.startedAt,
+    fold,
+    outbox,
+    objectives: configuration.objectives,
+    presentEntries: () => membership.liveEntries().map(entry => entry.identity)
   })
   const dispatcher = createDispatcher({
     queue, placement: () => placement, ownership, outcomes, calls, outbox
   })
 
+  function requestPolicy (): RequestPolicy {
+    const { retryShare, hedge } = configuration.policy(settings.policy)
+    return { retryShare, hedge }
+  }
+
   function partitionChanged (partition: number, next: PartitionState, now: number): void {
     outcomes.partitionChanged(partition, next, now)
     if (next.kind !== 'ours') dispatcher.partitionLost(partition, now)
@@ -197,23 +239,37 @@
     configuration.changed(changes, now)
     publisher.changed(changes, now)
     quotas.changed(changes)
+    burn.changed(changes)
     follow(membership.changed(changes, now), now)
     ownership.registersChanged(changes, fold.position(), now)
     if (changes.some(change => change.register === `policy/${settings.policy}`)) followPolicy()
+    if (changes.some(change => change.register.startsWith('drain/'))) followDrains()
   }
 
   /** Takes a new implementation of placement into use; windows and agents come with the next announcements. */
   function followPolicy (): void {
     const policy = configuration.policy(settings.policy)
+    requests.setPolicy(requestPolicy())
     if (policy.placement === placement.name) return
     logger.info('placement changed', { placement: policy.placement })
-    placement = createPlacement(policy.placement, { failureDomain: settings.failureDomain, random })
-    for (const agent of membership.usableAgents()) useAgent(agent.identity, agent)
+    placement = createPlacement(policy.placement, {
+      failureDomain: settings.failureDomain, random, prefetchTasks: policy.prefetchTasks
+    })
+    for (const agent of membership.usableAgents()) useAgent(agent)
   }
 
-  function useAgent (agent: AgentIdentity, view: { service: string, failureDomain: string, slots: number, window: number }): void {
-    placement.setAgent({ identity: agent, service: view.service, failureDomain: view.failureDomain, slots: view.slots })
-    placement.setWindow(agent, view.window)
+  function followDrains (): void {
+    for (const agent of membership.usableAgents()) useAgent(agent)
+  }
+
+  function useAgent (agent: AgentView): void {
+    const { identity: agentIdentity, service, failureDomain, slots, window } = agent
+    if (isDrained(fold, agentIdentity) || !ownership.isJoined(agentIdentity)) {
+      placement.removeAgent(agentIdentity)
+      return
+    }
+    placement.setAgent({ identity: agentIdentity, service, failureDomain, slots })
+    placement.setWindow(agentIdentity, window)
   }
 
   function follow (events: readonly MembershipEvent[], now: number): void {
@@ -224,7 +280,7 @@
     switch (event.kind) {
       case 'agent-usable':
         options.setPeer(event.agent.identity, event.agent.address)
-        if (event.joined) useAgent(event.agent.identity, event.agent)
+        if (event.joined) useAgent(event.agent)
         return
       case 'agent-suspected':
         logger.warn('agent suspected', { agent: event.agent })
@@ -246,9 +302,8 @@
         for (const entry of event.entries) options.setPeer(entry.identity, entry.address)
         ownership.setLiveEntries(
           event.entries.filter(entry => entry.state === 'ready').map(entry => entry.identity), now)
-        return
+
       case 'majority-heard':
-        return
     }
   }
 
@@ -296,16 +351,15 @@
   ): void {
     const { position, registers } = message.parameters
     // Newer registers first: an answer from an entry that knows of a newer owner must not extend the lease.
-    applyChanges(fold.adopt({ registers, position }, now), now)
+    applyChanges(fold.adopt({ registers, position }), now)
     follow(membership.entryHeartbeatAnswer(from, message.parameters, now), now)
     const entry = membership.liveEntries().find(view => view.identity === from)
     if (entry?.answeredSentAt !== undefined) ownership.heartbeatAnswered(from, entry.answeredSentAt, position, now)
   }
 
   function logRead (batch: LogBatch, now: number): void {
-    const outcomesOfWrites: WriteOutcome[] = []
-    applyChanges(fold.apply(batch, now, outcome => { outcomesOfWrites.push(outcome) }), now)
-    publisher.settled(outcomesOfWrites, now)
+    batchTime = now
+    applyChanges(fold.apply(batch, now), now)
     if (!batch.reachedEnd) return
     lastLogEnd = true
     ownership.logReadToEnd(batch.readStartedAt, now)
@@ -325,14 +379,19 @@
     operations.tick(now)
     calls.tick(now)
     publisher.tick(now)
+    burn.tick(now)
     restate(now)
     expireWaiting(now)
     for (const event of placement.tick(now)) {
       logger.warn(`agent ${event.kind}`, { agent: event.agent, reason: event.reason })
+      if (event.kind === 'returned') ejections.delete(event.agent)
+      else ejections.set(event.agent, event.reason)
     }
     if (state === 'starting' && (lastLogEnd || fold.position() > 0)) state = 'ready'
     if (state === 'stopping') handoverRemaining = ownership.stop(now).remaining
     metrics.gauge('queue.length.tasks', queue.length())
+    metrics.gauge('agents.active.count', membership.usableAgents().length)
+    metrics.gauge('agents.ejected.count', ejections.size)
     metrics.gauge('partitions.owned.count', ownership.ownedCount())
   }
 
@@ -343,6 +402,15 @@
     }
   }
 
+  function collectingCount (): number {
+    let count = 0
+    for (let partition = 0; partition < PARTITION_COUNT; partition += 1) {
+      const partitionState = ownership.partitionState(partition)
+      if (partitionState.kind === 'ours' && partitionState.phase === 'collecting') count += 1
+    }
+    return count
+  }
+
   function beginCall (call: CallOperationRequest, now: number): string {
     callCount += 1
     const request = `${identity}/${callCount}`
@@ -384,15 +452,31 @@
     },
     drained: () => state === 'stopping' && handoverRemaining === 0 &&
       operations.pending() === 0 && calls.pending() === 0,
-    leave: membership.leave,
+    leave (now) {
+      burn.close(now)
+      membership.leave(now)
+    },
     state: () => state,
+    settings,
+    startedAt: options.startedAt,
+    logStanding: options.logStanding,
+    ejection: agent => ejections.get(agent),
+    isDrained: agent => isDrained(fold, agent),
+    joinedAgentCount: () => membership.usableAgents().filter(agent => ownership.isJoined(agent.identity)).length,
+    collectingCount,
+    queueLengths: () => queue.services().map(service => ({ service, tasks: queue.length(service) })),
     slices: {
-      fold, configuration, publisher, membership, ownership, outcomes, operations, calls, dispatcher, placement: () => placement
+      fold,
+      configuration,
+      publisher,
+      membership,
+      ownership,
+      outcomes,
+      operations,
+      calls,
+      dispatcher,
+      burn,
+      placement: () => placement
     }
   }
 }
-
-/** Standing with the log that a core reports before its client gave one. */
-export const UNKNOWN_LOG_STANDING: LogStanding = {
-  position: 0, end: 0, endReadStartedAt: undefined, behindSince: undefined, pendingAppends: 0
-}
--- a/packages/entry/src/http/caller-server.ts
+++ b/packages/entry/src/http/caller-server.ts
@@ -83,12 +83,11 @@
       options.metrics.count('errors.count', 1, (result.body as { kind?: ErrorKind }).kind ?? 'internal')
     }
     const retryAfter = result.retryAfterMilliseconds
-    outgoing.writeHead(result.status, {
-      'content-type': result.status >= 400 ? 'application/problem+json' : 'application/json',
-      'content-length': Buffer.byteLength(body),
-      ...(retryAfter === undefined ? {} : { 'retry-after': Math.max(1, Math.ceil(retryAfter / 1000)) }),
-      ...(closeConnection ? { connection: 'close' } : {})
-    })
+    outgoing.statusCode = result.status
+    outgoing.setHeader('content-type', result.status >= 400 ? 'application/problem+json' : 'application/json')
+    outgoing.setHeader('content-length', Buffer.byteLength(body))
+    if (retryAfter !== undefined) outgoing.setHeader('retry-after', Math.max(1, Math.ceil(retryAfter / 1000)))
+    if (closeConnection) outgoing.setHeader('connection', 'close')
     outgoing.end(body)
   }
 
--- a/packages/entry/src/in-flight.ts
+++ b/packages/entry/src/in-flight.ts
@@ -16,6 +16,8 @@
   /** Takes out all tasks that fit; for rare events, as it looks at all. */
   removeWhere: (fits: (inFlight: InFlightTask) => boolean) => readonly InFlightTask[]
   size: () => number
+  /** Number of tasks at an agent; looks at all tasks. */
+  countAt: (agent: AgentIdentity) => number
 }
 
 /** Makes an empty table. */
@@ -55,6 +57,15 @@
       }
       return removed
     },
-    size: () => count
+    size: () => count,
+    countAt (agent) {
+      let found = 0
+      for (const tasks of submissions.values()) {
+        for (const inFlight of tasks.values()) {
+          if (inFlight.agent === agent) found += 1
+        }
+      }
+      return found
+    }
   }
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,12 +1,18 @@
 #!/usr/bin/env node
 /** The binary `baobabpost-entry`. */
-import { settingsOrExit, VERSION } from '@baobabpost/common'
+import { EXIT_BAD_SETTINGS, settingsOrExit, VERSION } from '@baobabpost/common'
 import { Effect } from 'effect'
-import { startEntry } from './running-entry.js'
+import { findFileFaults, startEntry } from './running-entry.js'
 import { ENTRY_SETTINGS } from './settings.js'
 
 const settings = settingsOrExit('baobabpost-entry', 'Entry of a baobabpost fleet.', VERSION, ENTRY_SETTINGS)
 
+const faults = findFileFaults(settings)
+if (faults.length > 0) {
+  for (const fault of faults) process.stderr.write(`baobabpost-entry: ${fault}\n`)
+  process.exit(EXIT_BAD_SETTINGS)
+}
+
 const entry = Effect.acquireRelease(
   Effect.promise(() => startEntry(settings)),
   running => Effect.promise(() => running.stop())
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -2,6 +2,7 @@
 import type { Invariants } from '@baobabpost/common'
 import type { EntryCore } from './entry-core.js'
 import type { Route } from './http/route.js'
+import { createBurnReportRoute } from './routes/burn-report.js'
 import { createCallRoute } from './routes/call.js'
 import { createCancelSubmissionRoute } from './routes/cancel-submission.js'
 import { createConfigurationHistoryRoute } from './routes/configuration-history.js'
@@ -40,6 +41,7 @@
     createConfigurationStatusRoute(options),
     createFleetStatusRoute(options),
     createDrainUpstreamRoute(options),
-    createExplainSubmissionRoute(options)
+    createExplainSubmissionRoute(options),
+    createBurnReportRoute(options)
   ]
 }
--- a/packages/entry/src/routes/drain-upstream.ts
+++ b/packages/entry/src/routes/drain-upstream.ts
@@ -14,7 +14,7 @@
     access: 'operator',
     about: 'Drains an agent: no entry sends it new work until the register is removed',
     handle (exchange) {
-      const { fold, membership, publisher, placement } = core.slices
+      const { fold, membership, publisher, dispatcher } = core.slices
       const wanted = exchange.parameters.agent ?? ''
       const agent = membership.usableAgents().find(view =>
         view.identity === wanted || agentName(view.identity) === wanted)
@@ -31,7 +31,7 @@
             resolve(answerProblem(result.problem))
             return
           }
-          const unfinished = placement().agents().find(view => view.identity === agent.identity)?.outstanding ?? 0
+          const unfinished = dispatcher.inFlightAt(agent.identity)
           const body: DrainAccepted = { agent: agent.identity, standing: 'leaving', unfinished }
           resolve({ status: 200, body })
         })
--- a/packages/entry/src/running-entry.ts
+++ b/packages/entry/src/running-entry.ts
@@ -1,12 +1,12 @@
 /** An entry that runs within a process: its decisions joined to links, the platform's log, callers and the clock. */
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { createKeySource, createAccess, readTransportSecurity } from '@baobabpost/access'
+import { createAccess, createKeySource, readCertificates, readKeySettings } from '@baobabpost/access'
 import {
   createEntryIdentity, createInvariants, createLogger, createMetrics, createRandom, type EntryIdentity, type Logger,
   type Metrics
 } from '@baobabpost/common'
-import { createLink, type Link } from '@baobabpost/link'
+import { createLink, type Link, type LinkStatistics } from '@baobabpost/link'
 import { createPlatformLogClient, type PlatformLogClient } from '@baobabpost/platform-log'
 import { createEntryCore, type EntryCore } from './entry-core.js'
 import { createCallerServer } from './http/caller-server.js'
@@ -15,6 +15,7 @@
 
 const TICK_MILLISECONDS = 50
 const STOP_POLL_MILLISECONDS = 20
+const KEY_REFRESH_MILLISECONDS = 2_000
 /** Time between saying unready and closing, in which the balancer takes this entry out. */
 const UNREADY_MILLISECONDS = 200
 
@@ -26,6 +27,7 @@
   /** `IP:PORT` of the link. */
   readonly linkAddress: string
   readonly core: EntryCore
+  readonly linkStatistics: () => LinkStatistics
   /** Violations of asserted invariants so far. */
   readonly violations: () => number
   /** Planned stop: unready first, hands partitions over, answers what is in flight, then closes. */
@@ -56,6 +58,13 @@
   return Number.parseInt(identity.slice(-8), 16) | 0
 }
 
+/** Faults of keys and certificates, which the schemas of the settings can't see. */
+export function findFileFaults (settings: EntrySettings): readonly string[] {
+  const { faults } = readKeySettings({ text: settings.accessKeys, file: settings.accessKeyFile })
+  const certificates = readCertificates(settings)
+  return certificates.kind === 'fault' ? [...faults, certificates.fault] : faults
+}
+
 /** Starts an entry; resolves once it listens. */
 export async function startEntry (settings: EntrySettings): Promise<RunningEntry> {
   const identity = createEntryIdentity(settings.name)
@@ -124,16 +133,17 @@
     metrics
   })
 
-  const access = createAccess({ keys: [] })
-  const keySource = createKeySource({ text: settings.accessKeys, file: settings.accessKeyFile, access, logger })
-  const transportSecurity = readTransportSecurity(settings.certificateFile, settings.certificateKeyFile)
+  const keySettings = { text: settings.accessKeys, file: settings.accessKeyFile }
+  const access = createAccess({ keys: readKeySettings(keySettings).keys })
+  const keySource = createKeySource({ settings: keySettings, access, logger })
+  const certificates = readCertificates(settings)
   const server = createCallerServer({
     routes: createRoutes({ core, now, invariants }),
     access,
     logger,
     metrics,
     now,
-    ...(transportSecurity === undefined ? {} : { transportSecurity })
+    ...(certificates.kind === 'tls' ? { transportSecurity: certificates.options } : {})
   })
 
   function planFlush (): void {
@@ -154,8 +164,9 @@
     core.tick(now())
     planFlush()
   }, TICK_MILLISECONDS)
+  const keyTimer = setInterval(keySource.refresh, KEY_REFRESH_MILLISECONDS)
   const callerAddress = await listen(server, settings.listenAddress)
-  const scheme = transportSecurity === undefined ? 'http' : 'https'
+  const scheme = certificates.kind === 'tls' ? 'https' : 'http'
   logger.info('entry listens', { callers: callerAddress, link: link.address, failureDomain: settings.failureDomain })
 
   async function waitUntilDrained (): Promise<boolean> {
@@ -170,7 +181,7 @@
   async function close (): Promise<void> {
     closed = true
     clearInterval(ticker)
-    keySource.close()
+    clearInterval(keyTimer)
     log.close()
     server.closeAllConnections()
     await new Promise<void>(resolve => { server.close(() => { resolve() }) })
@@ -200,6 +211,7 @@
     url: `${scheme}://${callerAddress}`,
     linkAddress: link.address,
     core,
+    linkStatistics: link.statistics,
     violations: invariants.violations,
     stop,
     kill: close
--- a/packages/messages/src/operator.ts
+++ b/packages/messages/src/operator.ts
@@ -28,8 +28,8 @@
   state: Schema.Literals(['ready', 'stopping', 'silent']),
   /** Log offset up to which it had applied records when it was last heard. */
   position: Whole,
-  /** Unix time of its last heartbeat. */
-  heardAt: Milliseconds,
+  /** Unix time of its last answered heartbeat, where there was one. */
+  heardAt: Schema.optionalKey(Milliseconds),
   partitionsOwned: Whole
 })
 export type FleetEntry = typeof FleetEntry.Type
@@ -54,9 +54,7 @@
   /** Unfinished tasks of the answering entry. */
   unfinished: Whole,
   /** Learned speed against the mean of its service: 2 is twice as fast; absent until observed. */
-  speed: Schema.optionalKey(Schema.Finite),
-  /** Unix time of its last heartbeat. */
-  heardAt: Milliseconds
+  speed: Schema.optionalKey(Schema.Finite)
 })
 export type FleetAgent = typeof FleetAgent.Type
 
--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -1,6 +1,7 @@
 /** Values of registers: one schema for each kind of register, and the names of the registers. */
 import { AgentIdentity, EntryIdentity, Name } from '@baobabpost/common'
 import { Schema } from 'effect'
+import { BurnBucket } from './burn.js'
 import { JsonRecord, Milliseconds, Whole } from './json.js'
 
 /** Register `template/NAME`: a kind of task. */
@@ -117,6 +118,7 @@
   policy: Policy,
   objective: Objective,
   drain: Drain,
+  burn: BurnBucket,
   partition: PartitionOwner,
   entry: EntryRegistration,
   agent: AgentRegistration
