--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -16,8 +16,8 @@
   readonly idempotent: boolean
   /** Unix time in milliseconds by which the caller wants the answer. */
   readonly answerBefore: number
-  /** Called once with the result. */
-  readonly answer: (result: RequestResult) => void
+  /** Called once with the result and the time. */
+  readonly answer: (result: RequestResult, now: number) => void
 }
 
 interface Attempt {
@@ -46,7 +46,7 @@
   owns: (submission: string) => boolean
   /** Notes an attempt as dispatched and builds its group; undefined where it is no longer wanted. */
   dispatch: (attempt: string, agent: AgentIdentity, now: number) => DispatchGroup | undefined
-  /** Takes in a report; gives the outcome and run time of the task, or undefined where the attempt is not known. */
+  /** Takes in a report about an attempt. */
   report: (report: SubmissionReport, now: number) => void
   /** The attempt's time to start passed in the queue. */
   expired: (attempt: string, now: number) => void
@@ -71,7 +71,7 @@
           withdraw(action.attempt)
           break
         case 'answer':
-          answer(action.request, action.result)
+          answer(action.request, action.result, now)
       }
     }
   }
@@ -111,11 +111,11 @@
     outbox.send(attempt.agent, { method: 'withdraw', parameters: { selections } })
   }
 
-  function answer (request: string, result: RequestResult): void {
+  function answer (request: string, result: RequestResult, now: number): void {
     const call = calls.get(request)
     if (call === undefined) return
     calls.delete(request)
-    call.answer(result)
+    call.answer(result, now)
   }
 
   function settle (name: string, outcome: TaskOutcome, now: number, retryAfterMilliseconds?: number): void {
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -40,6 +40,7 @@
 
 /** Tasks chosen in one turn for one agent, by submission. */
 type AgentSelection = Map<string, WaitingTask[]>
+type Selections = Map<AgentIdentity, AgentSelection>
 
 function placementResult (outcome: TaskOutcome): PlacementResult {
   switch (outcome.status) {
@@ -73,7 +74,7 @@
    * Chooses agents for the tasks of a service. A task that has to wait for its agent holds up its lane alone: the
    * other lane may still go.
    */
-  function select (service: string, selections: Map<AgentIdentity, AgentSelection>, limit: number, now: number): number {
+  function select (service: string, selections: Selections, limit: number, now: number): number {
     const placement = options.placement()
     const heldBack: WaitingTask[] = []
     let openLane: Lane | undefined
@@ -104,7 +105,7 @@
     return selected
   }
 
-  function noteSelection (selections: Map<AgentIdentity, AgentSelection>, agent: AgentIdentity, task: WaitingTask): void {
+  function noteSelection (selections: Selections, agent: AgentIdentity, task: WaitingTask): void {
     let selection = selections.get(agent)
     if (selection === undefined) {
       selection = new Map()
@@ -115,7 +116,9 @@
     else tasks.push(task)
   }
 
-  function groupFor (agent: AgentIdentity, submission: string, tasks: readonly WaitingTask[], now: number): DispatchGroup | undefined {
+  function groupFor (
+    agent: AgentIdentity, submission: string, tasks: readonly WaitingTask[], now: number
+  ): DispatchGroup | undefined {
     if (calls.owns(submission)) return calls.dispatch(submission, agent, now)
     const epoch = ownership.dispatchEpoch(partitionOf(submission as SubmissionKey), now)
     if (epoch === undefined) return undefined
@@ -140,7 +143,9 @@
     for (const task of tasks) settle(task.submission, task.index, 'refused', 0, now)
   }
 
-  function settle (submission: string, index: number, result: PlacementResult, runMilliseconds: number, now: number): void {
+  function settle (
+    submission: string, index: number, result: PlacementResult, runMilliseconds: number, now: number
+  ): void {
     const found = inFlight.remove(submission, index)
     if (found === undefined) return
     options.placement().finished(found.agent, found.task, result, runMilliseconds, now)
@@ -163,7 +168,7 @@
 
   return {
     pump (now) {
-      const selections = new Map<AgentIdentity, AgentSelection>()
+      const selections: Selections = new Map()
       let left = MAXIMUM_TASKS_PER_TURN
       for (const service of queue.services()) {
         left -= select(service, selections, left, now)
--- /dev/null
+++ b/packages/entry/src/entry-slices.ts
@@ -0,0 +1,169 @@
+/** Makes the slices of an entry and joins their ports. */
+import { createAdmissionQueue, type AdmissionQueue } from '@baobabpost/admission'
+import { createConfiguration, createPublisher, type Configuration, type Publisher } from '@baobabpost/configuration'
+import { createMembership, type Membership } from '@baobabpost/membership'
+import type { Outbox } from '@baobabpost/messages'
+import { createOutcomes, type Outcomes } from '@baobabpost/outcomes'
+import { createOwnership, type Ownership, type PartitionState } from '@baobabpost/ownership'
+import { createRegisterFold, type RegisterFold } from '@baobabpost/platform-log'
+import { createRequests, type RequestPolicy, type Requests } from '@baobabpost/requests'
+import { createBurnAccounts, type BurnAccounts } from './burn-accounts.js'
+import { createCalls, type Calls } from './calls.js'
+import { createCurrentPlacement, type CurrentPlacement } from './current-placement.js'
+import { createDispatcher, type Dispatcher } from './dispatcher.js'
+import type { EntryCoreOptions } from './entry-options.js'
+import { explainSubmission } from './explanation.js'
+import { createJobQueue } from './job-queue.js'
+import { createOperations, type Operations } from './operations.js'
+import { createQuotas, type Quotas } from './quotas.js'
+
+/** The slices of one entry. */
+export interface EntrySlices {
+  readonly fold: RegisterFold
+  readonly configuration: Configuration
+  readonly publisher: Publisher
+  readonly membership: Membership
+  readonly ownership: Ownership
+  readonly outcomes: Outcomes
+  readonly operations: Operations
+  readonly queue: AdmissionQueue
+  readonly quotas: Quotas
+  readonly placement: CurrentPlacement
+  readonly requests: Requests
+  readonly calls: Calls
+  readonly dispatcher: Dispatcher
+  readonly burn: BurnAccounts
+}
+
+/**
+ * Reads what the policy of the deployment says about single calls.
+ *
+ * @example
+ * requestPolicyOf(configuration, 'default').retryShare
+ */
+export function requestPolicyOf (configuration: Configuration, policy: string): RequestPolicy {
+  const { retryShare, hedge } = configuration.policy(policy)
+  return { retryShare, hedge }
+}
+
+/** Makes the slices that hold what the log and the peers tell. */
+function createRecordSlices (options: EntryCoreOptions): Pick<EntrySlices, 'fold' | 'configuration' | 'publisher'> {
+  const { settings, invariants, logger, metrics } = options
+  const fold = createRegisterFold({
+    retentionMilliseconds: settings.logRetentionMilliseconds,
+    invariants,
+    onOutcomes: (outcomes, now) => { publisher.settled(outcomes, now) },
+    onBadRecord: bad => {
+      metrics.count('configuration.bad-record.count')
+      logger.error('log record skipped', { offset: bad.offset, register: bad.register, reason: bad.fault })
+    }
+  })
+  const publisher: Publisher = createPublisher({ fold, append: options.append })
+  return { fold, configuration: createConfiguration({ fold }), publisher }
+}
+
+/** Makes all slices of an entry. */
+export function createEntrySlices (options: EntryCoreOptions): EntrySlices {
+  const { settings, invariants, logger, random } = options
+  const { identity, keyWindowMilliseconds, clockSkewMilliseconds, failureDomain, policy } = settings
+  const outbox: Outbox = { send: options.send, append: changes => { options.append(changes) } }
+  const { fold, configuration, publisher } = createRecordSlices(options)
+  const membership = createMembership({
+    identity,
+    address: settings.address,
+    failureDomain,
+    keyWindowMilliseconds,
+    fold,
+    outbox,
+    random,
+    logger,
+    sendToSeeds: options.sendToSeeds
+  })
+  const placement: CurrentPlacement = createCurrentPlacement({
+    configuration,
+    fold,
+    policy,
+    failureDomain,
+    random,
+    logger,
+    usableAgents: membership.usableAgents,
+    isJoined: agent => ownership.isJoined(agent)
+  })
+  const expectedMilliseconds = (template: string): number | undefined =>
+    placement.current().expectedMilliseconds(template)
+  const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
+  const requests = createRequests({ random, ...requestPolicyOf(configuration, policy) })
+  const calls = createCalls({ requests, queue, outbox, expectedMilliseconds })
+  const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds })
+
+  const outcomes: Outcomes = createOutcomes({
+    ports: {
+      partitionState: partition => ownership.partitionState(partition),
+      resolve: jobQueue.resolve,
+      offer: jobQueue.offer,
+      restore: jobQueue.restore,
+      removeWaiting: (submission, indexes) => { queue.withdraw(submission, indexes) },
+      withdraw: (agent, selections) => { outbox.send(agent, { method: 'withdraw', parameters: { selections } }) },
+      resend: (agent, submission, indexes, now) => { dispatcher.resend(agent, submission, indexes, now) },
+      answer: (waiter, result) => { operations.answered(waiter, result) },
+      reroute: (waiters, _submission, now) => { operations.rerouted(waiters, now) }
+    },
+    invariants,
+    keyWindowMilliseconds,
+    clockSkewMilliseconds
+  })
+  const ownership: Ownership = createOwnership({
+    identity,
+    ports: {
+      outbox,
+      partitionChanged,
+      recordsCollected: outcomes.recordsCollected,
+      exportPartition: outcomes.exportPartition,
+      importPartition: outcomes.importPartition
+    },
+    invariants,
+    startedAt: options.startedAt,
+    keyWindowMilliseconds,
+    clockSkewMilliseconds
+  })
+  const dispatcher: Dispatcher = createDispatcher({
+    queue, placement: placement.current, ownership, outcomes, calls, outbox
+  })
+  const operations: Operations = createOperations({
+    identity,
+    outbox,
+    partitionState: ownership.partitionState,
+    outcomes,
+    explain: (submission, customer) => explainSubmission(outcomes, identity, submission, customer)
+  })
+  const burn = createBurnAccounts({
+    identity,
+    startedAt: options.startedAt,
+    fold,
+    outbox,
+    objectives: configuration.objectives,
+    presentEntries: () => membership.liveEntries().map(entry => entry.identity)
+  })
+
+  function partitionChanged (partition: number, state: PartitionState, now: number): void {
+    outcomes.partitionChanged(partition, state, now)
+    if (state.kind !== 'ours') dispatcher.partitionLost(partition, now)
+  }
+
+  return {
+    fold,
+    configuration,
+    publisher,
+    membership,
+    ownership,
+    outcomes,
+    operations,
+    queue,
+    placement,
+    requests,
+    calls,
+    dispatcher,
+    burn,
+    quotas: createQuotas({ fold, queue })
+  }
+}
--- a/packages/entry/src/routes/fleet-status.ts
+++ b/packages/entry/src/routes/fleet-status.ts
@@ -1,6 +1,7 @@
 /** `GET /v1/fleet`: the fleet as this entry sees it. */
 import { VERSION, type EntryIdentity, type Invariants } from '@baobabpost/common'
 import type { FleetAgent, FleetEntry, FleetStatus, PartitionOwner } from '@baobabpost/messages'
+import { isDrained } from '../drains.js'
 import type { EntryCore } from '../entry-core.js'
 import type { Route } from '../http/route.js'
 import type { SubmissionRouteOptions } from './run-operation.js'
@@ -33,12 +34,12 @@
 }
 
 function describeAgents (core: EntryCore): FleetAgent[] {
-  const { membership, dispatcher } = core.slices
+  const { membership, dispatcher, placement, fold } = core.slices
   const usable = new Map(membership.usableAgents().map(agent => [agent.identity, agent]))
   const agents: FleetAgent[] = []
   for (const agent of usable.values()) {
-    const ejection = core.ejection(agent.identity)
-    const drained = core.isDrained(agent.identity)
+    const ejection = placement.ejection(agent.identity)
+    const drained = isDrained(fold, agent.identity)
     agents.push({
       identity: agent.identity,
       address: agent.address,
@@ -55,9 +56,8 @@
     if (usable.has(registration.identity)) continue
     const { identity, address, service, failureDomain, state } = registration
     const standing = state === 'joined' ? 'suspected' : 'departed'
-    agents.push({
-      identity, address, service, failureDomain, standing, slots: 0, window: 0, unfinished: dispatcher.inFlightAt(identity)
-    })
+    const unfinished = dispatcher.inFlightAt(identity)
+    agents.push({ identity, address, service, failureDomain, standing, slots: 0, window: 0, unfinished })
   }
   return agents
 }
@@ -71,7 +71,7 @@
     about: 'Tells the fleet as this entry sees it',
     handle () {
       const at = now()
-      const { ownership, outcomes, calls, configuration } = core.slices
+      const { ownership, outcomes, calls, configuration, queue } = core.slices
       const { position, behindRecords, behindSince } = configuration.status(core.logStanding())
       const body: FleetStatus = {
         identity: core.identity,
@@ -89,7 +89,7 @@
         submissionsRunning: outcomes.counts().unfinished,
         callsPending: calls.pending(),
         invariantViolations: invariants.violations(),
-        queues: core.queueLengths(),
+        queues: queue.services().map(service => ({ service, tasks: queue.length(service) })),
         entries: describeEntries(core),
         agents: describeAgents(core)
       }
--- a/packages/entry/src/running-entry.ts
+++ b/packages/entry/src/running-entry.ts
@@ -18,6 +18,8 @@
 const KEY_REFRESH_MILLISECONDS = 2_000
 /** Time between saying unready and closing, in which the balancer takes this entry out. */
 const UNREADY_MILLISECONDS = 200
+/** Longest wait for the append that removes this entry's registration. */
+const LEAVE_MILLISECONDS = 2_000
 
 /** An entry that runs. */
 export interface RunningEntry {
@@ -94,7 +96,6 @@
   const log: PlatformLogClient = createPlatformLogClient({
     address: settings.platformLogAddress,
     author: identity,
-    readFrom: () => core.slices.fold.readFrom(),
     logger,
     random: createRandom(seedFrom(identity)),
     listener: {
@@ -169,9 +170,9 @@
   const scheme = certificates.kind === 'tls' ? 'https' : 'http'
   logger.info('entry listens', { callers: callerAddress, link: link.address, failureDomain: settings.failureDomain })
 
-  async function waitUntilDrained (): Promise<boolean> {
-    const giveUpAt = now() + settings.stopTimeoutMilliseconds
-    while (!core.drained()) {
+  async function waitUntil (condition: () => boolean, milliseconds: number): Promise<boolean> {
+    const giveUpAt = now() + milliseconds
+    while (!condition()) {
       if (now() >= giveUpAt) return false
       await new Promise(resolve => setTimeout(resolve, STOP_POLL_MILLISECONDS))
     }
@@ -193,14 +194,14 @@
     logger.info('entry stops')
     core.stop(now())
     await new Promise(resolve => setTimeout(resolve, UNREADY_MILLISECONDS))
-    if (!await waitUntilDrained()) {
+    if (!await waitUntil(core.drained, settings.stopTimeoutMilliseconds)) {
       const { operations, calls, ownership } = core.slices
       logger.error('stop took too long', {
         operations: operations.pending(), calls: calls.pending(), partitions: ownership.ownedCount()
       })
     }
     core.leave(now())
-    await log.settled()
+    await waitUntil(() => log.standing().pendingAppends === 0, LEAVE_MILLISECONDS)
     server.closeIdleConnections()
     await close()
     logger.info('entry stopped')
