Own partitions: claims, takeover, owner lease and planned moves; submissions at their owner

Cause: a submission has one owner at a time; a new owner must know what agents started before it serves. Change: ownership (claims by rendezvous, collect, fences by majority position, handover) and outcomes (task states, whole answers, cancellation, resend to the same agent, takeover of jobs, adoption of bodies).

--- /dev/null
+++ b/packages/outcomes/src/job-lifecycle.ts
@@ -0,0 +1,249 @@
+/** What happens to tasks once a job is known: waiting, dispatch, outcome, and the whole answer at the end. */
+import type { AgentIdentity, Invariants, SubmissionKey } from '@baobabpost/common'
+import type { JobRequest, NotRunReason, OperationResult, TaskOutcome } from '@baobabpost/messages'
+import { type HeldTasks, type Job, TaskState } from './job.js'
+import type { JobStore } from './job-store.js'
+import type { OutcomesPorts, WaitingTasks } from './outcomes.js'
+import { answerResult, runningAnswer, wholeAnswer } from './results.js'
+import type { Timeline } from './timeline.js'
+
+const FIRST_HOLD_BACK_MILLISECONDS = 20
+const LAST_HOLD_BACK_MILLISECONDS = 1_000
+
+/** What falls due for a submission. */
+export type DueItem =
+  | { readonly kind: 'waiter', readonly waiter: string, readonly submission: SubmissionKey }
+  | { readonly kind: 'resend', readonly job: Job, readonly held: HeldTasks }
+  | { readonly kind: 'held-back', readonly job: Job, readonly index: number }
+  | { readonly kind: 'adoption', readonly job: Job }
+  | { readonly kind: 'expiry', readonly job: Job }
+
+/** What the life of jobs works with. */
+export interface JobLifecycleOptions {
+  readonly ports: OutcomesPorts
+  readonly invariants: Invariants
+  readonly store: JobStore
+  readonly timeline: Timeline<DueItem>
+  readonly adoptionWindowMilliseconds: number
+  readonly retryAfterMilliseconds: number
+}
+
+/** Steps that jobs take. */
+export interface JobLifecycle {
+  /** Adds a waiter, or answers it at once where the job is finished or it does not wait. */
+  wait: (job: Job, waiter: string, waitUntil: number, now: number) => void
+  /** The waiter's time is over. */
+  waiterDue: (job: Job, waiter: string, now: number) => void
+  answer: (waiter: string, result: OperationResult, now: number) => void
+  /** Sets the final outcome of a task, and answers everybody once it is the last. */
+  finish: (job: Job, index: number, outcome: TaskOutcome, now: number) => void
+  finishAll: (job: Job, indexes: readonly number[], outcome: TaskOutcome, now: number) => void
+  /** Queues tasks that did not start, or ends them where that can't be. */
+  requeue: (job: Job, indexes: readonly number[], now: number) => void
+  /** Queues a task again after a time that grows with its refusals. */
+  holdBack: (job: Job, index: number, now: number) => void
+  /** Takes in the body of a job that was taken over without one. */
+  adopt: (job: Job, request: JobRequest, now: number) => void
+  /** The time to adopt a job is over. */
+  adoptionDue: (job: Job, now: number) => void
+  cancel: (job: Job, now: number) => void
+  /** Asks the agent again what was asked before: to run the tasks, or to give them up. */
+  repeat: (job: Job, held: HeldTasks, now: number) => void
+  waitingTasks: (job: Job, indexes: readonly number[]) => WaitingTasks | undefined
+  flushWithdrawals: (now: number) => void
+}
+
+/** Makes an outcome of a task that did not run. */
+export function notRun (reason: NotRunReason): TaskOutcome {
+  return { status: 'not-run', reason }
+}
+
+/**
+ * Makes the life of jobs.
+ *
+ * @example
+ * lifecycle.finish(job, 3, { status: 'succeeded', answer }, now)
+ */
+export function createJobLifecycle (options: JobLifecycleOptions): JobLifecycle {
+  const { ports, invariants, store, timeline } = options
+  const withdrawals = new Map<AgentIdentity, Map<SubmissionKey, number[]>>()
+
+  function answer (waiter: string, result: OperationResult, now: number): void {
+    ports.answer(waiter, result, now)
+  }
+
+  function finish (job: Job, index: number, outcome: TaskOutcome, now: number): void {
+    store.release(job, index)
+    if (job.finish(index, outcome)) complete(job, now)
+  }
+
+  function complete (job: Job, now: number): void {
+    const whole = wholeAnswer(job)
+    invariants.check(whole.finishedCount === job.header.taskCount, 'answer-is-whole',
+      () => `${job.submission}: ${whole.finishedCount} of ${job.header.taskCount} outcomes`)
+    job.answer = whole
+    job.request = undefined
+    job.resolved = undefined
+    job.excludedAgents.clear()
+    job.refusals.clear()
+    job.steps.add('finished', job.header.taskCount, now, undefined, whole.state)
+    const result = answerResult(whole)
+    const waiters = [...job.waiters.keys()]
+    job.waiters.clear()
+    if (waiters.length > 0) job.steps.add('answered', waiters.length, now)
+    for (const waiter of waiters) answer(waiter, result, now)
+  }
+
+  function finishAll (job: Job, indexes: readonly number[], outcome: TaskOutcome, now: number): void {
+    for (const index of indexes) finish(job, index, outcome, now)
+  }
+
+  function waitingTasks (job: Job, indexes: readonly number[]): WaitingTasks | undefined {
+    if (job.resolved === undefined) return undefined
+    const { submission, header, resolved } = job
+    return {
+      submission,
+      customer: header.customer,
+      template: header.template,
+      job: resolved,
+      indexes,
+      excludedAgents: indexes.map(index => job.excludedAgents.get(index))
+    }
+  }
+
+  function requeue (job: Job, indexes: readonly number[], now: number): void {
+    if (indexes.length === 0) return
+    if (job.cancelled) {
+      finishAll(job, indexes, notRun('cancelled'), now)
+      return
+    }
+    const tasks = waitingTasks(job, indexes)
+    if (tasks === undefined) {
+      awaitBody(job, indexes, now)
+      return
+    }
+    if (now >= tasks.job.startBefore) {
+      finishAll(job, indexes, notRun('deadline'), now)
+      return
+    }
+    toState(job, indexes, TaskState.waiting)
+    job.steps.add('requeued', indexes.length, now)
+    ports.restore(tasks, now)
+  }
+
+  function awaitBody (job: Job, indexes: readonly number[], now: number): void {
+    toState(job, indexes, TaskState.bodiless)
+    job.steps.add('waiting-for-body', indexes.length, now)
+    timeline.add(now + options.adoptionWindowMilliseconds, { kind: 'adoption', job })
+  }
+
+  function toState (
+    job: Job, indexes: readonly number[], state: typeof TaskState.waiting | typeof TaskState.bodiless
+  ): void {
+    for (const index of indexes) {
+      store.release(job, index)
+      job.setState(index, state)
+    }
+  }
+
+  function withdraw (job: Job, held: HeldTasks): void {
+    let selections = withdrawals.get(held.agent)
+    if (selections === undefined) {
+      selections = new Map()
+      withdrawals.set(held.agent, selections)
+    }
+    selections.set(job.submission, job.indexesAt(held.agentNumber))
+  }
+
+  return {
+    wait (job, waiter, waitUntil, now) {
+      if (job.answer !== undefined) {
+        job.steps.add('answered', 1, now)
+        answer(waiter, answerResult(job.answer), now)
+        return
+      }
+      if (waitUntil <= now) {
+        job.waiters.delete(waiter)
+        answer(waiter, answerResult(runningAnswer(job, options.retryAfterMilliseconds)), now)
+        return
+      }
+      job.waiters.set(waiter, waitUntil)
+      timeline.add(waitUntil, { kind: 'waiter', waiter, submission: job.submission })
+    },
+
+    waiterDue (job, waiter, now) {
+      const waitUntil = job.waiters.get(waiter)
+      if (waitUntil === undefined || waitUntil > now) return
+      job.waiters.delete(waiter)
+      answer(waiter, answerResult(runningAnswer(job, options.retryAfterMilliseconds)), now)
+    },
+
+    answer,
+    finish,
+    finishAll,
+    requeue,
+
+    holdBack (job, index, now) {
+      if (job.cancelled || job.resolved === undefined) {
+        requeue(job, [index], now)
+        return
+      }
+      const refusals = (job.refusals.get(index) ?? 0) + 1
+      job.refusals.set(index, refusals)
+      store.release(job, index)
+      job.setState(index, TaskState.waiting)
+      const delay = Math.min(LAST_HOLD_BACK_MILLISECONDS, FIRST_HOLD_BACK_MILLISECONDS * 2 ** (refusals - 1))
+      timeline.add(now + delay, { kind: 'held-back', job, index })
+    },
+
+    adopt (job, request, now) {
+      if (job.request !== undefined || job.answer !== undefined) return
+      const resolution = ports.resolve(request, now)
+      if (resolution.kind === 'refused') return
+      job.request = request
+      job.resolved = resolution.job
+      const indexes = job.indexesIn(TaskState.bodiless)
+      if (indexes.length === 0) return
+      job.steps.add('adopted', indexes.length, now)
+      requeue(job, indexes, now)
+    },
+
+    adoptionDue (job, now) {
+      if (job.answer !== undefined || job.request !== undefined) return
+      finishAll(job, job.indexesIn(TaskState.bodiless), notRun('owner-lost'), now)
+    },
+
+    cancel (job, now) {
+      if (job.cancelled || job.answer !== undefined) return
+      job.cancelled = true
+      job.steps.add('cancelled', job.header.taskCount - job.count(TaskState.finished), now)
+      if (job.count(TaskState.waiting) > 0) ports.removeWaiting(job.submission)
+      for (const held of job.held.values()) withdraw(job, held)
+      const unstarted = [...job.indexesIn(TaskState.waiting), ...job.indexesIn(TaskState.bodiless)]
+      finishAll(job, unstarted, notRun('cancelled'), now)
+    },
+
+    repeat (job, held, now) {
+      if (job.cancelled) {
+        withdraw(job, held)
+        return
+      }
+      if (job.request === undefined) return
+      const indexes = job.indexesAt(held.agentNumber)
+      job.steps.add('resent', indexes.length, now, held.agent)
+      ports.resend(held.agent, job.submission, indexes, now)
+    },
+
+    waitingTasks,
+
+    flushWithdrawals (now) {
+      if (withdrawals.size === 0) return
+      const agents = [...withdrawals]
+      withdrawals.clear()
+      for (const [agent, selections] of agents) {
+        const wanted = Array.from(selections, ([submission, indexes]) => ({ submission, indexes }))
+        ports.withdraw(agent, wanted, now)
+      }
+    }
+  }
+}
--- a/packages/outcomes/src/outcomes.ts
+++ b/packages/outcomes/src/outcomes.ts
@@ -180,6 +180,6 @@
   /** Does what time brings. Call it about every 50 milliseconds. */
   tick: (now: number) => void
   explain: (submission: string) => SubmissionExplanation | undefined
-  /** Number of submissions that are remembered, and of those that are not finished. */
+  /** Counts for operators; it looks at every submission, so it is nothing for each turn of the loop. */
   counts: () => { readonly remembered: number, readonly unfinished: number, readonly waiters: number }
 }
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -5,7 +5,7 @@
  */
 import type { AgentIdentity, EntryIdentity, Invariants } from '@baobabpost/common'
 import type {
-  Collected, Handover, HandoverTaken, Outbox, RegisterValue, SubmissionHandover, SubmissionRecord
+  Collected, Handover, HandoverTaken, Outbox, SubmissionHandover, SubmissionRecord
 } from '@baobabpost/messages'
 
 /** A register that took a new value, in log order. `value` is `null` or undefined where it was removed. */
@@ -14,8 +14,8 @@
   /** Offset of the record that made the change. */
   readonly version: number
   readonly value: unknown
-  /** What the register held before; undefined where it was never written. */
-  readonly previous: RegisterValue | undefined
+  /** Version before the change, `NEVER_WRITTEN` for a new register. */
+  readonly previousVersion: number
 }
 
 /** What this entry knows of a partition. */
@@ -84,11 +84,14 @@
 export interface Ownership {
   /** Names the entries that live, this one included. */
   setLiveEntries: (entries: readonly EntryIdentity[], now: number) => void
-  /** Takes in changes of registers; every change once, in log order. Kinds other than its own are ignored. */
+  /** Takes in changes of registers and the offset up to which all are known. Kinds not its own are ignored. */
   registersChanged: (changes: readonly RegisterChange[], position: number, now: number) => void
   /** The log was read to its end by a read that started at the given time. */
   logReadToEnd: (startedAt: number, now: number) => void
-  /** An entry answered the heartbeat sent at the given time; `position` is the log offset that it has applied. */
+  /**
+   * An entry answered the heartbeat sent at the given time; `position` is the log offset that it has applied.
+   * The registers in the answer have to be taken in before; an answer from further ahead doesn't count for the lease.
+   */
   heartbeatAnswered: (entry: EntryIdentity, sentAt: number, position: number, now: number) => void
   /** An entry told the log offset that it has applied. */
   peerPosition: (entry: EntryIdentity, position: number, now: number) => void
--- /dev/null
+++ b/packages/ownership/src/takeover.ts
@@ -0,0 +1,165 @@
+/**
+ * One takeover: the partitions won by one record of the log, and the agents that have to tell what they know.
+ *
+ * The agents that earlier owners could have used are those registered below the record's offset. An agent that
+ * answered has fenced the earlier epochs. One that departed took its records along, and what is not known of keys of
+ * its time may have run there.
+ */
+import type { AgentIdentity, EntryIdentity } from '@baobabpost/common'
+import type { Collect, Collected } from '@baobabpost/messages'
+import type { DepartedAgent } from './agent-roster.js'
+import type { FenceClock } from './fence-clock.js'
+
+const FIRST_REPEAT_MILLISECONDS = 200
+const LAST_REPEAT_MILLISECONDS = 1_600
+
+/** An agent that has not answered whole. */
+interface PendingAgent {
+  parts: number
+  readonly received: Set<number>
+  sendAt: number
+  repeatMilliseconds: number
+}
+
+/** What begins a takeover. */
+export interface TakeoverOptions {
+  readonly epoch: number
+  readonly partitions: readonly number[]
+  /** Owner that gives the partitions away itself, if it does. */
+  readonly handedOverBy: EntryIdentity | undefined
+  readonly joined: readonly AgentIdentity[]
+  readonly departed: readonly DepartedAgent[]
+  readonly startedAt: number
+  readonly collectBoundMilliseconds: number
+  readonly clockSkewMilliseconds: number
+  readonly fences: FenceClock
+}
+
+/** One takeover. */
+export interface Takeover {
+  readonly epoch: number
+  readonly handedOverBy: EntryIdentity | undefined
+  /** Partitions of the takeover that this entry still owns. */
+  readonly partitions: ReadonlySet<number>
+  removePartition: (partition: number) => void
+  /** Whether the agent's answer is still awaited. */
+  awaits: (agent: AgentIdentity) => boolean
+  /** Notes an agent's part of an answer; tells whether the agent is now accounted for. */
+  collected: (agent: AgentIdentity, message: Collected) => boolean
+  /** Notes that an agent is gone; tells whether that changes anything. */
+  departed: (departure: DepartedAgent) => boolean
+  /** The previous owner told all; `uncertainBefore` is what it could not tell. */
+  imported: (uncertainBefore: number) => void
+  isImported: () => boolean
+  /** Agents to ask now, with the question. */
+  due: (now: number) => readonly AgentIdentity[]
+  question: () => Collect
+  /** Moves on to serving where that is possible; tells whether the state changed. */
+  advance: (now: number) => boolean
+  phase: () => 'collecting' | 'serving'
+  /** Agents that are not accounted for and matter. */
+  unaccounted: () => number
+  uncertainBefore: () => number
+  /** Whether nothing remains to be asked or waited for. */
+  isSettled: () => boolean
+}
+
+/**
+ * Begins a takeover.
+ *
+ * @example
+ * const takeover = createTakeover({ epoch: 40, partitions: [3, 9], handedOverBy: undefined, … })
+ */
+export function createTakeover (options: TakeoverOptions): Takeover {
+  const partitions = new Set(options.partitions)
+  const pending = new Map<AgentIdentity, PendingAgent>()
+  const lost = new Map<AgentIdentity, DepartedAgent>()
+  let phase: 'collecting' | 'serving' = 'collecting'
+  let importedUncertainBefore: number | undefined
+  for (const agent of options.joined) {
+    pending.set(agent, {
+      parts: 0, received: new Set(), sendAt: options.startedAt, repeatMilliseconds: FIRST_REPEAT_MILLISECONDS
+    })
+  }
+  for (const departure of options.departed) lost.set(departure.identity, departure)
+
+  function uncertainFor (departure: DepartedAgent): number {
+    const stopped = departure.changedAt + 2 * options.clockSkewMilliseconds
+    if (departure.clean) return stopped
+    return Math.max(stopped, options.fences.fencedFrom(departure.offset))
+  }
+
+  function uncertainBefore (): number {
+    if (importedUncertainBefore !== undefined) return importedUncertainBefore
+    const fenced = options.fences.fencedFrom(options.epoch)
+    let latest = pending.size > 0 ? fenced : 0
+    for (const departure of lost.values()) {
+      latest = Math.max(latest, Math.min(uncertainFor(departure), fencedOrDeparted(departure, fenced)))
+    }
+    return latest
+  }
+
+  // The claim lies behind the departure, so that either fence ends what an earlier owner could do there.
+  function fencedOrDeparted (departure: DepartedAgent, fenced: number): number {
+    return Math.max(departure.changedAt + 2 * options.clockSkewMilliseconds, fenced)
+  }
+
+  function isAccountedFor (): boolean {
+    if (importedUncertainBefore !== undefined) return true
+    return options.handedOverBy === undefined && pending.size === 0 && uncertainBefore() !== Infinity
+  }
+
+  return {
+    epoch: options.epoch,
+    handedOverBy: options.handedOverBy,
+    partitions,
+    removePartition: partition => { partitions.delete(partition) },
+    awaits: agent => pending.has(agent),
+    collected (agent, message) {
+      const progress = pending.get(agent)
+      if (progress === undefined) return false
+      const covered = new Set(message.partitions.map(({ partition }) => partition))
+      for (const partition of partitions) {
+        if (!covered.has(partition)) return false
+      }
+      if (progress.parts !== message.parts) {
+        progress.parts = message.parts
+        progress.received.clear()
+      }
+      progress.received.add(message.part)
+      if (progress.received.size < message.parts) return false
+      pending.delete(agent)
+      return true
+    },
+    departed (departure) {
+      if (!pending.delete(departure.identity)) return false
+      lost.set(departure.identity, departure)
+      return true
+    },
+    imported: uncertain => { importedUncertainBefore = uncertain },
+    isImported: () => importedUncertainBefore !== undefined,
+    due (now) {
+      const agents: AgentIdentity[] = []
+      for (const [agent, progress] of pending) {
+        if (progress.sendAt > now) continue
+        progress.sendAt = now + progress.repeatMilliseconds
+        progress.repeatMilliseconds = Math.min(LAST_REPEAT_MILLISECONDS, progress.repeatMilliseconds * 2)
+        agents.push(agent)
+      }
+      return agents
+    },
+    question: () => ({
+      partitions: [...partitions].map(partition => ({ partition, epoch: options.epoch }))
+    }),
+    advance (now) {
+      if (phase === 'serving') return false
+      if (!isAccountedFor() && now < options.startedAt + options.collectBoundMilliseconds) return false
+      phase = 'serving'
+      return true
+    },
+    phase: () => phase,
+    unaccounted: () => importedUncertainBefore === undefined ? pending.size : 0,
+    uncertainBefore,
+    isSettled: () => phase === 'serving' && pending.size === 0 && uncertainBefore() !== Infinity
+  }
+}
