--- a/packages/agent/src/agent-run.ts
+++ b/packages/agent/src/agent-run.ts
@@ -3,7 +3,7 @@
   createAgentIdentity, type AgentIdentity, type EntryIdentity, type Invariants, type Logger, type Metrics
 } from '@baobabpost/common'
 import { createExecution, type Execution } from '@baobabpost/execution'
-import { createLink, type Link } from '@baobabpost/link'
+import { createLink, type Link, type LinkStatistics } from '@baobabpost/link'
 import type { AgentSettings } from './agent-settings.js'
 import { createUpstreamClient } from './upstream-client.js'
 
@@ -14,6 +14,7 @@
   readonly identity: AgentIdentity
   readonly address: string
   readonly execution: Execution
+  readonly linkStatistics: () => LinkStatistics
   /** Sends at the end of this turn of the loop what the decisions have ready. */
   planFlush: () => void
   close: () => Promise<void>
@@ -118,6 +119,7 @@
   return {
     identity,
     address: link.address,
+    linkStatistics: link.statistics,
     execution,
     planFlush,
     async close () {
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -110,6 +110,7 @@
     identity: () => run.identity,
     address: () => run.address,
     snapshot: () => run.execution.snapshot(),
+    linkStatistics: () => run.linkStatistics(),
     violations: invariants.violations,
     async stop () {
       stopping ??= stop()
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -116,6 +116,7 @@
       keyWindowMilliseconds: 600_000,
       leaseMilliseconds: 3_000,
       clockSkewMilliseconds: 2_000,
+      upstreamIdleMilliseconds: 2_000,
       stopTimeoutMilliseconds: 10_000
     })
     upstreams.push({ plan: agentPlan, upstream, agent })
