Read, check and publish configuration; sample configuration of both deployments

Cause: the slice had contracts only. Change: resolution of jobs and calls, histories, a publisher whose results come from the fold alone, sample registers.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,3 +1,6 @@
 /** Templates, customers, quotas, objectives and policy: publishing, checking and applying them. */
 export type * from './configuration.js'
+export * from './create-configuration.js'
+export * from './create-publisher.js'
 export type * from './publisher.js'
+export * from './sample-configuration.js'
