--- a/packages/configuration/src/built-in-policy.ts
+++ b/packages/configuration/src/built-in-policy.ts
@@ -8,5 +8,5 @@
  * builtInPolicy('lending').placement // 'late-binding'
  */
 export function builtInPolicy (name: string): Policy {
-  return { name, placement: 'late-binding', prefetchTasks: 2, retryShare: 0.1, hedge: true }
+  return { name, placement: 'late-binding', prefetchTasks: 2, retryShare: 0.1, hedge: false }
 }
--- a/packages/configuration/src/create-publisher.ts
+++ b/packages/configuration/src/create-publisher.ts
@@ -1,12 +1,13 @@
 /** Publishes configuration: checked first, appended once, answered by what the log says. */
 import { canonicalJson } from '@baobabpost/common'
 import { createProblem, NEVER_WRITTEN, type LogRecord } from '@baobabpost/messages'
-import { valueFault, type RegisterFold } from '@baobabpost/platform-log'
-import type { Configuration } from './configuration.js'
+import type { RegisterFold } from '@baobabpost/platform-log'
 import { isConfiguration } from './create-configuration.js'
+import { publicationFault } from './publication-fault.js'
 import type { Publication, Publisher, PublishResult } from './publisher.js'
+import { createRegisterHistory } from './register-history.js'
 
-/** Time after which a publication that the log did not show is answered with `outcome-unknown`. */
+/** Time for which a publication waits for the log unless the options say otherwise. */
 export const PUBLISH_BOUND_MILLISECONDS = 5_000
 /** When to repeat a publication whose outcome is unknown. */
 const RETRY_AFTER_MILLISECONDS = 1_000
@@ -16,9 +17,10 @@
 /** Ports of a publisher. */
 export interface PublisherOptions {
   readonly fold: Pick<RegisterFold, 'read'>
-  readonly history: Configuration['history']
   /** Appends a record and gives its nonce. */
   readonly append: (changes: LogRecord['changes']) => string
+  /** Time after which a publication that the log did not show is answered with `outcome-unknown`. */
+  readonly answerMilliseconds?: number
 }
 
 type Answer = (result: PublishResult) => void
@@ -43,7 +45,9 @@
  * publisher.publish({ register: 'team/medina', value: team, replaces: 0 }, Date.now(), result => { reply(result) })
  */
 export function createPublisher (options: PublisherOptions): Publisher {
-  const { fold, history, append } = options
+  const { fold, append } = options
+  const answerMilliseconds = options.answerMilliseconds ?? PUBLISH_BOUND_MILLISECONDS
+  const history = createRegisterHistory()
   const byNonce = new Map<string, Pending>()
   const byKey = new Map<string, Pending>()
   let refused: Pending[] = []
@@ -64,7 +68,7 @@
 
   /** The version that this publication already brought about, by any process. */
   function heldBefore (publication: Publication): number | undefined {
-    for (const { version, previousVersion, value } of history(publication.register)) {
+    for (const { version, previousVersion, value } of history.read(publication.register)) {
       if (previousVersion !== publication.replaces) continue
       return canonicalJson(value) === canonicalJson(publication.value) ? version : undefined
     }
@@ -72,10 +76,9 @@
   }
 
   function judge (publication: Publication): PublishResult | undefined {
-    const { register, value, replaces } = publication
-    if (!isConfiguration(register)) return problem(register, 'malformed-request', `'${register}' is not configuration`)
-    const fault = valueFault(register, value)
-    if (fault !== undefined) return problem(register, 'malformed-request', `The value of '${register}': ${fault}`)
+    const { register, replaces } = publication
+    const fault = publicationFault(publication)
+    if (fault !== undefined) return problem(register, 'malformed-request', fault)
     const version = versionOf(register)
     if (version === replaces) return undefined
     const held = heldBefore(publication)
@@ -130,7 +133,7 @@
       }
       const nonce = append([{ kind: 'write', ...publication }])
       const key = keyOf(publication)
-      const pending = { publication, nonce, key, answers: [reply], answerBefore: now + PUBLISH_BOUND_MILLISECONDS }
+      const pending = { publication, nonce, key, answers: [reply], answerBefore: now + answerMilliseconds }
       byNonce.set(nonce, pending)
       byKey.set(key, pending)
     },
@@ -142,7 +145,12 @@
         else refused.push(pending)
       }
     },
-    changed: settleRefused,
+    changed (changes, now) {
+      for (const change of changes) {
+        if (isConfiguration(change.register)) history.note(change, now)
+      }
+      settleRefused()
+    },
     tick (now) {
       settleRefused()
       for (const pending of [...byNonce.values()]) {
--- a/packages/configuration/tests/configuration.test.ts
+++ b/packages/configuration/tests/configuration.test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, test } from 'vitest'
 import fc from 'fast-check'
 import { createInvariants } from '@baobabpost/common'
-import type { JobRequest, LogEntry, LogRecord } from '@baobabpost/messages'
+import type { Customer, JobRequest, LogEntry, LogRecord } from '@baobabpost/messages'
 import { createRegisterFold, valueFault, type LogStanding, type RegisterFold, type WriteOutcome } from '@baobabpost/platform-log'
 import {
-  createConfiguration, createPublisher, firstPublications, MAXIMUM_HISTORY_VERSIONS, PUBLISH_BOUND_MILLISECONDS,
+  createConfiguration, createPublisher, MAXIMUM_HISTORY_VERSIONS, PUBLISH_BOUND_MILLISECONDS,
   sampleConfiguration, type Configuration, type Publication, type Publisher, type PublishResult
 } from '@baobabpost/configuration'
 
@@ -33,12 +33,13 @@
       log.push({ offset: log.length + 1, record: { author: 'test', nonce, changes } })
       return nonce
     }
-    const publisher = createPublisher({ fold, history: configuration.history, append })
+    const publisher = createPublisher({ fold, append })
     function read (now = 0): void {
       const batch = { entries: [...log], first: 1, next: log.length + 1, readStartedAt: now, reachedEnd: true }
-      configuration.changed(fold.apply(batch, now), now)
-      publisher.settled(outcomes.splice(0))
-      publisher.changed()
+      const changes = fold.apply(batch, now)
+      publisher.settled(outcomes.splice(0), now)
+      configuration.changed(changes, now)
+      publisher.changed(changes, now)
     }
     return { fold, configuration, publisher, read }
   }
@@ -60,14 +61,13 @@
 
 function startedProcess (): Process {
   const process = createFleet().join()
-  const { lending, ledger } = sampleConfiguration()
-  for (const publication of [...firstPublications(lending), ...firstPublications(ledger)]) publish(process, publication)
+  for (const { register, value } of sampleConfiguration()) publish(process, { register, value, replaces: 0 })
   process.read()
   return process
 }
 
 const job = (fields: Partial<JobRequest>): JobRequest => ({
-  template: 'checkout-tool', customer: 'medina', tasks: [{ tool: 'drill', member: 'awa' }], ...fields
+  template: 'check-out-tool', customer: 'medina', tasks: [{ tool: 'drill', member: 'awa', deposit: 5_000 }], ...fields
 })
 
 describe('resolving', () => {
@@ -77,21 +77,21 @@
       kind: 'resolved',
       request: {
         service: 'lending',
-        path: '/lending/checkout-tool',
-        team: 'dakar',
+        path: '/checkouts',
+        team: 'dakar-libraries',
         callType: 'non-idempotent',
-        parameters: { depositFrancs: 4_000, branch: 'medina' }
+        parameters: { library: 'Medina' }
       }
     })
-    const call = { template: 'post-payment', customer: 'kalamaja', input: { account: 'a', amountCents: 1 } }
+    const call = { template: 'post-payment', customer: 'nomme-office', input: { company: 'a', account: 'b', cents: 1 } }
     expect(configuration.resolveCall(call)).toMatchObject({ kind: 'resolved', request: { service: 'ledger' } })
   })
 
   test.each([
     ['unknown-template', job({ template: 'nothing' }), "'nothing'"],
     ['unknown-customer', job({ customer: 'nobody' }), "'nobody'"],
-    ['unknown-parameter', job({ tasks: [{ tool: 'a', member: 'b' }, { branch: 'c' }] }), 'Task 1'],
-    ['missing-parameter', job({ tasks: [{ tool: 'a', member: 'b' }, { tool: 'a' }] }), 'Task 1']
+    ['unknown-parameter', job({ tasks: [{ tool: 'a', member: 'b', deposit: 1 }, { library: 'c' }] }), 'Task 1'],
+    ['missing-parameter', job({ tasks: [{ tool: 'a', member: 'b', deposit: 1 }, { tool: 'a' }] }), 'Task 1']
   ] as Array<[string, JobRequest, string]>)('%s is refused before anything starts', (reason, request, named) => {
     const resolution = startedProcess().configuration.resolveJob(request)
     if (resolution.kind !== 'problem') throw new Error('it was resolved')
@@ -109,13 +109,12 @@
   })
 
   test('every sample is valid, and names its teams and customers', () => {
-    const { lending, ledger } = sampleConfiguration()
-    for (const deployment of [lending, ledger]) {
-      const faults = firstPublications(deployment).map(({ register, value }) => valueFault(register, value))
-      expect(faults.filter(fault => fault !== undefined)).toEqual([])
-      const teams = deployment.teams.map(({ name }) => name)
-      expect(deployment.customers.filter(customer => !teams.includes(customer.team))).toEqual([])
-    }
+    const samples = sampleConfiguration()
+    const faults = samples.map(({ register, value }) => valueFault(register, value))
+    expect(faults.filter(fault => fault !== undefined)).toEqual([])
+    const names = new Set(samples.map(({ register }) => register))
+    const customers = samples.filter(({ register }) => register.startsWith('customer/'))
+    expect(customers.filter(({ value }) => !names.has(`team/${(value as Customer).team}`))).toEqual([])
   })
 })
 
@@ -125,7 +124,8 @@
     const process = fleet.join()
     const bad = publish(process, { register: 'team/dakar', value: { name: 'dakar', share: -1 }, replaces: 0 })
     const foreign = publish(process, { register: 'partition/1', value: null, replaces: 0 })
-    expect([bad[0], foreign[0]].map(describeResult)).toEqual(['malformed-request 0', 'malformed-request 0'])
+    const misspelt = publish(process, { register: 'team/dakar', value: { ...team(1) as object, shares: 2 }, replaces: 0 })
+    expect([bad, foreign, misspelt].flat().map(describeResult)).toEqual(Array(3).fill('malformed-request 0'))
     expect(fleet.log).toHaveLength(0)
   })
 
@@ -161,8 +161,8 @@
 
   test('a conflict tells the version in force', () => {
     const process = startedProcess()
-    const current = process.fold.read('team/dakar')?.version ?? 0
-    const result = publish(process, { register: 'team/dakar', value: team(7), replaces: 0 })[0]
+    const current = process.fold.read('policy/default')?.version ?? 0
+    const result = publish(process, { register: 'policy/default', value: null, replaces: 0 })[0]
     expect(describeResult(result)).toBe(`version-conflict ${current}`)
   })
 
@@ -195,7 +195,7 @@
   const [peer, fresh] = [fleet.join(), fleet.join()]
   publish(peer, { register: 'team/dakar', value: team(1), replaces: 0 })
   peer.read()
-  fresh.configuration.changed(fresh.fold.adopt(peer.fold.changesSince(0, 100)), 0)
+  fresh.configuration.changed(fresh.fold.adopt(peer.fold.changesSince(0, 100), 0), 0)
   const standing: LogStanding = {
     position: 0, end: 3, endReadStartedAt: undefined, behindSince: 500, pendingAppends: 0
   }
--- /dev/null
+++ b/packages/entry/src/entry-core.ts
@@ -0,0 +1,225 @@
+/**
+ * The decisions of an entry: the slices, and which event goes to which of them. Events and the time go in; messages,
+ * appends and answers go out through ports. No clock, socket or timer is used here, so the same code runs in a process
+ * and in a seeded run.
+ */
+import { PARTITION_COUNT, type EntryIdentity, type ProcessIdentity } from '@baobabpost/common'
+import type { CallRequest, EntryHeartbeatAnswer, LinkMessage } from '@baobabpost/messages'
+import type { LogBatch, LogStanding, RegisterChange } from '@baobabpost/platform-log'
+import type { RequestResult } from '@baobabpost/requests'
+import type { EntryCoreOptions, EntryCoreSettings } from './entry-options.js'
+import { createEntrySlices, requestPolicyOf, type EntrySlices } from './entry-slices.js'
+import { createFleetFollower } from './fleet-follower.js'
+import { createMessageRouter } from './message-router.js'
+import type { OperationRequest } from './operations.js'
+
+/** Time that a call may take where its caller names no deadline. */
+const DEFAULT_CALL_MILLISECONDS = 30_000
+/** Most restatements of one append. */
+const MAXIMUM_RESTATEMENTS = 200
+
+/** Whether callers should be sent to an entry. */
+export type EntryState = 'starting' | 'ready' | 'stopping'
+
+/** A single call as it arrives. */
+export interface CallOperationRequest {
+  readonly request: CallRequest
+  /** Called once with the result. */
+  readonly answer: (result: RequestResult) => void
+}
+
+/** The decisions of an entry. `now` is a Unix time in milliseconds. */
+export interface EntryCore {
+  readonly identity: EntryIdentity
+  readonly settings: EntryCoreSettings
+  readonly startedAt: number
+  readonly slices: EntrySlices
+  start: (now: number) => void
+  receive: (from: ProcessIdentity, message: LinkMessage, now: number) => void
+  /** A read of the platform's log succeeded. */
+  logRead: (batch: LogBatch, now: number) => void
+  beginOperation: (request: OperationRequest, now: number) => number
+  abandonOperation: (id: number) => void
+  /** Begins a single call and gives the identity by which it can be abandoned. */
+  beginCall: (call: CallOperationRequest, now: number) => string
+  abandonCall: (call: string, now: number) => void
+  /** Does what time brings; to be called every 50 ms. */
+  tick: (now: number) => void
+  /** Ends a turn of the loop: dispatches what can go. Gives whether another turn should follow at once. */
+  flush: (now: number) => boolean
+  /** Begins a planned stop. */
+  stop: (now: number) => void
+  /** Whether a planned stop has nothing left to wait for. */
+  drained: () => boolean
+  /** Last act of a planned stop. */
+  leave: (now: number) => void
+  state: () => EntryState
+  logStanding: () => LogStanding
+  /** Usable agents that keyed work may go to. */
+  joinedAgentCount: () => number
+  /** Partitions of this entry whose takeover is not finished. */
+  collectingCount: () => number
+}
+
+/** Makes the decisions of an entry. */
+export function createEntryCore (options: EntryCoreOptions): EntryCore {
+  const { settings, logger, metrics } = options
+  const { identity } = settings
+  const slices = createEntrySlices(options)
+  const { fold, configuration, publisher, membership, ownership } = slices
+  const { outcomes, operations, queue, placement, calls, dispatcher, burn } = slices
+  const fleet = createFleetFollower({ slices, setPeer: options.setPeer, forgetPeer: options.forgetPeer, logger })
+  const receive = createMessageRouter({ slices, fleet, receiveHeartbeatAnswer, logger })
+  let state: EntryState = 'starting'
+  let callCount = 0
+  let handoverRemaining = 0
+
+  function applyChanges (changes: readonly RegisterChange[], now: number): void {
+    if (changes.length === 0) return
+    configuration.changed(changes, now)
+    publisher.changed(changes, now)
+    slices.quotas.changed(changes)
+    burn.changed(changes)
+    // Ownership first: whether an agent is joined decides whether membership's events take it into use.
+    ownership.registersChanged(changes, fold.position(), now)
+    fleet.follow(membership.changed(changes, now), now)
+    if (changes.some(change => change.register === `policy/${settings.policy}`)) followPolicy()
+    if (changes.some(change => change.register.startsWith('drain/'))) placement.followDrains()
+  }
+
+  function followPolicy (): void {
+    slices.requests.setPolicy(requestPolicyOf(configuration, settings.policy))
+    placement.followPolicy()
+  }
+
+  function receiveHeartbeatAnswer (from: EntryIdentity, answer: EntryHeartbeatAnswer, now: number): void {
+    // Newer registers first: an answer from an entry that knows of a newer owner must not extend the lease.
+    applyChanges(fold.adopt(answer), now)
+    fleet.follow(membership.entryHeartbeatAnswer(from, answer, now), now)
+    const entry = membership.liveEntries().find(view => view.identity === from)
+    if (entry?.answeredSentAt === undefined) return
+    ownership.heartbeatAnswered(from, entry.answeredSentAt, answer.position, now)
+  }
+
+  function logRead (batch: LogBatch, now: number): void {
+    applyChanges(fold.apply(batch, now), now)
+    if (!batch.reachedEnd) return
+    if (state === 'starting') state = 'ready'
+    ownership.logReadToEnd(batch.readStartedAt, now)
+  }
+
+  /** The live entry that is first by name repeats what the log would soon drop. */
+  function restate (now: number): void {
+    const [first] = membership.liveEntries()
+    if (first?.identity !== identity) return
+    const due = fold.restatementsDue(now, MAXIMUM_RESTATEMENTS)
+    if (due.length > 0) options.append(due)
+  }
+
+  function expireWaiting (now: number): void {
+    for (const task of queue.expire(now)) {
+      if (calls.owns(task.submission)) calls.expired(task.submission, now)
+      else outcomes.expired(task.submission, [task.index], now)
+    }
+  }
+
+  function tick (now: number): void {
+    fleet.follow(membership.tick(now), now)
+    ownership.tick(now)
+    outcomes.tick(now)
+    operations.tick(now)
+    calls.tick(now)
+    publisher.tick(now)
+    burn.tick(now)
+    restate(now)
+    expireWaiting(now)
+    placement.tick(now)
+    // A log that is down at the start: what peers know makes this entry ready.
+    if (state === 'starting' && fold.position() > 0) state = 'ready'
+    if (state === 'stopping') handoverRemaining = ownership.stop(now).remaining
+    measure()
+  }
+
+  function measure (): void {
+    metrics.gauge('queue.length.tasks', queue.length())
+    metrics.gauge('agents.active.count', membership.usableAgents().length)
+    metrics.gauge('agents.ejected.count', placement.ejectedCount())
+    metrics.gauge('partitions.owned.count', ownership.ownedCount())
+    metrics.gauge('configuration.version.offset', fold.position())
+  }
+
+  function collectingCount (): number {
+    let count = 0
+    for (let partition = 0; partition < PARTITION_COUNT; partition += 1) {
+      const partitionState = ownership.partitionState(partition)
+      if (partitionState.kind === 'ours' && partitionState.phase === 'collecting') count += 1
+    }
+    return count
+  }
+
+  function beginCall (call: CallOperationRequest, now: number): string {
+    callCount += 1
+    const request = `${identity}/${callCount}`
+    const resolution = configuration.resolveCall(call.request)
+    if (resolution.kind === 'problem') {
+      call.answer({ kind: 'problem', problem: resolution.problem })
+      return request
+    }
+    const { service, customer, callType } = resolution.request
+    calls.begin({
+      request,
+      resolved: resolution.request,
+      input: call.request.input,
+      idempotent: call.request.idempotent ?? callType === 'idempotent',
+      answerBefore: now + (call.request.deadlineMilliseconds ?? DEFAULT_CALL_MILLISECONDS),
+      answer: (result, answeredAt) => {
+        const responseMilliseconds = answeredAt - now
+        metrics.count('requests.answered.count')
+        metrics.timing('response.milliseconds', responseMilliseconds)
+        burn.record({
+          service,
+          customer,
+          responseMilliseconds,
+          ...(result.kind === 'problem' ? { errorKind: result.problem.kind } : {})
+        }, answeredAt)
+        call.answer(result)
+      }
+    }, now)
+    return request
+  }
+
+  return {
+    identity,
+    settings,
+    startedAt: options.startedAt,
+    slices,
+    start (now) { fleet.follow(membership.start(now), now) },
+    receive,
+    logRead,
+    beginOperation: operations.begin,
+    abandonOperation: operations.abandon,
+    beginCall,
+    abandonCall: calls.abandon,
+    tick,
+    flush (now) {
+      outcomes.flush(now)
+      return dispatcher.pump(now)
+    },
+    stop (now) {
+      if (state === 'stopping') return
+      state = 'stopping'
+      fleet.follow(membership.stop(now), now)
+      handoverRemaining = ownership.stop(now).remaining
+    },
+    drained: () => state === 'stopping' && handoverRemaining === 0 &&
+      operations.pending() === 0 && calls.pending() === 0,
+    leave (now) {
+      burn.close(now)
+      membership.leave(now)
+    },
+    state: () => state,
+    logStanding: options.logStanding,
+    joinedAgentCount: () => membership.usableAgents().filter(agent => ownership.isJoined(agent.identity)).length,
+    collectingCount
+  }
+}
