--- a/packages/configuration/src/create-configuration.ts
+++ b/packages/configuration/src/create-configuration.ts
@@ -117,10 +117,8 @@
     histories.delete(register)
     histories.set(register, history)
     if (histories.size <= MAXIMUM_HISTORY_REGISTERS) return
-    for (const oldest of histories.keys()) {
-      histories.delete(oldest)
-      return
-    }
+    const [oldest] = histories.keys()
+    if (oldest !== undefined) histories.delete(oldest)
   }
 
   return {
--- a/packages/demo/tests/whole-path.test.ts
+++ b/packages/demo/tests/whole-path.test.ts
@@ -3,6 +3,8 @@
 import type { SubmissionAnswer } from '@baobabpost/messages'
 import { countStarts, createSubmissionKey, createTasks, startSmallFleet, submit, violations } from './small-fleet.js'
 
+interface Echo { echo: { tool: string } }
+
 let fleet: Fleet
 
 beforeAll(async () => { fleet = await startSmallFleet() })
@@ -19,7 +21,7 @@
     const answer = await submit(second!, submission, tasks)
     const body = answer.body as SubmissionAnswer
     expect(body).toMatchObject({ submission, state: 'complete', taskCount: 120, finishedCount: 120 })
-    const tools = body.tasks?.map(task => task.status === 'succeeded' && (task.answer as { echo: { tool: string } }).echo.tool)
+    const tools = body.tasks?.map(task => task.status === 'succeeded' && (task.answer as Echo).echo.tool)
     expect(tools).toEqual(tasks.map(task => task.tool))
     expect([...countStarts(fleet)].filter(([task, count]) => task.startsWith(submission) && count !== 1)).toEqual([])
   })
@@ -27,9 +29,12 @@
   test('resubmissions through every entry at the same time join one submission', async () => {
     const submission = createSubmissionKey()
     const tasks = createTasks(60, 10)
-    const answers = await Promise.all([...fleet.entries, ...fleet.entries].map(entry => submit(entry, submission, tasks)))
+    const entries = [...fleet.entries, ...fleet.entries]
+    const answers = await Promise.all(entries.map(entry => submit(entry, submission, tasks)))
     for (const answer of answers) expect(answer).toEqual(answers[0])
-    expect([...countStarts(fleet)].filter(([task]) => task.startsWith(submission)).every(([, count]) => count === 1)).toBe(true)
+    const starts = [...countStarts(fleet)].filter(([task]) => task.startsWith(submission))
+    expect(starts.filter(([, count]) => count !== 1)).toEqual([])
+    expect(starts).toHaveLength(60)
   })
 
   test('the same key with another body is a conflict and starts nothing', async () => {
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -94,7 +94,7 @@
 
   function receiveHeartbeatAnswer (from: EntryIdentity, answer: EntryHeartbeatAnswer, now: number): void {
     // Newer registers first: an answer from an entry that knows of a newer owner must not extend the lease.
-    applyChanges(fold.adopt(answer), now)
+    applyChanges(fold.adopt(answer, now), now)
     fleet.follow(membership.entryHeartbeatAnswer(from, answer, now), now)
     const entry = membership.liveEntries().find(view => view.identity === from)
     if (entry?.answeredSentAt === undefined) return
@@ -108,6 +108,12 @@
     ownership.logReadToEnd(batch.readStartedAt, now)
   }
 
+  /** Whether nobody is left to hand partitions to, and nothing unfinished would be lost. */
+  function isLastOfFleet (): boolean {
+    const others = membership.liveEntries().filter(entry => entry.identity !== identity && entry.state === 'ready')
+    return others.length === 0 && outcomes.counts().unfinished === 0
+  }
+
   /** The live entry that is first by name repeats what the log would soon drop. */
   function restate (now: number): void {
     const [first] = membership.liveEntries()
@@ -211,8 +217,8 @@
       fleet.follow(membership.stop(now), now)
       handoverRemaining = ownership.stop(now).remaining
     },
-    drained: () => state === 'stopping' && handoverRemaining === 0 &&
-      operations.pending() === 0 && calls.pending() === 0,
+    drained: () => state === 'stopping' && operations.pending() === 0 && calls.pending() === 0 &&
+      (handoverRemaining === 0 || isLastOfFleet()),
     leave (now) {
       burn.close(now)
       membership.leave(now)
--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -72,11 +72,10 @@
     identity,
     address: settings.address,
     failureDomain,
+    startedAt: options.startedAt,
     keyWindowMilliseconds,
     fold,
     outbox,
-    random,
-    logger,
     sendToSeeds: options.sendToSeeds
   })
   const placement: CurrentPlacement = createCurrentPlacement({
--- a/packages/entry/src/fleet-follower.ts
+++ b/packages/entry/src/fleet-follower.ts
@@ -47,9 +47,6 @@
       case 'agent-departed':
         followDeparture(event.agent, event.clean, now)
         return
-      case 'majority-heard':
-        // Ownership counts the answers itself, as it has to know which of them have read its claims.
-        return
       case 'entries-changed': {
         for (const entry of event.entries) options.setPeer(entry.identity, entry.address)
         const ready = event.entries.filter(entry => entry.state === 'ready')
--- /dev/null
+++ b/packages/membership/src/entry-peers.ts
@@ -0,0 +1,242 @@
+/** The other entries as one entry hears them: heartbeats, liveness, positions. */
+import type { AgentIdentity, EntryIdentity } from '@baobabpost/common'
+import {
+  registerName, type EntryHeartbeat, type EntryHeartbeatAnswer, type EntryRegistration
+} from '@baobabpost/messages'
+import type { EntryView, MembershipOptions } from './membership.js'
+import type { PauseClock } from './pause-clock.js'
+import { rankOf } from './rank.js'
+
+const HEARTBEAT_MILLISECONDS = 500
+/** Silence after which an entry counts as dead. */
+const DEAD_MILLISECONDS = 2_500
+/** Silence after which the registration of a dead entry is removed. */
+const REMOVE_MILLISECONDS = 20_000
+const RANK_MILLISECONDS = 1_000
+const APPEND_RETRY_MILLISECONDS = 1_000
+/** Most registers of one answer. */
+const MAXIMUM_REGISTERS = 5_000
+const REMEMBERED_HEARTBEATS = 20
+
+interface Peer {
+  registration: EntryRegistration | undefined
+  address: string
+  failureDomain: string
+  state: 'ready' | 'stopping'
+  position: number
+  /** Running time at which it was heard last. */
+  heardAt: number
+  answeredSentAt: number | undefined
+  /** Agents that it suspects. */
+  suspectedAgents: readonly AgentIdentity[]
+  heardAgents: ReadonlySet<AgentIdentity>
+  /** Unix time of the last append that should remove it. */
+  removedAt: number
+}
+
+/** What the view of the other entries needs. */
+export interface EntryPeersOptions extends MembershipOptions {
+  readonly clock: PauseClock
+  /** Agents that this entry suspects, and of the given ones those that it hears. */
+  readonly suspectedAgents: () => readonly AgentIdentity[]
+  readonly heardOf: (agents: readonly AgentIdentity[]) => readonly AgentIdentity[]
+}
+
+/** The other entries. */
+export interface EntryPeers {
+  start: (now: number) => void
+  heartbeat: (message: EntryHeartbeat, now: number) => void
+  answer: (from: EntryIdentity, message: EntryHeartbeatAnswer) => void
+  /** Takes in that the registration of an entry changed; `null` where it was removed. */
+  registered: (identity: EntryIdentity, registration: EntryRegistration | null) => void
+  tick: (now: number) => void
+  stop: (now: number) => void
+  leave: () => void
+  /** Live entries with this one, sorted by identity. */
+  live: () => readonly EntryView[]
+  /** Whether another live entry hears the agent. */
+  isHeardElsewhere: (agent: AgentIdentity) => boolean
+}
+
+/** Makes the view of the other entries. */
+export function createEntryPeers (options: EntryPeersOptions): EntryPeers {
+  const { identity, clock, fold, outbox } = options
+  const ownRegister = registerName('entry', identity)
+  const peers = new Map<EntryIdentity, Peer>()
+  const sentAt = new Map<number, number>()
+  let ownState: 'ready' | 'stopping' = 'ready'
+  let sequence = 0
+  let nextHeartbeatAt = 0
+  let registerAt = 0
+  let leaving = false
+
+  function ownRegistration (): EntryRegistration {
+    return { identity, address: options.address, failureDomain: options.failureDomain }
+  }
+
+  function register (now: number): void {
+    if (leaving || now < registerAt || fold.read(ownRegister) !== undefined) return
+    registerAt = now + APPEND_RETRY_MILLISECONDS
+    outbox.append([{ kind: 'write', register: ownRegister, replaces: 0, value: ownRegistration() }])
+  }
+
+  function peerOf (peer: EntryIdentity, address: string, failureDomain: string): Peer {
+    const known = peers.get(peer)
+    if (known !== undefined) return known
+    const created: Peer = {
+      registration: undefined,
+      address,
+      failureDomain,
+      state: 'ready',
+      position: 0,
+      heardAt: clock.running(),
+      answeredSentAt: undefined,
+      suspectedAgents: [],
+      heardAgents: new Set(),
+      removedAt: 0
+    }
+    peers.set(peer, created)
+    return created
+  }
+
+  function isLive (peer: Peer): boolean {
+    return peer.registration !== undefined && clock.running() - peer.heardAt < DEAD_MILLISECONDS
+  }
+
+  function askedAgents (): AgentIdentity[] {
+    const asked = new Set<AgentIdentity>()
+    for (const peer of peers.values()) {
+      for (const agent of peer.suspectedAgents) asked.add(agent)
+    }
+    return [...asked]
+  }
+
+  function sendHeartbeats (now: number): void {
+    sequence += 1
+    sentAt.set(sequence, now)
+    sentAt.delete(sequence - REMEMBERED_HEARTBEATS)
+    const message = {
+      method: 'entryHeartbeat',
+      parameters: {
+        ...ownRegistration(),
+        state: ownState,
+        sequence,
+        position: fold.position(),
+        suspectedAgents: options.suspectedAgents(),
+        heardAgents: options.heardOf(askedAgents())
+      }
+    } as const
+    for (const peer of peers.keys()) outbox.send(peer, message)
+    if (peers.size === 0) options.sendToSeeds(message)
+  }
+
+  /** Removes the registrations of entries that have been dead for long, the first by rank first. */
+  function removeDead (now: number): void {
+    const living = live().map(entry => entry.identity)
+    for (const [peer, state] of peers) {
+      if (state.registration === undefined) {
+        if (clock.running() - state.heardAt >= REMOVE_MILLISECONDS) peers.delete(peer)
+        continue
+      }
+      const register = registerName('entry', peer)
+      const silent = clock.running() - state.heardAt
+      const due = REMOVE_MILLISECONDS + rankOf(register, identity, living) * RANK_MILLISECONDS
+      if (silent < due || now - state.removedAt < APPEND_RETRY_MILLISECONDS) continue
+      state.removedAt = now
+      const replaces = fold.read(register)?.version
+      if (replaces !== undefined) outbox.append([{ kind: 'write', register, replaces, value: null }])
+    }
+  }
+
+  function live (): readonly EntryView[] {
+    const views: EntryView[] = []
+    if (fold.read(ownRegister) !== undefined) {
+      views.push({ ...ownRegistration(), state: ownState, position: fold.position(), answeredSentAt: undefined })
+    }
+    for (const [peer, state] of peers) {
+      if (!isLive(state)) continue
+      const { address, failureDomain, position, answeredSentAt } = state
+      views.push({ identity: peer, address, failureDomain, state: state.state, position, answeredSentAt })
+    }
+    return views.sort((left, right) => left.identity < right.identity ? -1 : 1)
+  }
+
+  return {
+    start (now) {
+      registerAt = now
+      register(now)
+      sendHeartbeats(now)
+      nextHeartbeatAt = now + HEARTBEAT_MILLISECONDS
+    },
+
+    heartbeat (message, now) {
+      if (message.identity === identity) return
+      const peer = peerOf(message.identity, message.address, message.failureDomain)
+      peer.heardAt = clock.running()
+      peer.state = message.state
+      peer.position = Math.max(peer.position, message.position)
+      peer.suspectedAgents = message.suspectedAgents
+      peer.heardAgents = new Set(message.heardAgents)
+      const delta = fold.changesSince(message.position, MAXIMUM_REGISTERS)
+      // An answer that leaves registers out must not count as heard: the asker could miss that it lost a partition.
+      const isWhole = delta.position >= fold.position()
+      outbox.send(message.identity, {
+        method: 'entryHeartbeatAnswer',
+        parameters: {
+          sequence: isWhole ? message.sequence : 0, position: delta.position, registers: delta.registers
+        }
+      })
+      if (!peers.has(message.identity)) sendHeartbeats(now)
+    },
+
+    answer (from, message) {
+      const peer = peers.get(from)
+      const sent = sentAt.get(message.sequence)
+      if (peer === undefined || sent === undefined) return
+      peer.heardAt = clock.running()
+      peer.position = Math.max(peer.position, message.position)
+      peer.answeredSentAt = Math.max(sent, peer.answeredSentAt ?? sent)
+    },
+
+    registered (entry, registration) {
+      if (entry === identity) return
+      if (registration === null) {
+        peers.delete(entry)
+        return
+      }
+      const peer = peerOf(entry, registration.address, registration.failureDomain)
+      peer.registration = registration
+      peer.address = registration.address
+    },
+
+    tick (now) {
+      register(now)
+      if (now < nextHeartbeatAt) return
+      nextHeartbeatAt = now + HEARTBEAT_MILLISECONDS
+      sendHeartbeats(now)
+      removeDead(now)
+    },
+
+    stop (now) {
+      ownState = 'stopping'
+      sendHeartbeats(now)
+    },
+
+    leave () {
+      leaving = true
+      const replaces = fold.read(ownRegister)?.version
+      if (replaces !== undefined) {
+        outbox.append([{ kind: 'write', register: ownRegister, replaces, value: null }])
+      }
+    },
+
+    live,
+
+    isHeardElsewhere (agent) {
+      for (const peer of peers.values()) {
+        if (isLive(peer) && peer.heardAgents.has(agent)) return true
+      }
+      return false
+    }
+  }
+}
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,7 +1,9 @@
 /** Contract of the view that one entry has of agents and of other entries. */
 import type { AgentIdentity, EntryIdentity } from '@baobabpost/common'
-import type { AgentRegistration, Announce, EntryHeartbeat, EntryHeartbeatAnswer } from '@baobabpost/messages'
-import type { RegisterChange } from '@baobabpost/platform-log'
+import type {
+  AgentRegistration, Announce, EntryHeartbeat, EntryHeartbeatAnswer, LinkMessage, Outbox
+} from '@baobabpost/messages'
+import type { RegisterChange, RegisterFold } from '@baobabpost/platform-log'
 
 /** An agent as this entry sees it. */
 export interface AgentView {
@@ -13,6 +15,8 @@
   readonly connections: number
   /** Unfinished tasks of this entry that the agent accepts. */
   readonly window: number
+  /** Log offset up to which the agent has configuration. */
+  readonly configurationPosition: number
   /** Version of the agent's register; `NEVER_WRITTEN` while it is not registered. */
   readonly registeredVersion: number
 }
@@ -46,8 +50,20 @@
   }
   /** Entries came, went, or changed their state. */
   | { readonly kind: 'entries-changed', readonly entries: readonly EntryView[] }
-  /** Heartbeats answered anew: `freshAt` is the time by which a majority of the registered entries was heard. */
-  | { readonly kind: 'majority-heard', readonly freshAt: number }
+
+/** What the membership of an entry is made from. Times are milliseconds. */
+export interface MembershipOptions {
+  readonly identity: EntryIdentity
+  /** Address of this entry's link. */
+  readonly address: string
+  readonly failureDomain: string
+  readonly startedAt: number
+  readonly keyWindowMilliseconds: number
+  readonly fold: RegisterFold
+  readonly outbox: Outbox
+  /** Sends to the link addresses of the settings, whose identities aren't known. */
+  readonly sendToSeeds: (message: LinkMessage) => void
+}
 
 /** Agents and entries as one entry sees them. */
 export interface Membership {
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -174,7 +174,9 @@
   sequence: Whole,
   /** Log offset up to which the sender has applied records. */
   position: Whole,
-  /** Agents that the sender heard from lately. */
+  /** Agents that the sender suspects. */
+  suspectedAgents: Schema.Array(AgentIdentity),
+  /** Of the agents that other entries suspect, those that the sender heard from lately. */
   heardAgents: Schema.Array(AgentIdentity)
 })
 export type EntryHeartbeat = typeof EntryHeartbeat.Type
--- a/packages/platform-log/src/register-judgement.ts
+++ b/packages/platform-log/src/register-judgement.ts
@@ -2,7 +2,7 @@
  * Judges whether a register may have a value. The judgement depends on the record alone, so every process judges alike.
  */
 import { PARTITION_COUNT } from '@baobabpost/common'
-import { REGISTER_SCHEMAS, type RegisterKind } from '@baobabpost/messages'
+import { REGISTER_SCHEMAS, type BurnBucket, type RegisterKind } from '@baobabpost/messages'
 import { Result, Schema } from 'effect'
 
 type Decoder = (value: unknown) => Result.Result<unknown, { readonly message: string }>
@@ -12,7 +12,7 @@
 )
 
 /** Registers named by the identity of one run of a process; once removed they are never written again. */
-const IDENTITY_KINDS: ReadonlySet<RegisterKind> = new Set<RegisterKind>(['agent', 'entry'])
+const IDENTITY_KINDS: ReadonlySet<RegisterKind> = new Set<RegisterKind>(['agent', 'entry', 'burn'])
 
 /** Whether a register of the kind is forgotten once it is removed. */
 export function isIdentityKind (kind: RegisterKind): boolean {
@@ -36,6 +36,10 @@
     const number = Number(name)
     return /^\d{1,5}$/.test(name) && number < PARTITION_COUNT ? undefined : 'there is no such partition'
   }
+  if (kind === 'burn') {
+    const { entry } = value as BurnBucket
+    return name.startsWith(`${entry}.`) ? undefined : "the value's entry is not that of the register"
+  }
   const member = isIdentityKind(kind) ? 'identity' : 'name'
   const named = (value as Record<string, unknown>)[member]
   return named === name ? undefined : `the value's ${member} is not that of the register`
