--- a/packages/execution/src/announcer.ts
+++ b/packages/execution/src/announcer.ts
@@ -14,7 +14,7 @@
   announceSoon: () => void
   /** Sends a round of heartbeats if one is due. */
   tick: (now: number) => void
-  /** Sends what can't wait for the next round: changes of state, and windows that grew for a waiting entry. */
+  /** Sends what can't wait for the next round: news for new entries, changes of state, windows that grew. */
   flush: (now: number) => void
 }
 
@@ -116,7 +116,8 @@
       }
       for (const entry of entries.all().values()) {
         const waits = entry.backlog > 0 && entry.window > entry.toldWindow
-        if (waits && now - entry.announcedAt >= MINIMUM_GAP_MILLISECONDS) announceTo(entry, now)
+        const isNew = entry.announcedAt === 0
+        if (isNew || (waits && now - entry.announcedAt >= MINIMUM_GAP_MILLISECONDS)) announceTo(entry, now)
       }
     }
   }
