--- a/packages/agent/tests/agent.test.ts
+++ b/packages/agent/tests/agent.test.ts
@@ -91,6 +91,22 @@
     expect(entry.lastAnnounce()?.state).toBe('leaving')
   })
 
+  test('a leaving agent starts nothing, also from an entry that never heard of it', async () => {
+    const uninformed = await startTestEntry('entry-2')
+    uninformed.link.setPeer(agent.identity(), agent.address())
+    dispatch(uninformed, createGroup('before', 5, [{ workMilliseconds: 500 }]))
+    await expect.poll(() => upstream.runningTasks()).toBe(1)
+    const stopping = agent.stop()
+    for (let late = 0; late < 10; late += 1) {
+      dispatch(uninformed, createGroup(`late-${late}`, 5, [{}]))
+      await expect.poll(() => uninformed.outcomes.get(`late-${late}/0`)).toEqual({ status: 'not-run', reason: 'leaving' })
+    }
+    await stopping
+    expect([...upstream.starts().keys()]).toEqual(['before/0'])
+    expect(uninformed.outcomes.get('before/0')).toMatchObject({ status: 'succeeded' })
+    await uninformed.close()
+  })
+
   test('an upstream that refuses connections is proven not run, and work goes on once it is back', async () => {
     await upstream.setFault({ kind: 'dies' })
     dispatch(entry, createGroup('early', 5, [{}]))
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -3,6 +3,7 @@
 import type { Announced, Collect, Dispatch, DispatchGroup, PartitionEpoch, Withdraw } from '@baobabpost/messages'
 import { createAgentRegisters } from './agent-registers.js'
 import { createAnnouncer } from './announcer.js'
+import { createAnswerBudget } from './answer-budget.js'
 import { createCollector } from './collector.js'
 import { createEntryBook } from './entry-book.js'
 import type { Execution, ExecutionOptions, ExecutionState } from './execution.js'
@@ -18,6 +19,8 @@
 
 const DEFAULT_PREFETCH_TASKS = 4
 const DEFAULT_MAXIMUM_QUEUED_TASKS = 2_000
+const DEFAULT_MAXIMUM_ANSWER_BYTES = 33_554_432
+const CALL_WINDOW_MILLISECONDS = 60_000
 const DEFAULT_KEY_WINDOW_MILLISECONDS = 600_000
 const DEFAULT_LEASE_MILLISECONDS = 3_000
 const DEFAULT_HEARTBEAT_MILLISECONDS = 500
@@ -28,18 +31,29 @@
 function createParts (options: ExecutionOptions, currentState: () => ExecutionState) {
   const clockSkew = options.clockSkewMilliseconds ?? DEFAULT_CLOCK_SKEW_MILLISECONDS
   // A key may have been made by a clock that is ahead, and be refused by one that is behind.
-  const memory = createTaskMemory((options.keyWindowMilliseconds ?? DEFAULT_KEY_WINDOW_MILLISECONDS) + 2 * clockSkew)
+  const memory = createTaskMemory({
+    keyWindowMilliseconds: (options.keyWindowMilliseconds ?? DEFAULT_KEY_WINDOW_MILLISECONDS) + 2 * clockSkew,
+    callWindowMilliseconds: CALL_WINDOW_MILLISECONDS
+  })
+  const answers = createAnswerBudget(options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES)
   const epochs = createPartitionEpochs()
   const lease = createHeartbeatLease(options.leaseMilliseconds ?? DEFAULT_LEASE_MILLISECONDS)
   const entries = createEntryBook(options.entries)
   const registers = createAgentRegisters(options.service, options.prefetchTasks ?? DEFAULT_PREFETCH_TASKS)
   const resendMilliseconds = options.resendMilliseconds ?? DEFAULT_RESEND_MILLISECONDS
-  const reporter = createReporter({ outbox: options.outbox, entries, epochs, resendMilliseconds })
+  const reporter = createReporter({
+    outbox: options.outbox,
+    entries,
+    epochs,
+    resendMilliseconds,
+    onDelivered: answers.delivered
+  })
   const runner = createTaskRunner({
     slots: options.slots,
     startRules: options.startRules ?? START_RULES,
     upstream: options.upstream,
     reporter,
+    answers,
     invariants: options.invariants,
     metrics: options.metrics,
     leaseUntil: lease.until,
@@ -52,14 +66,14 @@
     entries,
     lease,
     heartbeatMilliseconds: options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT_MILLISECONDS,
-    capacity: () => currentState() === 'active' && runner.upstreamReachable()
+    capacity: () => currentState() === 'active' && runner.upstreamReachable() && !answers.exhausted()
       ? options.slots + registers.prefetchTasks()
       : 0,
     leaving: () => currentState() === 'leaving',
     configurationPosition: registers.position
   })
   const collector = createCollector(memory, options.outbox)
-  return { memory, epochs, lease, entries, registers, reporter, runner, announcer, collector }
+  return { memory, epochs, lease, entries, registers, answers, reporter, runner, announcer, collector }
 }
 
 type Parts = ReturnType<typeof createParts>
@@ -79,15 +93,16 @@
     const standing = ownership === undefined ? 'current' : epochs.note(ownership, from.identity)
     if (ownership !== undefined && standing === 'raised') fencePartition(ownership.partition, now)
     const partition = ownership?.partition ?? NO_PARTITION
-    const work = { group, epoch: ownership?.epoch ?? 0 }
+    const epoch = ownership?.epoch ?? 0
     const known = memory.find(header.submission)
     // Asked once a group: nothing that it looks at changes within one message.
-    const refusal = runner.refusalOf(work, now)
+    const refusal = runner.refusalOf({ group, epoch }, now)
     if (refusal === 'stale-epoch') {
       refuseFenced(group, partition, known, from, now)
       return
     }
     const submission = memory.open(header.submission, header, partition, from.identity, now)
+    submission.startBefore = Math.max(submission.startBefore, group.startBefore)
     for (const { index, input } of group.tasks) {
       const known = submission.tasks.get(index)
       if (known !== undefined) {
@@ -97,7 +112,7 @@
       const task = memory.add(submission, index, now)
       const reason = refusal ?? (runner.queuedCount() >= maximumQueuedTasks ? 'window-exceeded' : undefined)
       if (reason !== undefined) runner.refuse(task, reason, now)
-      else runner.accept(task, { ...work, input, holder: from, giveUpAt: 0, aborted: false })
+      else runner.accept(task, { group, input, holder: from, epoch, giveUpAt: 0, aborted: false })
     }
   }
 
@@ -178,7 +193,7 @@
   let state: ExecutionState = 'active'
   let lastSweepAt = 0
   const parts = createParts(options, () => state)
-  const { memory, lease, entries, registers, reporter, runner, announcer, collector } = parts
+  const { memory, lease, entries, registers, answers, reporter, runner, announcer, collector } = parts
   const intake = createIntake(parts, options.maximumQueuedTasks ?? DEFAULT_MAXIMUM_QUEUED_TASKS)
   const sweepMilliseconds = options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT_MILLISECONDS
 
@@ -190,6 +205,11 @@
     options.logger.warn('the fleet has replaced this agent; it starts nothing more')
   }
 
+  function forget (task: TaskState): void {
+    reporter.abandon(task)
+    answers.forgotten(task)
+  }
+
   function announced (from: EntryIdentity, answer: Announced, now: number): void {
     entries.heard(from, now)
     entries.named(answer.entries, now)
@@ -244,7 +264,7 @@
       if (now - lastSweepAt >= sweepMilliseconds) {
         lastSweepAt = now
         runner.giveBackRefused(now)
-        memory.forget(now, reporter.abandon)
+        memory.forget(now, forget)
         collector.forget(now)
         entries.forgetGone(reporter.dropEntry)
         if (!runner.upstreamReachable()) options.upstream.probe()
--- a/packages/execution/src/execution.ts
+++ b/packages/execution/src/execution.ts
@@ -60,6 +60,8 @@
   readonly prefetchTasks?: number
   /** Most tasks that wait here, whatever the windows say; 2,000 by default. */
   readonly maximumQueuedTasks?: number
+  /** Most bytes of remembered answers; beyond it the oldest that were delivered are dropped. 32 MiB by default. */
+  readonly maximumAnswerBytes?: number
   /** How long a task is remembered after its last event; 600,000 by default. */
   readonly keyWindowMilliseconds?: number
   /** How long an acknowledged heartbeat allows starts, from its sending; 3,000 by default. */
--- a/packages/execution/src/reporter.ts
+++ b/packages/execution/src/reporter.ts
@@ -32,6 +32,8 @@
   readonly entries: EntryBook
   readonly epochs: PartitionEpochs
   readonly resendMilliseconds: number
+  /** An entry acknowledged the outcome of the task, for the first time. */
+  readonly onDelivered: (task: TaskState) => void
 }
 
 const MAXIMUM_REPORT_TASKS = 500
@@ -92,6 +94,7 @@
     if (task.delivered) return
     task.delivered = true
     undelivered -= 1
+    options.onDelivered(task)
   }
 
   function submissionReport (submission: SubmissionState): { report: SubmissionReport, tasks: TaskReport[] } {
--- a/packages/execution/src/task-memory.ts
+++ b/packages/execution/src/task-memory.ts
@@ -1,4 +1,4 @@
-/** Memory of tasks: nothing that it holds is started a second time. Forgets after the key window. */
+/** Memory of tasks: nothing that it holds is started a second time. Forgets after a time. */
 import type { EntryIdentity } from '@baobabpost/common'
 import type { SubmissionHeader } from '@baobabpost/messages'
 import { createSubmissionState, createTaskState, NO_PARTITION, type SubmissionState, type TaskState } from './task-state.js'
@@ -13,12 +13,20 @@
   /** Begins to remember a task. */
   add: (submission: SubmissionState, index: number, now: number) => TaskState
   inPartition: (partition: number) => Iterable<SubmissionState>
-  /** Forgets the submissions whose last event is older than the window; those with unfinished tasks stay. */
+  /** Forgets what is old enough; submissions with unfinished tasks, or that might still start, stay. */
   forget: (now: number, onForgotten: (task: TaskState) => void) => void
   /** Number of tasks remembered. */
   size: () => number
 }
 
+/** For how long an agent remembers. */
+export interface TaskMemoryOptions {
+  /** Time after the last event of a submission. */
+  readonly keyWindowMilliseconds: number
+  /** Time after the last event of a single call: its entry asks for it no longer than that. */
+  readonly callWindowMilliseconds: number
+}
+
 /** When a submission is looked at for being forgotten. */
 interface Appointment {
   readonly submission: SubmissionState
@@ -27,18 +35,53 @@
 
 const COMPACTION_LENGTH = 1_024
 
+/** Submissions that are remembered for the same time, in the order in which they are looked at. */
+function createAppointments (windowMilliseconds: number) {
+  let appointments: Appointment[] = []
+  let next = 0
+
+  function add (submission: SubmissionState, at: number): void {
+    appointments.push({ submission, dueAt: at + windowMilliseconds })
+  }
+
+  function compact (): void {
+    if (next < COMPACTION_LENGTH || next * 2 < appointments.length) return
+    appointments = appointments.slice(next)
+    next = 0
+  }
+
+  return {
+    add,
+    /** Calls back for each submission whose time is over. */
+    takeOver (now: number, onOver: (submission: SubmissionState) => void): void {
+      // What is added meanwhile is looked at another time.
+      const { length } = appointments
+      while (next < length) {
+        const appointment = appointments[next]
+        if (appointment === undefined || appointment.dueAt > now) break
+        next += 1
+        const { submission } = appointment
+        if (submission.unfinished > 0) add(submission, now)
+        else if (submission.touchedAt + windowMilliseconds > now) add(submission, submission.touchedAt)
+        else if (submission.startBefore > now) add(submission, now)
+        else onOver(submission)
+      }
+      compact()
+    }
+  }
+}
+
 /**
  * Makes the memory of an agent.
  *
- * @param windowMilliseconds - How long a submission is remembered after its last event.
  * @example
- * const memory = createTaskMemory(604_000)
+ * const memory = createTaskMemory({ keyWindowMilliseconds: 604_000, callWindowMilliseconds: 60_000 })
  */
-export function createTaskMemory (windowMilliseconds: number): TaskMemory {
+export function createTaskMemory (options: TaskMemoryOptions): TaskMemory {
   const submissions = new Map<string, SubmissionState>()
   const partitions = new Map<number, Set<SubmissionState>>()
-  let appointments: Appointment[] = []
-  let nextAppointment = 0
+  const keyed = createAppointments(options.keyWindowMilliseconds)
+  const calls = createAppointments(Math.min(options.keyWindowMilliseconds, options.callWindowMilliseconds))
   let taskCount = 0
 
   function index (submission: SubmissionState): void {
@@ -56,12 +99,6 @@
     if (others?.size === 0) partitions.delete(submission.partition)
   }
 
-  function dropPastAppointments (): void {
-    if (nextAppointment < COMPACTION_LENGTH || nextAppointment * 2 < appointments.length) return
-    appointments = appointments.slice(nextAppointment)
-    nextAppointment = 0
-  }
-
   return {
     find: key => submissions.get(key),
     open (key, header, partition, caller, now) {
@@ -69,7 +106,10 @@
       if (known === undefined) {
         const submission = createSubmissionState(key, header, partition, caller, now)
         submissions.set(key, submission)
-        appointments.push({ submission, dueAt: now + windowMilliseconds })
+        // A withdrawal that came ahead does not tell whether the submission is a single call.
+        const isCall = header !== undefined && partition === NO_PARTITION
+        const appointments = isCall ? calls : keyed
+        appointments.add(submission, now)
         index(submission)
         return submission
       }
@@ -89,21 +129,12 @@
     },
     inPartition: partition => partitions.get(partition) ?? [],
     forget (now, onForgotten) {
-      for (;;) {
-        const appointment = appointments[nextAppointment]
-        if (appointment === undefined || appointment.dueAt > now) break
-        nextAppointment += 1
-        const { submission } = appointment
-        if (submission.unfinished > 0) {
-          appointments.push({ submission, dueAt: now + windowMilliseconds })
-        } else if (submission.touchedAt + windowMilliseconds > now) {
-          appointments.push({ submission, dueAt: submission.touchedAt + windowMilliseconds })
-        } else {
-          remove(submission)
-          for (const task of submission.tasks.values()) onForgotten(task)
-        }
+      function forgetSubmission (submission: SubmissionState): void {
+        remove(submission)
+        for (const task of submission.tasks.values()) onForgotten(task)
       }
-      dropPastAppointments()
+      keyed.takeOver(now, forgetSubmission)
+      calls.takeOver(now, forgetSubmission)
     },
     size: () => taskCount
   }
--- a/packages/execution/src/task-runner.ts
+++ b/packages/execution/src/task-runner.ts
@@ -1,6 +1,7 @@
 /** The slots: lets tasks wait, checks the fence at the very moment of each start, and takes in how they ended. */
 import type { Invariants, Metrics } from '@baobabpost/common'
 import { MAXIMUM_ANSWER_BYTES, type NotRunReason, type TaskOutcome } from '@baobabpost/messages'
+import type { AnswerBudget } from './answer-budget.js'
 import type { TaskResult, UpstreamPort } from './execution.js'
 import type { Reporter } from './reporter.js'
 import { findRefusal, START_RULES, type StartFacts, type StartRule } from './start-rules.js'
@@ -40,6 +41,7 @@
   readonly startRules: readonly StartRule[]
   readonly upstream: UpstreamPort
   readonly reporter: Reporter
+  readonly answers: AnswerBudget
   readonly invariants: Invariants
   readonly metrics: Metrics
   readonly leaseUntil: () => number
@@ -71,7 +73,7 @@
  * runner.startNext(now)
  */
 export function createTaskRunner (options: TaskRunnerOptions): TaskRunner {
-  const { slots, startRules, upstream, reporter, invariants, metrics } = options
+  const { slots, startRules, upstream, reporter, answers, invariants, metrics } = options
   const queue = createStartQueue()
   const unfinished = new Set<TaskState>()
   const running = new Set<TaskState>()
@@ -165,7 +167,10 @@
     completed (task, result, now) {
       if (!running.delete(task)) return
       task.runMilliseconds = Math.max(0, now - task.startedAt)
-      if (result.kind === 'succeeded') task.answerBytes = result.answerBytes
+      if (result.kind === 'succeeded' && result.answerBytes <= MAXIMUM_ANSWER_BYTES) {
+        task.answerBytes = result.answerBytes
+        answers.finished(task)
+      }
       if (result.kind === 'unreached') {
         task.startedAt = 0
         startedCount -= 1
--- a/packages/execution/src/task-state.ts
+++ b/packages/execution/src/task-state.ts
@@ -47,6 +47,8 @@
   readonly fenced: boolean
   /** Unix time of the last event. */
   touchedAt: number
+  /** Latest Unix time before which a dispatch allowed a start. */
+  startBefore: number
   unfinished: number
 }
 
@@ -103,7 +105,17 @@
 export function createSubmissionState (
   key: string, header: SubmissionHeader | undefined, partition: number, caller: EntryIdentity, now: number
 ): SubmissionState {
-  return { key, header, partition, caller, tasks: new Map(), fenced: false, touchedAt: now, unfinished: 0 }
+  return {
+    key,
+    header,
+    partition,
+    caller,
+    tasks: new Map(),
+    fenced: false,
+    touchedAt: now,
+    startBefore: 0,
+    unfinished: 0
+  }
 }
 
 /** Makes the stand-in for a submission whose dispatch came from a former owner. */
--- a/packages/execution/tests/fence.test.ts
+++ b/packages/execution/tests/fence.test.ts
@@ -2,7 +2,7 @@
 import { START_RULES } from '@baobabpost/execution'
 import type { NotRunReason } from '@baobabpost/messages'
 import {
-  announcedMessage, BEGIN, collectMessage, createAgentUnderTest, createGroup, dispatchMessage, FIRST_ENTRY,
+  announcedMessage, BEGIN, collectMessage, createAgentUnderTest, createCall, createGroup, dispatchMessage, FIRST_ENTRY,
   SECOND_ENTRY, type AgentUnderTest
 } from './agent-under-test.js'
 
@@ -108,7 +108,8 @@
     const forgetful = createAgentUnderTest({ keyWindowMilliseconds: 0, clockSkewMilliseconds: 0 })
     forgetful.grantLease()
     for (let copy = 0; copy < 2; copy += 1) {
-      forgetful.receive(FIRST_ENTRY, dispatchMessage(createGroup('job', [0])))
+      const startBefore = forgetful.now() + 1
+      forgetful.receive(FIRST_ENTRY, dispatchMessage(createGroup('job', [0], { startBefore })))
       forgetful.succeed('job', 0)
       forgetful.grantLease()
     }
@@ -118,7 +119,7 @@
   test('tasks are remembered for the key window after their last event, and then forgotten', () => {
     const agent = createAgentUnderTest({ keyWindowMilliseconds: 10_000, clockSkewMilliseconds: 500 })
     agent.grantLease()
-    agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('job', [0, 1])))
+    agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('job', [0, 1], { startBefore: BEGIN + 2_000 })))
     agent.succeed('job', 0)
     agent.pass(10_900)
     agent.tick()
@@ -132,6 +133,19 @@
   })
 })
 
+test('nothing is forgotten that a delayed copy of its dispatch could still start', () => {
+  const agent = createAgentUnderTest({ keyWindowMilliseconds: 0, clockSkewMilliseconds: 0 })
+  agent.grantLease()
+  const call = createCall('call', { startBefore: BEGIN + 90_000 })
+  agent.receive(FIRST_ENTRY, dispatchMessage(call))
+  agent.succeed('call', 0)
+  for (let round = 0; round < 180; round += 1) {
+    agent.grantLease()
+    agent.receive(FIRST_ENTRY, dispatchMessage(call))
+  }
+  expect(agent.started).toHaveLength(1)
+})
+
 describe('the lease by heartbeats', () => {
   test('lasts from the sending of the heartbeat, however late its answer comes', () => {
     const agent = createAgentUnderTest()
--- a/packages/execution/tests/reports.test.ts
+++ b/packages/execution/tests/reports.test.ts
@@ -103,6 +103,38 @@
   })
 })
 
+describe('remembered answers', () => {
+  function agentWithAnswers (count: number): AgentUnderTest {
+    const agent = createAgentUnderTest({ slots: count, maximumAnswerBytes: 30_000 })
+    agent.grantLease()
+    agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('job', Array.from({ length: count }, (_task, index) => index))))
+    for (let index = 0; index < count; index += 1) {
+      const answer = { kind: 'succeeded', answer: index, answerBytes: 10_000 } as const
+      agent.execution.completed('job', index, answer, agent.now())
+    }
+    agent.flush()
+    return agent
+  }
+
+  test('beyond the budget the oldest that were delivered are dropped, and told as unknown, never as not run', () => {
+    const agent = agentWithAnswers(5)
+    const sequences = agent.reports().map(({ sequence }) => sequence)
+    agent.receive(FIRST_ENTRY, { method: 'acknowledge', parameters: { sequences } })
+    agent.receive(SECOND_ENTRY, { method: 'collect', parameters: { partitions: [{ partition: 7, epoch: 5 }] } })
+    const tasks = agent.collected(SECOND_ENTRY)[0]?.submissions[0]?.tasks ?? []
+    expect(tasks.map(({ outcome }) => outcome?.status)).toEqual(
+      ['outcome-unknown', 'outcome-unknown', 'succeeded', 'succeeded', 'succeeded']
+    )
+  })
+
+  test('answers that nobody has taken in are kept, and the window is 0 until they are', () => {
+    const agent = agentWithAnswers(5)
+    expect([...agent.outcomes.values()].every(({ status }) => status === 'succeeded')).toBe(true)
+    agent.grantLease()
+    expect(announces(agent).at(-1)?.window).toBe(0)
+  })
+})
+
 describe('withdrawals', () => {
   test('a wave in one message: what waits never starts, what runs is reported, what is unknown stays refused', () => {
     const agent = createAgentUnderTest({ slots: 1 })
