--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -1,6 +1,7 @@
 /** Values of registers: one schema for each kind of register, and the names of the registers. */
 import { AgentIdentity, EntryIdentity, Name } from '@baobabpost/common'
 import { Schema } from 'effect'
+import { BurnBucket } from './burn.js'
 import { JsonRecord, Milliseconds, Whole } from './json.js'
 
 /** Register `template/NAME`: a kind of task. */
@@ -75,6 +76,10 @@
 })
 export type Objective = typeof Objective.Type
 
+/** Register `drain/NAME`: the agent of that name gets no new work while the register is there. */
+export const Drain = Schema.Struct({ name: Name, reason: Schema.String.check(Schema.isMaxLength(200)) })
+export type Drain = typeof Drain.Type
+
 /** Register `partition/NUMBER`: the owner of a partition of submission keys; the version is the epoch. */
 export const PartitionOwner = Schema.Struct({
   owner: EntryIdentity,
@@ -112,6 +117,8 @@
   team: Team,
   policy: Policy,
   objective: Objective,
+  drain: Drain,
+  burn: BurnBucket,
   partition: PartitionOwner,
   entry: EntryRegistration,
   agent: AgentRegistration
