--- a/packages/admission/src/create-admission-queue.ts
+++ b/packages/admission/src/create-admission-queue.ts
@@ -123,8 +123,7 @@
       }
       lanes.charge(group, group.tasks[group.head]!)
       const task = takeHead(group)
-      lanes.rate.taken(chargeOf(task))
-      lanes.rate.settle(lanes.length() > 0, now)
+      lanes.settle(now)
       return task
     }
   }
@@ -138,28 +137,28 @@
     return taken
   }
 
+  function refuse (
+    lanes: ServiceLanes, sample: WaitingTask, reason: 'overloaded' | 'quota', excessWork: number
+  ): AdmissionDecision {
+    const rate = lanes.rates[sample.urgent ? 'urgent' : 'jobs'].rate() ?? 1
+    return { kind: 'refused', reason, retryAfterMilliseconds: boundRetryAfter(excessWork / rate) }
+  }
+
   function offer (tasks: readonly WaitingTask[], now: number): AdmissionDecision {
     const sample = tasks[0]
     if (sample === undefined) return { kind: 'admitted' }
     const lanes = serviceLanes(sample.service)
-    lanes.rate.settle(lanes.length() > 0, now)
-    const rate = lanes.rate.rate()
+    lanes.settle(now)
     let work = 0
     for (const task of tasks) work += chargeOf(task)
     const meanCharge = work / tasks.length
-    if (length + tasks.length > maximumQueuedTasks) {
-      const excess = (length + tasks.length - maximumQueuedTasks) * meanCharge
-      return { kind: 'refused', reason: 'overloaded', retryAfterMilliseconds: boundRetryAfter(excess / (rate ?? 1)) }
-    }
-    if (!quotas.allows(sample.team, sample.customer, tasks.length)) {
-      return { kind: 'refused', reason: 'quota', retryAfterMilliseconds: boundRetryAfter(work / (rate ?? 1)) }
-    }
-    if (rate !== undefined) {
-      // The last task has to start in time; its own run is no wait.
-      const wait = lanes.workUntilDone(sample, work - meanCharge) / rate
-      const excess = wait - (limitOf({ ...sample, waitingSince: now }) - now)
-      if (excess > 0) return { kind: 'refused', reason: 'deadline', retryAfterMilliseconds: boundRetryAfter(excess) }
-    }
+    const excessTasks = length + tasks.length - maximumQueuedTasks
+    if (excessTasks > 0) return refuse(lanes, sample, 'overloaded', excessTasks * meanCharge)
+    if (!quotas.allows(sample.team, sample.customer, tasks.length)) return refuse(lanes, sample, 'quota', work)
+    // The last task has to start in time; its own run is no wait.
+    const wait = lanes.waitMilliseconds(sample, work - meanCharge)
+    const excess = (wait ?? 0) - (limitOf(sample) - now)
+    if (excess > 0) return { kind: 'refused', reason: 'deadline', retryAfterMilliseconds: boundRetryAfter(excess) }
     add(tasks, false)
     return { kind: 'admitted' }
   }
@@ -180,7 +179,6 @@
       const lanes = serviceLanes(task.service)
       add([task], true)
       lanes.refund(groupOf(task), task)
-      lanes.rate.taken(-chargeOf(task))
     },
     withdraw: (submission, indexes) => {
       const group = groups.get(submission)
@@ -217,6 +215,8 @@
       quotas.setTeams(teams)
       for (const { lanes } of services.values()) for (const lane of Object.values(lanes)) lane.reweigh()
     },
-    setCapacity: capacity => { serviceLanes(capacity.service).rate.setSlots(capacity.slots) }
+    setCapacity: capacity => {
+      for (const rate of Object.values(serviceLanes(capacity.service).rates)) rate.setSlots(capacity.slots)
+    }
   }
 }
--- a/packages/admission/src/service-lanes.ts
+++ b/packages/admission/src/service-lanes.ts
@@ -8,7 +8,8 @@
 /** Lanes of one service. */
 export interface ServiceLanes {
   readonly lanes: Readonly<Record<Lane, WaitingLane>>
-  readonly rate: ServiceRate
+  /** A lane's own rate, in which what the other lane takes is left out. */
+  readonly rates: Readonly<Record<Lane, ServiceRate>>
   /** The group that is next, in one lane or in both. */
   first: (lane?: Lane) => TaskGroup | undefined
   /** Charges a task that was taken out. */
@@ -16,8 +17,10 @@
   /** Takes back the charge of a task. */
   refund: (group: TaskGroup, task: WaitingTask) => void
   length: () => number
-  /** Slot time, in milliseconds, that is served until further work of the customer is done. */
-  workUntilDone: (task: WaitingTask, work: number) => number
+  /** Notes the time and which lanes have waiting tasks. */
+  settle: (now: number) => void
+  /** Bound on the milliseconds until further work like the task's is served, or undefined where no rate is known. */
+  waitMilliseconds: (task: WaitingTask, work: number) => number | undefined
 }
 
 /**
@@ -27,6 +30,7 @@
  */
 export function createServiceLanes (shares: ShareTable, jobShare: number): ServiceLanes {
   const lanes = { urgent: createWaitingLane(shares), jobs: createWaitingLane(shares) }
+  const rates = { urgent: createServiceRate(), jobs: createServiceRate() }
   const creditPerUrgentCost = jobShare / (1 - jobShare)
   // Slot time that jobs may take before waiting urgent tasks, milliseconds.
   let jobCredit = 0
@@ -48,24 +52,30 @@
 
   return {
     lanes,
-    rate: createServiceRate(),
+    rates,
     first: lane => (lane === undefined ? nextLane() : lanes[lane]).first(),
     charge: (group, task) => {
       const cost = chargeOf(task)
       lanes[group.lane].charge(group, cost)
       count(group, cost)
+      rates[group.lane].taken(cost)
     },
     refund: (group, task) => {
       const cost = chargeOf(task)
       lanes[group.lane].charge(group, -cost)
+      rates[group.lane].taken(-cost)
       if (group.lane === 'urgent') jobCredit = Math.max(0, jobCredit - cost * creditPerUrgentCost)
       else if (lanes.urgent.length() > 0) jobCredit += cost
     },
     length: () => lanes.urgent.length() + lanes.jobs.length(),
-    workUntilDone: (task, work) => {
-      if (task.urgent) return lanes.urgent.workUntilDone(task.team, task.customer, work) / (1 - jobShare)
-      const own = lanes.jobs.workUntilDone(task.team, task.customer, work)
-      return Math.min(own + lanes.urgent.work(), jobShare > 0 ? own / jobShare : Infinity)
+    settle: now => {
+      rates.urgent.settle(lanes.urgent.length() > 0, now)
+      rates.jobs.settle(lanes.jobs.length() > 0, now)
+    },
+    waitMilliseconds: (task, work) => {
+      const lane = task.urgent ? 'urgent' : 'jobs'
+      const rate = rates[lane].rate()
+      return rate === undefined ? undefined : lanes[lane].workUntilDone(task.team, task.customer, work) / rate
     }
   }
 }
--- a/packages/requests/src/call-state.ts
+++ b/packages/requests/src/call-state.ts
@@ -67,29 +67,28 @@
 /** What a reason for not running means for a call. */
 export type NotRunMeaning = 'try-elsewhere' | 'invalid' | 'refused'
 
+const MEANINGS: Readonly<Record<NotRunReason, NotRunMeaning>> = {
+  'stale-epoch': 'try-elsewhere',
+  'lease-lapsed': 'try-elsewhere',
+  expired: 'try-elsewhere',
+  leaving: 'try-elsewhere',
+  'window-exceeded': 'try-elsewhere',
+  'owner-lost': 'try-elsewhere',
+  withdrawn: 'try-elsewhere',
+  'unknown-template': 'invalid',
+  'unknown-customer': 'invalid',
+  'unknown-parameter': 'invalid',
+  'missing-parameter': 'invalid',
+  overloaded: 'refused',
+  deadline: 'refused',
+  quota: 'refused',
+  stopping: 'refused',
+  'no-owner': 'refused',
+  'no-worker': 'refused',
+  cancelled: 'refused'
+}
+
 /** Tells whether work that was not run for this reason may be tried again at once. */
 export function meaningOf (reason: NotRunReason): NotRunMeaning {
-  switch (reason) {
-    case 'stale-epoch':
-    case 'lease-lapsed':
-    case 'expired':
-    case 'leaving':
-    case 'window-exceeded':
-    case 'owner-lost':
-    case 'withdrawn':
-      return 'try-elsewhere'
-    case 'unknown-template':
-    case 'unknown-customer':
-    case 'unknown-parameter':
-    case 'missing-parameter':
-      return 'invalid'
-    case 'overloaded':
-    case 'deadline':
-    case 'quota':
-    case 'stopping':
-    case 'no-owner':
-    case 'no-worker':
-    case 'cancelled':
-      return 'refused'
-  }
+  return MEANINGS[reason]
 }
--- a/packages/requests/src/create-requests.ts
+++ b/packages/requests/src/create-requests.ts
@@ -90,7 +90,7 @@
   }
 
   /** Plans another attempt, or gives up if that can't end in time. */
-  function retryAfter (state: CallState, delay: number, reason: NotRunReason, now: number): RequestAction[] {
+  function planRetry (state: CallState, delay: number, reason: NotRunReason, now: number): RequestAction[] {
     if (now + delay >= state.call.answerBefore) return giveUp(state, reason)
     state.retryAt = now + delay
     setTimer(state)
@@ -105,7 +105,7 @@
     if (now + delay >= state.call.answerBefore) return giveUp(state, 'deadline')
     if (!budget.take(state.call.service)) return giveUp(state, 'deadline')
     state.repeatCount += 1
-    return retryAfter(state, delay, 'deadline', now)
+    return planRetry(state, delay, 'deadline', now)
   }
 
   /** An attempt provably did not run. */
@@ -118,7 +118,7 @@
       return giveUp(state, reason, retryAfterMilliseconds)
     }
     const delay = backOff(FIRST_ELSEWHERE_MILLISECONDS, LONGEST_ELSEWHERE_MILLISECONDS, state.notRunCount - 1)
-    return retryAfter(state, delay, reason, now)
+    return planRetry(state, delay, reason, now)
   }
 
   function noteOutcome (
