Add the operators' command line

Cause: operators publish templates and configuration, follow and explain jobs and read reports from anywhere.

--- a/packages/access/src/transport-security.ts
+++ b/packages/access/src/transport-security.ts
@@ -1,7 +1,6 @@
 /** TLS from certificate settings, by Node's own modules. */
 import { readFileSync } from 'node:fs'
-import { createServer, type RequestListener, type Server } from 'node:http'
-import { createServer as createSecureServer, type Server as SecureServer, type ServerOptions } from 'node:https'
+import type { ServerOptions } from 'node:https'
 
 /** Certificate settings; empty paths mean plain HTTP. */
 export interface CertificateSettings {
@@ -36,18 +35,3 @@
     return { kind: 'fault', fault: `the files '${certificateFile}' and '${certificateKeyFile}' can not be read` }
   }
 }
-
-/**
- * Makes the server that the certificate settings ask for.
- *
- * @example
- * const server = createCallerServer(reading, { requestTimeout: 10_000 }, (request, response) => response.end())
- */
-export function createCallerServer (
-  reading: Exclude<CertificateReading, { kind: 'fault' }>,
-  options: ServerOptions,
-  listener: RequestListener
-): Server | SecureServer {
-  if (reading.kind === 'tls') return createSecureServer({ ...options, ...reading.options }, listener)
-  return createServer(options, listener)
-}
--- /dev/null
+++ b/packages/command-line/src/commands.ts
@@ -0,0 +1,38 @@
+/** Every command by its name; oclif finds them here. `docs/COMMANDS.md` lists them. */
+import type { Command } from '@oclif/core'
+import { Call } from './commands/call.js'
+import { ConfigurationDiff } from './commands/configuration-diff.js'
+import { ConfigurationHistory } from './commands/configuration-history.js'
+import { ConfigurationPublish } from './commands/configuration-publish.js'
+import { ConfigurationStatus } from './commands/configuration-status.js'
+import { FleetStatus } from './commands/fleet-status.js'
+import { JobCancel } from './commands/job-cancel.js'
+import { JobExplain } from './commands/job-explain.js'
+import { JobShow } from './commands/job-show.js'
+import { JobSubmit } from './commands/job-submit.js'
+import { ReportBurn } from './commands/report-burn.js'
+import { TemplateList } from './commands/template-list.js'
+import { TemplatePublish } from './commands/template-publish.js'
+import { TemplateShow } from './commands/template-show.js'
+import { UpstreamDrain } from './commands/upstream-drain.js'
+import { UpstreamList } from './commands/upstream-list.js'
+
+/** The commands; `:` stands for the space between topic and command. */
+export const COMMANDS: Readonly<Record<string, Command.Class>> = {
+  'template:publish': TemplatePublish,
+  'template:list': TemplateList,
+  'template:show': TemplateShow,
+  'configuration:publish': ConfigurationPublish,
+  'configuration:history': ConfigurationHistory,
+  'configuration:diff': ConfigurationDiff,
+  'configuration:status': ConfigurationStatus,
+  'job:submit': JobSubmit,
+  'job:show': JobShow,
+  'job:cancel': JobCancel,
+  'job:explain': JobExplain,
+  call: Call,
+  'upstream:list': UpstreamList,
+  'upstream:drain': UpstreamDrain,
+  'fleet:status': FleetStatus,
+  'report:burn': ReportBurn
+}
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -1,2 +1,5 @@
 /** The operators' command line. */
-export {}
+export * from './commands.js'
+export * from './compare-values.js'
+export * from './exit-codes.js'
+export * from './table.js'
