--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -2,4 +2,5 @@
 export * from './commands.js'
 export * from './compare-values.js'
 export * from './exit-codes.js'
+export { OperatorCommand } from './operator-command.js'
 export * from './table.js'
--- /dev/null
+++ b/packages/docs-lists/src/lists.ts
@@ -0,0 +1,73 @@
+/** Every list of the docs: the page that it stands in, its name there, and how it is written from the code. */
+import { COMMANDS, EXIT_CODES, OperatorCommand } from '@baobabpost/command-line'
+import { ERROR_KINDS, errorAnswer, METRICS } from '@baobabpost/common'
+import { code, formatMarkdownTable } from './markdown.js'
+import type { Repository } from './repository.js'
+
+/** A list of the docs. */
+export interface DocsList {
+  /** Page, relative to the root of the repository. */
+  readonly page: string
+  readonly name: string
+  readonly render: (repository: Repository) => string
+}
+
+const METRIC_PREFIX = 'baobabpost.'
+
+function renderErrors (): string {
+  const rows = ERROR_KINDS.map(kind => {
+    const { status, ran, title, next } = errorAnswer(kind)
+    return [code(kind), String(status), ran, title, next]
+  })
+  return formatMarkdownTable(['kind', 'HTTP status', 'ran', 'meaning', 'what the caller may do next'], rows)
+}
+
+function renderMetrics (): string {
+  const rows = Object.entries(METRICS).map(([name, { type, about }]) => {
+    const unit = name.split('.').at(-1) ?? ''
+    return [code(METRIC_PREFIX + name), type, unit, about]
+  })
+  return formatMarkdownTable(['metric', 'type', 'unit', 'meaning'], rows)
+}
+
+function renderCommands (): string {
+  const rows = Object.entries(COMMANDS).map(([id, command]) => {
+    const argumentNames = Object.entries(command.args ?? {}).map(([name, argument]) =>
+      argument.required === true ? name.toUpperCase() : `[${name.toUpperCase()}]`)
+    const usage = ['baobabpost', ...id.split(':'), ...argumentNames].join(' ')
+    const flags = Object.entries(command.flags ?? {}).map(([name, flag]) => `--${name}: ${flag.summary ?? ''}`)
+    return [code(usage), command.summary ?? '', flags.join('; ')]
+  })
+  return formatMarkdownTable(['command', 'what it does', 'flags of its own'], rows)
+}
+
+function renderConnectionFlags (): string {
+  const rows = Object.entries(OperatorCommand.baseFlags).map(([name, flag]) =>
+    [code(`--${name}`), code(flag.env ?? ''), flag.summary ?? ''])
+  rows.push([code('--json'), '', 'print the result, or the error, as JSON'])
+  return formatMarkdownTable(['flag', 'variable', 'meaning'], rows)
+}
+
+function renderExitCodes (): string {
+  return formatMarkdownTable(['code', 'meaning'], Object.values(EXIT_CODES).map(exit => [String(exit.code), exit.about]))
+}
+
+function renderPackages (repository: Repository): string {
+  const rows = repository.packages().map(({ directory, description }) => [code(directory), description])
+  return formatMarkdownTable(['package', 'duty'], rows)
+}
+
+function renderPages (repository: Repository): string {
+  return repository.pages().map(({ path, title }) => `- [${title}](${path})`).join('\n')
+}
+
+/** All lists of the docs. */
+export const DOCS_LISTS: readonly DocsList[] = [
+  { page: 'docs/ERRORS.md', name: 'errors', render: renderErrors },
+  { page: 'docs/METRICS.md', name: 'metrics', render: renderMetrics },
+  { page: 'docs/COMMANDS.md', name: 'commands', render: renderCommands },
+  { page: 'docs/COMMANDS.md', name: 'connection-flags', render: renderConnectionFlags },
+  { page: 'docs/COMMANDS.md', name: 'exit-codes', render: renderExitCodes },
+  { page: 'docs/ARCHITECTURE.md', name: 'packages', render: renderPackages },
+  { page: 'docs/README.md', name: 'pages', render: renderPages }
+]
