--- /dev/null
+++ b/packages/trials/src/fixtures.ts
@@ -0,0 +1,50 @@
+/** The configuration that trials run with. */
+import type { Customer, JobRequest, LogRecord, Policy, Team, Template } from '@baobabpost/messages'
+import { NEVER_WRITTEN } from '@baobabpost/messages'
+
+/** Service that all agents of a trial serve. */
+export const TRIAL_SERVICE = 'lending'
+/** Template of jobs. */
+export const JOB_TEMPLATE = 'checkout'
+/** Customer of all work. */
+export const TRIAL_CUSTOMER = 'medina'
+/** Name of the policy of a trial. */
+export const TRIAL_POLICY = 'default'
+
+const TASK_TIMEOUT_MILLISECONDS = 4_000
+
+const template: Template = {
+  name: JOB_TEMPLATE,
+  service: TRIAL_SERVICE,
+  path: '/checkout',
+  callType: 'non-idempotent',
+  taskParameters: ['place', 'call'],
+  requiredParameters: [],
+  defaults: {},
+  timeoutMilliseconds: TASK_TIMEOUT_MILLISECONDS,
+  expectedMilliseconds: 100
+}
+const team: Team = { name: 'dakar', share: 1, maximumQueuedTasks: 100_000 }
+const customer: Customer = {
+  name: TRIAL_CUSTOMER, team: team.name, share: 1, maximumQueuedTasks: 100_000, parameters: {}
+}
+const policy: Policy = { name: TRIAL_POLICY, placement: 'late-binding', prefetchTasks: 4, retryShare: 0.1, hedge: false }
+
+/** The changes that bring the configuration into force. */
+export function configurationChanges (): LogRecord['changes'] {
+  const values = {
+    [`template/${template.name}`]: template,
+    [`team/${team.name}`]: team,
+    [`customer/${customer.name}`]: customer,
+    [`policy/${policy.name}`]: policy
+  }
+  return Object.entries(values).map(([register, value]) => (
+    { kind: 'write', register, replaces: NEVER_WRITTEN, value }
+  ))
+}
+
+/** Makes a job whose tasks name their own place. */
+export function createJobRequest (taskCount: number): JobRequest {
+  const tasks = Array.from({ length: taskCount }, (_, place) => ({ place }))
+  return { template: JOB_TEMPLATE, customer: TRIAL_CUSTOMER, tasks }
+}
--- a/packages/trials/src/index.ts
+++ b/packages/trials/src/index.ts
@@ -1,2 +1,4 @@
 /** The fault matrix and the randomised run on the real decision code. */
-export {}
+export * from './world.js'
+export * from './callers.js'
+export * from './ledger.js'
