Number the attempts of a task, so that a refusal does not bar its agent for good

Cause: an agent's refusal of a task stayed for the key window; a task refused for want of time or lease could run out of agents, and a repeated old refusal could be taken for the answer to a later dispatch. Change: attempts rise with each dispatch and epoch; a refusal names its attempt, a later one may come to the same agent (packages/execution, packages/outcomes).

--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -88,13 +88,17 @@
       return
     }
     const submission = memory.open(header.submission, header, partition, from.identity, now)
-    for (const { index, input } of group.tasks) {
+    for (const { index, input, attempt } of group.tasks) {
       const known = submission.tasks.get(index)
       if (known !== undefined) {
-        tellAgain(known, now)
-        continue
+        if (!isLaterAttempt(known, attempt)) {
+          tellAgain(known, now)
+          continue
+        }
+        // Its owner has the refusal, or it would not have sent it again under a higher number.
+        reporter.abandon(known)
       }
-      const task = memory.add(submission, index, now)
+      const task = memory.add(submission, index, attempt, now)
       const reason = refusal ?? (runner.queuedCount() >= maximumQueuedTasks ? 'window-exceeded' : undefined)
       if (reason !== undefined) runner.refuse(task, reason, now)
       else runner.accept(task, { ...work, input, holder: from, giveUpAt: 0, aborted: false })
@@ -106,19 +110,25 @@
     group: DispatchGroup, partition: number, known: SubmissionState | undefined, from: EntryState, now: number
   ): void {
     const fenced = createFencedSubmission(group.header, partition, from.identity)
-    for (const { index } of group.tasks) {
+    for (const { index, attempt } of group.tasks) {
       if (known?.tasks.has(index) === true) continue
-      runner.refuse(createTaskState(fenced, index), 'stale-epoch', now)
+      runner.refuse(createTaskState(fenced, index, attempt), 'stale-epoch', now)
     }
   }
 
+  /** Whether a refused task may be taken after all. What was withdrawn stays withdrawn. */
+  function isLaterAttempt ({ outcome, attempt: refused }: TaskState, attempt: number | undefined): boolean {
+    if (outcome?.status !== 'not-run' || outcome.reason === 'withdrawn') return false
+    return attempt !== undefined && refused !== undefined && attempt > refused
+  }
+
   function tellAgain (task: TaskState, now: number): void {
     if (task.state === 'finished') reporter.repeat(task, now)
   }
 
   function withdrawTask (submission: SubmissionState, index: number, now: number): void {
     const task = submission.tasks.get(index)
-    if (task === undefined) runner.refuse(memory.add(submission, index, now), 'withdrawn', now)
+    if (task === undefined) runner.refuse(memory.add(submission, index, undefined, now), 'withdrawn', now)
     else if (task.state === 'queued') runner.refuse(task, 'withdrawn', now)
     else tellAgain(task, now)
   }
--- a/packages/execution/src/reporter.ts
+++ b/packages/execution/src/reporter.ts
@@ -20,7 +20,7 @@
   repeatDue: (now: number) => void
   /** An entry is gone: its single calls have nobody left to be told to; keyed work waits for the next owner. */
   dropEntry: (entry: EntryState) => void
-  /** The task is forgotten, delivered or not. */
+  /** Nobody needs the outcome any more, delivered or not. */
   abandon: (task: TaskState) => void
   /** Number of outcomes that no entry acknowledged. */
   undelivered: () => number
@@ -40,7 +40,10 @@
 
 function reportOf (task: TaskState): TaskReport | undefined {
   if (task.outcome === undefined) return undefined
-  return { index: task.index, outcome: task.outcome, runMilliseconds: task.runMilliseconds }
+  const { index, outcome, runMilliseconds, attempt } = task
+  // Only a refusal is about one attempt; what ran, ran whatever the attempt.
+  if (outcome.status !== 'not-run' || attempt === undefined) return { index, outcome, runMilliseconds }
+  return { index, outcome, runMilliseconds, attempt }
 }
 
 /** Splits tasks so that each part stays within the bounds of one report. */
@@ -179,6 +182,7 @@
       }
     },
     abandon (task) {
+      task.reportingTo = undefined
       if (task.state === 'finished') settle(task)
     },
     undelivered: () => undelivered
--- a/packages/execution/src/task-memory.ts
+++ b/packages/execution/src/task-memory.ts
@@ -10,8 +10,8 @@
   open: (
     key: string, header: SubmissionHeader | undefined, partition: number, caller: EntryIdentity, now: number
   ) => SubmissionState
-  /** Begins to remember a task. */
-  add: (submission: SubmissionState, index: number, now: number) => TaskState
+  /** Begins to remember a task, or remembers a later attempt in place of a refused one. */
+  add: (submission: SubmissionState, index: number, attempt: number | undefined, now: number) => TaskState
   inPartition: (partition: number) => Iterable<SubmissionState>
   /** Forgets the submissions whose last event is older than the window; those with unfinished tasks stay. */
   forget: (now: number, onForgotten: (task: TaskState) => void) => void
@@ -80,11 +80,11 @@
       }
       return known
     },
-    add (submission, taskIndex, now) {
-      const task = createTaskState(submission, taskIndex)
+    add (submission, taskIndex, attempt, now) {
+      const task = createTaskState(submission, taskIndex, attempt)
+      if (!submission.tasks.has(taskIndex)) taskCount += 1
       submission.tasks.set(taskIndex, task)
       submission.touchedAt = now
-      taskCount += 1
       return task
     },
     inPartition: partition => partitions.get(partition) ?? [],
--- a/packages/execution/src/task-state.ts
+++ b/packages/execution/src/task-state.ts
@@ -20,6 +20,8 @@
 export interface TaskState {
   readonly submission: SubmissionState
   readonly index: number
+  /** Number of the dispatch by which it came; undefined where its owner numbers none. */
+  readonly attempt: number | undefined
   state: 'queued' | 'running' | 'finished'
   /** Unix time of its start; 0 for a task that never started. */
   startedAt: number
@@ -84,10 +86,13 @@
 }
 
 /** Makes the state of a task that the agent has just met. */
-export function createTaskState (submission: SubmissionState, index: number): TaskState {
+export function createTaskState (
+  submission: SubmissionState, index: number, attempt: number | undefined
+): TaskState {
   return {
     submission,
     index,
+    attempt,
     state: 'queued',
     startedAt: 0,
     runMilliseconds: 0,
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -33,8 +33,8 @@
   index: Whole,
   input: JsonRecord,
   /**
-   * Number of this dispatch of the task under its epoch. A refusal holds for its epoch and attempt and all lower ones,
-   * so that a delayed copy stays refused while a later attempt may come to the same agent.
+   * Number of this dispatch of the task: it rises with each dispatch and with the epoch. A refusal holds for its
+   * attempt and all lower ones, so that a delayed copy stays refused while a later attempt may come to the same agent.
    */
   attempt: Schema.optionalKey(Whole)
 })
--- a/packages/outcomes/src/agent-reports.ts
+++ b/packages/outcomes/src/agent-reports.ts
@@ -2,7 +2,7 @@
 import type { AgentIdentity, Invariants } from '@baobabpost/common'
 import type { SubmissionReport, TaskOutcome, TaskReport } from '@baobabpost/messages'
 import type { PartitionState } from '@baobabpost/ownership'
-import { type Job, TaskState } from './job.js'
+import { attemptNumber, FOREIGN_ATTEMPT, type Job, TaskState } from './job.js'
 import { isForeign, type JobStore } from './job-store.js'
 import type { JobLifecycle } from './job-lifecycle.js'
 import type { OutcomesPorts, ReportResult, SettledTask } from './outcomes.js'
@@ -46,10 +46,11 @@
   function isCurrentRefusal (job: Job, agentNumber: number, report: SubmissionReport, task: TaskReport): boolean {
     const { index, attempt } = task
     if (job.state(index) !== TaskState.dispatched || job.agentNumber(index) !== agentNumber) return false
-    if (isForeign(job, index)) return true
     const state = options.partitionState(job.partition)
-    if (report.ownership !== undefined && state.kind === 'ours' && report.ownership.epoch !== state.epoch) return false
-    return attempt === undefined || attempt === job.attempt(index)
+    if (state.kind !== 'ours') return false
+    if (isForeign(job, index)) return attempt === undefined || attempt < attemptNumber(state.epoch, FOREIGN_ATTEMPT)
+    if (attempt !== undefined) return attempt === attemptNumber(state.epoch, job.attempt(index))
+    return report.ownership === undefined || report.ownership.epoch === state.epoch
   }
 
   function refuse (job: Job, agent: AgentIdentity, task: TaskReport, reason: string, now: number): void {
--- a/packages/outcomes/src/create-outcomes.ts
+++ b/packages/outcomes/src/create-outcomes.ts
@@ -3,7 +3,7 @@
 import { createAgentReports } from './agent-reports.js'
 import { createArrivals } from './arrivals.js'
 import { explainJob } from './explanation.js'
-import { type HeldTasks, type Job, TaskState } from './job.js'
+import { attemptNumber, type HeldTasks, type Job, TaskState } from './job.js'
 import { createJobLifecycle, type DueItem, notRun } from './job-lifecycle.js'
 import { createJobStore, isForeign } from './job-store.js'
 import { createJobTakeover } from './job-takeover.js'
@@ -119,7 +119,7 @@
     if (request === undefined || resolved === undefined || indexes.length === 0) return undefined
     const tasks: DispatchTask[] = []
     for (const index of indexes) {
-      tasks.push({ index, input: request.tasks[index] ?? {}, attempt: job.attempt(index) })
+      tasks.push({ index, input: request.tasks[index] ?? {}, attempt: attemptNumber(epoch, job.attempt(index)) })
     }
     return {
       header,
--- a/packages/outcomes/src/job.ts
+++ b/packages/outcomes/src/job.ts
@@ -23,9 +23,15 @@
 
 /** Attempt number of a dispatch that was made by an earlier owner. */
 export const FOREIGN_ATTEMPT = 0
+const ATTEMPTS_PER_EPOCH = 65_536
 const NO_AGENT = -1
 const STATE_COUNT = 5
 
+/** Numbers an attempt so that it is above all attempts under lower epochs. */
+export function attemptNumber (epoch: number, attempt: number): number {
+  return epoch * ATTEMPTS_PER_EPOCH + attempt
+}
+
 /** Tasks of one job at one agent. */
 export interface HeldTasks {
   readonly agent: AgentIdentity
--- a/packages/outcomes/tests/outcomes.test.ts
+++ b/packages/outcomes/tests/outcomes.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { agentIdentity, FakeOwner, jobOf, keyAt, KEY_WINDOW, NOW, SKEW, SUCCEEDED } from './fake-owner.js'
+import { attemptNumber } from '../src/job.js'
+import { agentIdentity, EPOCH, FakeOwner, jobOf, keyAt, KEY_WINDOW, NOW, SKEW, SUCCEEDED } from './fake-owner.js'
 
 let owner = new FakeOwner()
 afterEach(() => {
@@ -132,7 +133,7 @@
       ownership: { epoch: 7 },
       parameters: { desk: 1 },
       startBefore: NOW + 60_000,
-      tasks: [{ index: 1, input: { place: 1 }, attempt: 1 }]
+      tasks: [{ index: 1, input: { place: 1 }, attempt: attemptNumber(EPOCH, 1) }]
     })
     expect(owner.outcomes.dispatch(key, [0], agentIdentity(1), 7, NOW + 5, NOW)?.startBefore).toBe(NOW + 5)
     expect(owner.outcomes.dispatch(key, [0], agentIdentity(1), 7, NOW + 5, NOW)).toBeUndefined()
@@ -161,13 +162,14 @@
     const key = keyAt()
     owner.outcomes.tick(NOW)
     owner.submit(key, jobOf(1))
-    expect(owner.dispatch(key, [0], 1)?.tasks[0]?.attempt).toBe(1)
-    owner.report(key, 1, [refusal(0, 1)])
+    const [first, second] = [attemptNumber(EPOCH, 1), attemptNumber(EPOCH, 2)]
+    expect(owner.dispatch(key, [0], 1)?.tasks[0]?.attempt).toBe(first)
+    owner.report(key, 1, [refusal(0, first)])
     expect(owner.queued.size).toBe(0)
     owner.outcomes.tick(NOW + 200)
     expect([...owner.queued.values()]).toEqual([[]])
-    expect(owner.dispatch(key, [0], 1, NOW + 200)?.tasks[0]?.attempt).toBe(2)
-    expect(owner.report(key, 1, [refusal(0, 1)], NOW + 300).settled).toEqual([])
+    expect(owner.dispatch(key, [0], 1, NOW + 200)?.tasks[0]?.attempt).toBe(second)
+    expect(owner.report(key, 1, [refusal(0, first)], NOW + 300).settled).toEqual([])
     owner.outcomes.tick(NOW + 400)
     expect(owner.queued.size).toBe(0)
   })
@@ -191,7 +193,7 @@
       { agent: agentIdentity(1), indexes: [1] }, { agent: agentIdentity(1), indexes: [1] }
     ])
     const again = owner.outcomes.groupFor(key, [0, 1], agentIdentity(1), 7, NOW + 9_000)
-    expect(again?.tasks).toEqual([{ index: 1, input: { place: 1 }, attempt: 1 }])
+    expect(again?.tasks).toEqual([{ index: 1, input: { place: 1 }, attempt: attemptNumber(EPOCH, 1) }])
     expect(owner.outcomes.groupFor(key, [1], agentIdentity(2), 7, NOW + 9_000)).toBeUndefined()
   })
 
--- a/packages/outcomes/tests/takeover.test.ts
+++ b/packages/outcomes/tests/takeover.test.ts
@@ -2,6 +2,7 @@
 import type { SubmissionKey } from '@baobabpost/common'
 import type { SubmissionRecord, TaskRecord } from '@baobabpost/messages'
 import { afterEach, describe, expect, it } from 'vitest'
+import { attemptNumber } from '../src/job.js'
 import {
   agentIdentity, COLLECTING, EPOCH, FakeOwner, jobOf, keyAt, KEY_WINDOW, NOW, SERVING, SUCCEEDED
 } from './fake-owner.js'
@@ -156,9 +157,11 @@
     next.setState(SERVING, partitionOf(key))
     next.outcomes.tick(NOW + 2_100)
     expect(next.resent).toEqual([{ agent: agentIdentity(1), indexes: [0] }])
-    expect(next.outcomes.groupFor(key, [0], agentIdentity(1), EPOCH, NOW + 9_000)?.tasks[0]?.attempt).toBe(1)
-    expect(next.report(key, 1, [{ index: 0, outcome: { status: 'not-run', reason: 'stale-epoch' } }], NOW + 2_200, 3).settled)
-      .toEqual([])
+    const again = next.outcomes.groupFor(key, [0], agentIdentity(1), EPOCH, NOW + 9_000)
+    expect(again?.tasks[0]?.attempt).toBe(attemptNumber(EPOCH, 1))
+    const stale = { index: 0, outcome: { status: 'not-run', reason: 'stale-epoch' } as const }
+    expect(next.report(key, 1, [stale], NOW + 2_200, 3).settled).toEqual([])
+    expect(next.report(key, 1, [{ ...stale, attempt: attemptNumber(3, 1) }], NOW + 2_200).settled).toEqual([])
   })
 
   it('a finished job is handed over and stays known for the rest of the key window', () => {
