--- a/packages/execution/src/task-memory.ts
+++ b/packages/execution/src/task-memory.ts
@@ -10,8 +10,8 @@
   open: (
     key: string, header: SubmissionHeader | undefined, partition: number, caller: EntryIdentity, now: number
   ) => SubmissionState
-  /** Begins to remember a task. */
-  add: (submission: SubmissionState, index: number, now: number) => TaskState
+  /** Begins to remember a task, or remembers a later attempt in place of a refused one. */
+  add: (submission: SubmissionState, index: number, attempt: number | undefined, now: number) => TaskState
   inPartition: (partition: number) => Iterable<SubmissionState>
   /** Forgets what is old enough; submissions with unfinished tasks, or that might still start, stay. */
   forget: (now: number, onForgotten: (task: TaskState) => void) => void
@@ -120,11 +120,11 @@
       }
       return known
     },
-    add (submission, taskIndex, now) {
-      const task = createTaskState(submission, taskIndex)
+    add (submission, taskIndex, attempt, now) {
+      const task = createTaskState(submission, taskIndex, attempt)
+      if (!submission.tasks.has(taskIndex)) taskCount += 1
       submission.tasks.set(taskIndex, task)
       submission.touchedAt = now
-      taskCount += 1
       return task
     },
     inPartition: partition => partitions.get(partition) ?? [],
