--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -1,2 +1,6 @@
 /** The operators' command line. */
-export {}
+export * from './commands.js'
+export * from './compare-values.js'
+export * from './exit-codes.js'
+export { OperatorCommand } from './operator-command.js'
+export * from './table.js'
--- a/packages/execution/src/task-state.ts
+++ b/packages/execution/src/task-state.ts
@@ -20,6 +20,8 @@
 export interface TaskState {
   readonly submission: SubmissionState
   readonly index: number
+  /** Number of the dispatch by which it came; undefined where its owner numbers none. */
+  readonly attempt: number | undefined
   state: 'queued' | 'running' | 'finished'
   /** Unix time of its start; 0 for a task that never started. */
   startedAt: number
@@ -47,6 +49,8 @@
   readonly fenced: boolean
   /** Unix time of the last event. */
   touchedAt: number
+  /** Latest Unix time before which a dispatch allowed a start. */
+  startBefore: number
   unfinished: number
 }
 
@@ -84,10 +88,13 @@
 }
 
 /** Makes the state of a task that the agent has just met. */
-export function createTaskState (submission: SubmissionState, index: number): TaskState {
+export function createTaskState (
+  submission: SubmissionState, index: number, attempt: number | undefined
+): TaskState {
   return {
     submission,
     index,
+    attempt,
     state: 'queued',
     startedAt: 0,
     runMilliseconds: 0,
@@ -103,7 +110,17 @@
 export function createSubmissionState (
   key: string, header: SubmissionHeader | undefined, partition: number, caller: EntryIdentity, now: number
 ): SubmissionState {
-  return { key, header, partition, caller, tasks: new Map(), fenced: false, touchedAt: now, unfinished: 0 }
+  return {
+    key,
+    header,
+    partition,
+    caller,
+    tasks: new Map(),
+    fenced: false,
+    touchedAt: now,
+    startBefore: 0,
+    unfinished: 0
+  }
 }
 
 /** Makes the stand-in for a submission whose dispatch came from a former owner. */
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -33,8 +33,8 @@
   index: Whole,
   input: JsonRecord,
   /**
-   * Number of this dispatch of the task under its epoch. A refusal holds for its epoch and attempt and all lower ones,
-   * so that a delayed copy stays refused while a later attempt may come to the same agent.
+   * Number of this dispatch of the task: it rises with each dispatch and with the epoch. A refusal holds for its
+   * attempt and all lower ones, so that a delayed copy stays refused while a later attempt may come to the same agent.
    */
   attempt: Schema.optionalKey(Whole)
 })
@@ -174,7 +174,9 @@
   sequence: Whole,
   /** Log offset up to which the sender has applied records. */
   position: Whole,
-  /** Agents that the sender heard from lately. */
+  /** Agents that the sender suspects. */
+  suspectedAgents: Schema.Array(AgentIdentity),
+  /** Of the agents that other entries suspect, those that the sender heard from lately. */
   heardAgents: Schema.Array(AgentIdentity)
 })
 export type EntryHeartbeat = typeof EntryHeartbeat.Type
