Depart an agent only after the others were asked, and never from the smaller side

Cause: tests of the thin membership found four ways to a false departure: an agent that a new entry never heard, an entry that hears nobody, one whose heartbeats do not arrive, and the smaller side of a partition. Change: suspicion covers agents that never announced themselves; every live peer has to have answered a heartbeat sent after the suspicion; only an entry that hears most entries, or most agents, judges silence. Departures and registrations of a tick share records; a heartbeat of an unknown entry is greeted back at once.

--- a/packages/membership/src/agent-watch.ts
+++ b/packages/membership/src/agent-watch.ts
@@ -18,6 +18,9 @@
 const APPEND_RETRY_MILLISECONDS = 1_000
 /** Most registers of one answer to a heartbeat. */
 const MAXIMUM_REGISTERS = 100
+/** Most writes of one record. */
+const MAXIMUM_WRITES = 100
+const REMOVAL_CHECK_MILLISECONDS = 1_000
 
 interface WatchedAgent {
   announce: Announce
@@ -35,13 +38,18 @@
 export interface AgentWatchOptions extends MembershipOptions {
   readonly clock: PauseClock
   readonly liveEntries: () => readonly EntryIdentity[]
-  readonly isHeardElsewhere: (agent: AgentIdentity) => boolean
+  /** Whether every live peer had the chance to say that it hears an agent suspected since then, and none does. */
+  readonly isUnheardElsewhere: (agent: AgentIdentity, suspectedSince: number) => boolean
+  /** Whether this entry hears a majority of the registered entries. */
+  readonly hearsMostEntries: () => boolean
+  /** Whether this entry hears any other entry. */
+  readonly hearsPeers: () => boolean
   readonly entryAddresses: () => Announced['entries']
 }
 
 /** The agents. */
 export interface AgentWatch {
-  announce: (announce: Announce, now: number) => readonly MembershipEvent[]
+  announce: (announce: Announce) => readonly MembershipEvent[]
   /** Takes in that a registration changed; `null` where it was removed. */
   registered: (identity: AgentIdentity, registration: AgentRegistration | null) => readonly MembershipEvent[]
   tick: (now: number) => readonly MembershipEvent[]
@@ -50,6 +58,8 @@
   /** Of the given agents those that were heard lately. */
   heardOf: (agents: readonly AgentIdentity[]) => readonly AgentIdentity[]
   registrations: () => readonly AgentRegistration[]
+  /** Whether silence of others says something about them. */
+  mayJudge: () => boolean
 }
 
 /** Makes the watch over agents. */
@@ -58,7 +68,12 @@
   const agents = new Map<AgentIdentity, WatchedAgent>()
   /** Registrations whose silence counts from the time at which this entry learned of them. */
   const learnedAt = new Map<AgentIdentity, number>()
-  const departedAt = new Map<AgentIdentity, number>()
+  /** Unix time of the last append that should say that an agent departed, or remove it. */
+  const endedAt = new Map<AgentIdentity, number>()
+  /** Unix time since which an agent is silent for so long that it is suspected. */
+  const suspectedSince = new Map<AgentIdentity, number>()
+  let writes: RegisterWrite[] = []
+  let nextRemovalAt = 0
 
   function registrationOf (agent: AgentIdentity): AgentRegistration | undefined {
     const register = fold.read(registerName('agent', agent))
@@ -99,34 +114,52 @@
     return sinceMilliseconds >= rankOf(agent, identity, options.liveEntries()) * RANK_MILLISECONDS
   }
 
-  /** Appends unless the last append for the agent may still show. */
-  function append (agent: WatchedAgent | undefined, write: RegisterWrite, now: number): void {
-    if (agent !== undefined) {
-      if (now - agent.appendedAt < APPEND_RETRY_MILLISECONDS) return
-      agent.appendedAt = now
+  /** Appends what came together in a tick, in few records. */
+  function appendWrites (): void {
+    for (let start = 0; start < writes.length; start += MAXIMUM_WRITES) {
+      outbox.append(writes.slice(start, start + MAXIMUM_WRITES))
     }
-    outbox.append([write])
+    writes = []
   }
 
   function registerAgent (agent: WatchedAgent, now: number): void {
     const { identity: agentIdentity, address, service, failureDomain } = agent.announce
     if (agent.announce.state === 'leaving' || standingOf(agentIdentity) !== 'pending') return
     if (!isMyTurn(agentIdentity, clock.running() - agent.firstHeardAt)) return
+    if (now - agent.appendedAt < APPEND_RETRY_MILLISECONDS) return
+    agent.appendedAt = now
     const value: AgentRegistration = {
       identity: agentIdentity, address, service, failureDomain, state: 'joined', changedAt: now, clean: false
     }
-    append(agent, { kind: 'write', register: registerName('agent', agentIdentity), replaces: NEVER_WRITTEN, value }, now)
+    writes.push({ kind: 'write', register: registerName('agent', agentIdentity), replaces: NEVER_WRITTEN, value })
+  }
+
+  /** Whether an append that ends the agent may still show on the log; notes a new one where not. */
+  function isEnding (agent: AgentIdentity, now: number): boolean {
+    const last = endedAt.get(agent) ?? -Infinity
+    if (now - last < APPEND_RETRY_MILLISECONDS) return true
+    endedAt.set(agent, now)
+    return false
   }
 
   function depart (agent: AgentIdentity, clean: boolean, now: number): void {
     const register = fold.read(registerName('agent', agent))
     const registration = registrationOf(agent)
-    if (register === undefined || registration?.state !== 'joined') return
-    const last = departedAt.get(agent) ?? -Infinity
-    if (now - last < APPEND_RETRY_MILLISECONDS) return
-    departedAt.set(agent, now)
+    if (register === undefined || registration?.state !== 'joined' || isEnding(agent, now)) return
     const value: AgentRegistration = { ...registration, state: 'departed', changedAt: now, clean }
-    outbox.append([{ kind: 'write', register: register.register, replaces: register.version, value }])
+    writes.push({ kind: 'write', register: register.register, replaces: register.version, value })
+  }
+
+  /**
+   * Whether silence says something about others rather than about this entry: it hears someone, and most entries or
+   * most agents. The smaller side of a partition, or an entry that hears nobody, must not declare the rest departed.
+   */
+  function mayJudge (): boolean {
+    const joined = fold.list('agent').filter(({ value }) => (value as AgentRegistration).state === 'joined')
+    const silent = joined.filter(({ value }) => suspectedSince.has((value as AgentRegistration).identity))
+    const hearsAgents = silent.length < joined.length
+    if (options.hearsMostEntries()) return hearsAgents || options.hearsPeers()
+    return hearsAgents && 2 * silent.length < joined.length
   }
 
   function answerAnnounce (announce: Announce): void {
@@ -154,42 +187,48 @@
       agent.told = 'suspected'
       events.push({ kind: 'agent-suspected', agent: agentIdentity })
     }
-    const isLeaving = agent.announce.state === 'leaving'
-    judgeSilence(agentIdentity, silent, isLeaving, now)
-    if (silent >= DEPARTED_MILLISECONDS && standingOf(agentIdentity) === 'pending') agents.delete(agentIdentity)
+    judgeSilence(agentIdentity, silent, agent.announce.state === 'leaving', now)
+    if (silent >= DEPARTED_MILLISECONDS && standingOf(agentIdentity) === 'pending') forget(agentIdentity)
     return events
   }
 
+  function forget (agent: AgentIdentity): void {
+    agents.delete(agent)
+    suspectedSince.delete(agent)
+  }
+
   function judgeSilence (agent: AgentIdentity, silent: number, isLeaving: boolean, now: number): void {
+    const since = suspectedSince.get(agent) ?? now
+    suspectedSince.set(agent, since)
     const bound = isLeaving ? LEFT_MILLISECONDS : DEPARTED_MILLISECONDS
-    if (silent < bound || !isMyTurn(agent, silent - bound) || options.isHeardElsewhere(agent)) return
+    if (silent < bound || !isMyTurn(agent, silent - bound)) return
+    if (!options.isUnheardElsewhere(agent, since) || !mayJudge()) return
     depart(agent, isLeaving, now)
   }
 
   /** Registrations of agents that never announced themselves here, such as those of before this entry started. */
   function judgeUnheard (now: number): void {
     for (const [agent, learned] of learnedAt) {
-      if (agents.has(agent)) continue
-      judgeSilence(agent, clock.running() - learned, false, now)
+      const silent = clock.running() - learned
+      if (silent >= SUSPECTED_MILLISECONDS && !agents.has(agent)) judgeSilence(agent, silent, false, now)
     }
   }
 
   /** Registrations of departed agents are of no use once every key of their time has expired. */
   function removeOld (now: number): void {
+    if (now < nextRemovalAt) return
+    nextRemovalAt = now + REMOVAL_CHECK_MILLISECONDS
     const age = 2 * options.keyWindowMilliseconds
     for (const register of fold.list('agent')) {
       const { identity: agent, state, changedAt } = register.value as AgentRegistration
       if (state !== 'departed' || now - changedAt < age) continue
-      if (!isMyTurn(agent, now - changedAt - age)) continue
-      const last = departedAt.get(agent) ?? -Infinity
-      if (now - last < APPEND_RETRY_MILLISECONDS) continue
-      departedAt.set(agent, now)
-      outbox.append([{ kind: 'write', register: register.register, replaces: register.version, value: null }])
+      if (!isMyTurn(agent, now - changedAt - age) || isEnding(agent, now)) continue
+      writes.push({ kind: 'write', register: register.register, replaces: register.version, value: null })
     }
   }
 
   return {
-    announce (announce, now) {
+    announce (announce) {
       let agent = agents.get(announce.identity)
       if (agent === undefined) {
         const running = clock.running()
@@ -200,9 +239,9 @@
       }
       if (announce.sequence >= agent.announce.sequence) agent.announce = announce
       agent.heardAt = clock.running()
+      suspectedSince.delete(announce.identity)
       answerAnnounce(announce)
       if (standingOf(announce.identity) === 'departed') return []
-      registerAgent(agent, now)
       if (agent.announce.state === 'active') return tellUsable(agent)
       if (agent.told === 'leaving') return []
       agent.told = 'leaving'
@@ -212,11 +251,13 @@
     registered (agentIdentity, registration) {
       if (registration === null) {
         learnedAt.delete(agentIdentity)
-        departedAt.delete(agentIdentity)
+        endedAt.delete(agentIdentity)
+        suspectedSince.delete(agentIdentity)
         return []
       }
       if (registration.state === 'departed') {
-        const wasKnown = agents.delete(agentIdentity) || learnedAt.delete(agentIdentity)
+        const wasKnown = agents.has(agentIdentity) || learnedAt.has(agentIdentity)
+        forget(agentIdentity)
         learnedAt.delete(agentIdentity)
         if (!wasKnown) return []
         const { changedAt, clean } = registration
@@ -232,15 +273,17 @@
       for (const [agentIdentity, agent] of agents) events.push(...judge(agentIdentity, agent, now))
       judgeUnheard(now)
       removeOld(now)
+      appendWrites()
       return events
     },
 
     usable: () => [...agents.values()].filter(agent => agent.told === 'usable').map(viewOf),
-    suspected: () => [...agents.entries()].filter(([, agent]) => agent.told === 'suspected').map(([agent]) => agent),
+    suspected: () => [...suspectedSince.keys()],
     heardOf: asked => asked.filter(agent => {
       const heardAt = agents.get(agent)?.heardAt
       return heardAt !== undefined && clock.running() - heardAt < SUSPECTED_MILLISECONDS
     }),
-    registrations: () => fold.list('agent').map(register => register.value as AgentRegistration)
+    registrations: () => fold.list('agent').map(register => register.value as AgentRegistration),
+    mayJudge
   }
 }
--- a/packages/membership/src/create-membership.ts
+++ b/packages/membership/src/create-membership.ts
@@ -19,13 +19,16 @@
     ...options,
     clock,
     suspectedAgents: () => watch.suspected(),
-    heardOf: agents => watch.heardOf(agents)
+    heardOf: agents => watch.heardOf(agents),
+    mayJudge: () => watch.mayJudge()
   })
   const watch: AgentWatch = createAgentWatch({
     ...options,
     clock,
     liveEntries: () => peers.live().map(entry => entry.identity),
-    isHeardElsewhere: peers.isHeardElsewhere,
+    isUnheardElsewhere: peers.isUnheardElsewhere,
+    hearsMostEntries: peers.hearsMostEntries,
+    hearsPeers: peers.hearsPeers,
     entryAddresses: () => peers.live().map(({ identity, address }) => ({ identity, address }))
   })
   let toldEntries = ''
@@ -46,7 +49,7 @@
     },
     announce (announce, now) {
       clock.tick(now)
-      return watch.announce(announce, now)
+      return watch.announce(announce)
     },
     entryHeartbeat (heartbeat, now) {
       clock.tick(now)
--- a/packages/membership/src/entry-peers.ts
+++ b/packages/membership/src/entry-peers.ts
@@ -24,9 +24,13 @@
   failureDomain: string
   state: 'ready' | 'stopping'
   position: number
-  /** Running time at which it was heard last. */
+  /** Running time at which it was heard last, or at which this entry learned of it. */
   heardAt: number
+  /** Whether it was ever heard. */
+  wasHeard: boolean
   answeredSentAt: number | undefined
+  /** When this entry sent the last heartbeat that the peer took in before its own last one, Unix milliseconds. */
+  consultedUpTo: number
   /** Agents that it suspects. */
   suspectedAgents: readonly AgentIdentity[]
   heardAgents: ReadonlySet<AgentIdentity>
@@ -40,6 +44,8 @@
   /** Agents that this entry suspects, and of the given ones those that it hears. */
   readonly suspectedAgents: () => readonly AgentIdentity[]
   readonly heardOf: (agents: readonly AgentIdentity[]) => readonly AgentIdentity[]
+  /** Whether silence of others says something about them. */
+  readonly mayJudge: () => boolean
 }
 
 /** The other entries. */
@@ -54,8 +60,12 @@
   leave: () => void
   /** Live entries with this one, sorted by identity. */
   live: () => readonly EntryView[]
-  /** Whether another live entry hears the agent. */
-  isHeardElsewhere: (agent: AgentIdentity) => boolean
+  /** Whether every live peer had the chance to say that it hears an agent suspected since then, and none does. */
+  isUnheardElsewhere: (agent: AgentIdentity, suspectedSince: number) => boolean
+  /** Whether this entry hears a majority of the registered entries, itself counted. */
+  hearsMostEntries: () => boolean
+  /** Whether this entry hears any other entry. */
+  hearsPeers: () => boolean
 }
 
 /** Makes the view of the other entries. */
@@ -90,7 +100,9 @@
       state: 'ready',
       position: 0,
       heardAt: clock.running(),
+      wasHeard: false,
       answeredSentAt: undefined,
+      consultedUpTo: -Infinity,
       suspectedAgents: [],
       heardAgents: new Set(),
       removedAt: 0
@@ -141,13 +153,36 @@
       const register = registerName('entry', peer)
       const silent = clock.running() - state.heardAt
       const due = REMOVE_MILLISECONDS + rankOf(register, identity, living) * RANK_MILLISECONDS
-      if (silent < due || now - state.removedAt < APPEND_RETRY_MILLISECONDS) continue
+      if (silent < due || now - state.removedAt < APPEND_RETRY_MILLISECONDS || !options.mayJudge()) continue
       state.removedAt = now
       const replaces = fold.read(register)?.version
       if (replaces !== undefined) outbox.append([{ kind: 'write', register, replaces, value: null }])
     }
   }
 
+  /** Whether a registration is left over from an entry that ended before this one began to listen. */
+  function isLeftOver (peer: Peer): boolean {
+    return !peer.wasHeard && clock.running() - peer.heardAt >= REMOVE_MILLISECONDS
+  }
+
+  function hearsMostEntries (): boolean {
+    let registered = 1
+    let heard = 1
+    for (const peer of peers.values()) {
+      if (peer.registration === undefined || isLeftOver(peer)) continue
+      registered += 1
+      if (isLive(peer) && peer.wasHeard) heard += 1
+    }
+    return 2 * heard > registered
+  }
+
+  function hearsPeers (): boolean {
+    for (const peer of peers.values()) {
+      if (isLive(peer) && peer.wasHeard) return true
+    }
+    return false
+  }
+
   function live (): readonly EntryView[] {
     const views: EntryView[] = []
     if (fold.read(ownRegister) !== undefined) {
@@ -171,8 +206,11 @@
 
     heartbeat (message, now) {
       if (message.identity === identity) return
+      const isNew = !peers.has(message.identity)
       const peer = peerOf(message.identity, message.address, message.failureDomain)
+      peer.consultedUpTo = peer.answeredSentAt ?? -Infinity
       peer.heardAt = clock.running()
+      peer.wasHeard = true
       peer.state = message.state
       peer.position = Math.max(peer.position, message.position)
       peer.suspectedAgents = message.suspectedAgents
@@ -186,7 +224,7 @@
           sequence: isWhole ? message.sequence : 0, position: delta.position, registers: delta.registers
         }
       })
-      if (!peers.has(message.identity)) sendHeartbeats(now)
+      if (isNew) sendHeartbeats(now)
     },
 
     answer (from, message) {
@@ -194,6 +232,7 @@
       const sent = sentAt.get(message.sequence)
       if (peer === undefined || sent === undefined) return
       peer.heardAt = clock.running()
+      peer.wasHeard = true
       peer.position = Math.max(peer.position, message.position)
       peer.answeredSentAt = Math.max(sent, peer.answeredSentAt ?? sent)
     },
@@ -232,11 +271,15 @@
 
     live,
 
-    isHeardElsewhere (agent) {
+    isUnheardElsewhere (agent, suspectedSince) {
       for (const peer of peers.values()) {
-        if (isLive(peer) && peer.heardAgents.has(agent)) return true
+        if (!isLive(peer)) continue
+        if (peer.consultedUpTo <= suspectedSince || peer.heardAgents.has(agent)) return false
       }
-      return false
-    }
+      return true
+    },
+
+    hearsMostEntries,
+    hearsPeers
   }
 }
