--- a/packages/command-line/src/commands/fleet-status.ts
+++ b/packages/command-line/src/commands/fleet-status.ts
@@ -39,7 +39,7 @@
     ]
     const toRow = (entry: FleetEntry): string[] => [
       entry.identity, entry.failureDomain, entry.state, String(entry.position), String(entry.partitionsOwned),
-      `${formatAge(entry.heardAt, status.at)} ago`
+      entry.heardAt === undefined ? '' : `${formatAge(entry.heardAt, status.at)} ago`
     ]
     this.logTable(columns, status.entries.map(toRow))
     return status
--- a/packages/configuration/src/create-publisher.ts
+++ b/packages/configuration/src/create-publisher.ts
@@ -1,149 +1,156 @@
-/**
- * Publishes configuration through the platform's log.
- *
- * Whether a publication took effect is told by the fold alone, never by the acknowledgement of an append. A record is
- * never appended blindly a second time: the client of the log settles a doubtful append by reading, and a repetition
- * by an operator names the same version, so that at most one of the two takes effect.
- */
+/** Publishes configuration: checked first, appended once, answered by what the log says. */
 import { canonicalJson } from '@baobabpost/common'
-import {
-  createProblem, NEVER_WRITTEN, REGISTER_SCHEMAS, type LogRecord, type Problem, type RegisterKind
-} from '@baobabpost/messages'
-import type { RegisterFold } from '@baobabpost/platform-log'
-import { Result, Schema } from 'effect'
+import { createProblem, NEVER_WRITTEN, type LogRecord } from '@baobabpost/messages'
+import { valueFault, type RegisterFold } from '@baobabpost/platform-log'
+import type { Configuration } from './configuration.js'
+import { isConfiguration } from './create-configuration.js'
 import type { Publication, Publisher, PublishResult } from './publisher.js'
 
-const DEFAULT_ANSWER_MILLISECONDS = 5_000
-const RETRY_AFTER_MILLISECONDS = 2_000
+/** Time after which a publication that the log did not show is answered with `outcome-unknown`. */
+export const PUBLISH_BOUND_MILLISECONDS = 5_000
+/** When to repeat a publication whose outcome is unknown. */
+const RETRY_AFTER_MILLISECONDS = 1_000
+/** Publications without an answer at one process. */
+const MAXIMUM_PENDING_PUBLICATIONS = 1_000
 
-/** What a publisher works with. */
+/** Ports of a publisher. */
 export interface PublisherOptions {
   readonly fold: Pick<RegisterFold, 'read'>
+  readonly history: Configuration['history']
   /** Appends a record and gives its nonce. */
   readonly append: (changes: LogRecord['changes']) => string
-  /** Time after which a publication without a result is answered `outcome-unknown`. */
-  readonly answerMilliseconds?: number
-}
-
-interface PendingPublication {
-  readonly publication: Publication
-  readonly nonce: string
-  readonly startedAt: number
-  readonly answers: Array<(result: PublishResult) => void>
 }
 
 type Answer = (result: PublishResult) => void
 
-function samePublication (left: Publication, right: Publication): boolean {
-  return left.register === right.register && left.replaces === right.replaces &&
-    canonicalJson(left.value) === canonicalJson(right.value)
+interface Pending {
+  readonly publication: Publication
+  readonly nonce: string
+  /** Same for publications that are the same. */
+  readonly key: string
+  readonly answers: Answer[]
+  readonly answerBefore: number
 }
 
-/** Why a value can't be published, or undefined where it can. */
-function findFault (publication: Publication): string | undefined {
-  const slash = publication.register.indexOf('/')
-  const kind = publication.register.slice(0, slash)
-  const name = publication.register.slice(slash + 1)
-  if (!(kind in REGISTER_SCHEMAS)) return `There is no kind of register '${kind}'`
-  if (publication.value === null) return undefined
-  const schema = REGISTER_SCHEMAS[kind as RegisterKind] as Schema.Codec<unknown>
-  const decoded = Schema.decodeUnknownResult(schema, { onExcessProperty: 'error' })(publication.value)
-  if (Result.isFailure(decoded)) return decoded.failure.message.replaceAll(/\s+/g, ' ')
-  const named = decoded.success as { readonly name?: string }
-  return named.name === name ? undefined : `The value is named '${named.name ?? ''}', the register '${name}'`
+function keyOf (publication: Publication): string {
+  return `${publication.register} ${publication.replaces} ${canonicalJson(publication.value)}`
 }
 
 /**
  * Makes a publisher.
  *
  * @example
- * publisher.publish({ register: 'team/medina', value, replaces: 0 }, now, result => { answer(result) })
+ * publisher.publish({ register: 'team/medina', value: team, replaces: 0 }, Date.now(), result => { reply(result) })
  */
 export function createPublisher (options: PublisherOptions): Publisher {
-  const { fold } = options
-  const answerMilliseconds = options.answerMilliseconds ?? DEFAULT_ANSWER_MILLISECONDS
-  const pending = new Map<string, PendingPublication>()
-  /** Version that the present value of a register replaced, as far as this process saw it. */
-  const inForceBase = new Map<string, number>()
+  const { fold, history, append } = options
+  const byNonce = new Map<string, Pending>()
+  const byKey = new Map<string, Pending>()
+  let refused: Pending[] = []
 
   function versionOf (register: string): number {
     return fold.read(register)?.version ?? NEVER_WRITTEN
   }
 
-  function problem (register: string, body: Problem): PublishResult {
-    return { kind: 'problem', register, version: versionOf(register), problem: body }
+  function problem (register: string, kind: 'malformed-request' | 'version-conflict', detail: string): PublishResult {
+    return { kind: 'problem', register, version: versionOf(register), problem: createProblem(kind, detail) }
+  }
+
+  function unknown (register: string, detail: string): PublishResult {
+    const fields = { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS }
+    const told = createProblem('outcome-unknown', detail, fields)
+    return { kind: 'problem', register, version: versionOf(register), problem: told }
+  }
+
+  /** The version that this publication already brought about, by any process. */
+  function heldBefore (publication: Publication): number | undefined {
+    for (const { version, previousVersion, value } of history(publication.register)) {
+      if (previousVersion !== publication.replaces) continue
+      return canonicalJson(value) === canonicalJson(publication.value) ? version : undefined
+    }
+    return undefined
+  }
+
+  function judge (publication: Publication): PublishResult | undefined {
+    const { register, value, replaces } = publication
+    if (!isConfiguration(register)) return problem(register, 'malformed-request', `'${register}' is not configuration`)
+    const fault = valueFault(register, value)
+    if (fault !== undefined) return problem(register, 'malformed-request', `The value of '${register}': ${fault}`)
+    const version = versionOf(register)
+    if (version === replaces) return undefined
+    const held = heldBefore(publication)
+    if (held !== undefined) return { kind: 'held', register, version: held }
+    if (replaces > version) return unknown(register, `This process knows '${register}' only up to version ${version}`)
+    return problem(register, 'version-conflict', `'${register}' is at version ${version}, not ${replaces}`)
   }
 
-  function conflict (publication: Publication): PublishResult {
-    const version = versionOf(publication.register)
-    const detail = `The register has version ${version}, not ${publication.replaces}`
-    return problem(publication.register, createProblem('version-conflict', detail))
+  function answer (pending: Pending, result: PublishResult): void {
+    byNonce.delete(pending.nonce)
+    byKey.delete(pending.key)
+    for (const reply of pending.answers) reply(result)
   }
 
-  /** Whether exactly this was published against the same base before. */
-  function isInForce ({ register, value, replaces }: Publication): boolean {
-    const found = fold.read(register)
-    if (found === undefined || found.version <= replaces) return false
-    return inForceBase.get(register) === replaces && canonicalJson(found.value) === canonicalJson(value)
+  /** Lets the reply wait for the same publication, if there is one. */
+  function join (publication: Publication, reply: Answer): boolean {
+    const pending = byKey.get(keyOf(publication))
+    pending?.answers.push(reply)
+    return pending !== undefined
   }
 
-  function finish (publication: PendingPublication, result: PublishResult): void {
-    pending.delete(publication.nonce)
-    for (const answer of publication.answers) answer(result)
+  function settle (pending: Pending): void {
+    const { register, replaces } = pending.publication
+    const held = heldBefore(pending.publication)
+    if (held !== undefined) {
+      answer(pending, { kind: 'held', register, version: held })
+      return
+    }
+    const detail = `'${register}' is at version ${versionOf(register)}, not ${replaces}`
+    answer(pending, problem(register, 'version-conflict', detail))
   }
 
-  function join (publication: Publication, answer: Answer): boolean {
-    for (const waiting of pending.values()) {
-      if (!samePublication(waiting.publication, publication)) continue
-      waiting.answers.push(answer)
-      return true
+  /** Looks at refused writes once the changes of their batch are in the history: an equal one may have held. */
+  function settleRefused (): void {
+    for (const pending of refused) {
+      if (byNonce.has(pending.nonce)) settle(pending)
     }
-    return false
+    refused = []
   }
 
   return {
-    publish (publication, now, answer) {
-      const { register, value, replaces } = publication
-      const fault = findFault(publication)
-      if (fault !== undefined) {
-        answer(problem(register, createProblem('malformed-request', fault)))
-        return
-      }
-      if (isInForce(publication)) {
-        answer({ kind: 'held', register, version: versionOf(register) })
+    publish (publication, now, reply) {
+      const judged = judge(publication)
+      if (judged !== undefined) {
+        reply(judged)
         return
       }
-      if (versionOf(register) !== replaces) {
-        answer(conflict(publication))
+      if (join(publication, reply)) return
+      if (byNonce.size >= MAXIMUM_PENDING_PUBLICATIONS) {
+        reply(unknown(publication.register, 'Too many publications wait for the log'))
         return
       }
-      if (join(publication, answer)) return
-      const nonce = options.append([{ kind: 'write', register, replaces, value }])
-      pending.set(nonce, { publication, nonce, startedAt: now, answers: [answer] })
+      const nonce = append([{ kind: 'write', ...publication }])
+      const key = keyOf(publication)
+      const pending = { publication, nonce, key, answers: [reply], answerBefore: now + PUBLISH_BOUND_MILLISECONDS }
+      byNonce.set(nonce, pending)
+      byKey.set(key, pending)
     },
-
     settled (outcomes) {
-      for (const { nonce, register, held, version } of outcomes) {
-        const publication = pending.get(nonce)
-        if (publication === undefined) continue
-        finish(publication, held ? { kind: 'held', register, version } : conflict(publication.publication))
+      for (const { nonce, held, version } of outcomes) {
+        const pending = byNonce.get(nonce)
+        if (pending === undefined) continue
+        if (held) answer(pending, { kind: 'held', register: pending.publication.register, version })
+        else refused.push(pending)
       }
     },
-
-    changed (changes) {
-      for (const { register, previousVersion } of changes) inForceBase.set(register, previousVersion)
-    },
-
+    changed: settleRefused,
     tick (now) {
-      for (const publication of pending.values()) {
-        if (now < publication.startedAt + answerMilliseconds) continue
-        const detail = 'The log did not tell in time whether the publication took effect; publish the same again'
-        finish(publication, problem(publication.publication.register, createProblem('outcome-unknown', detail, {
-          retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS
-        })))
+      settleRefused()
+      for (const pending of [...byNonce.values()]) {
+        if (now < pending.answerBefore) return
+        const { register } = pending.publication
+        answer(pending, unknown(register, `The log has not shown yet whether '${register}' was published`))
       }
     },
-
-    pending: () => pending.size
+    pending: () => byNonce.size
   }
 }
--- a/packages/demo/tests/whole-path.test.ts
+++ b/packages/demo/tests/whole-path.test.ts
@@ -90,7 +90,7 @@
     await submit(fleet.entries[0]!, submission, createTasks(1, 5))
     for (const method of ['GET', 'DELETE'] as const) {
       const answer = await send({
-        method, url: fleet.entries[1]!.url, path: `/v1/submissions/${submission}`, secret: callerSecret('kaasik-office')
+        method, url: fleet.entries[1]!.url, path: `/v1/submissions/${submission}`, secret: callerSecret('kalamaja')
       })
       expect(answer.status, method).toBeGreaterThanOrEqual(400)
       expect(answer.body).not.toHaveProperty('tasks')
--- a/packages/trials/src/callers.ts
+++ b/packages/trials/src/callers.ts
@@ -99,6 +99,7 @@
       else end ??= result.answer.state
       return
     }
+    if (result.kind === 'explanation') return
     const { kind, retryAfterMilliseconds } = result.problem
     lastProblem = kind
     if (kind !== 'outcome-unknown' && kind !== 'not-run') {
