Send urgent tasks ahead, and eject on progress instead of waits

Cause: with injected time, healthy agents were ejected for tasks that only waited, and urgent tasks waited at entries for windows that jobs had filled.

--- /dev/null
+++ b/packages/bench/src/decisions-main.ts
@@ -0,0 +1,65 @@
+/** Compares the placements with injected time: `npm run bench:decisions`. */
+import { BASE_RUN, type DecisionRunOptions, runDecisions } from './decision-run/decision-run.js'
+import { summarize } from './decision-run/summary.js'
+
+const PUSH_PREFETCH_TASKS = 64
+
+type Variant = Pick<DecisionRunOptions, 'placement' | 'prefetchTasks' | 'reservePerUrgentTask'>
+
+const VARIANTS: readonly Variant[] = [
+  { placement: 'round-robin', prefetchTasks: PUSH_PREFETCH_TASKS, reservePerUrgentTask: 0 },
+  { placement: 'two-choices', prefetchTasks: PUSH_PREFETCH_TASKS, reservePerUrgentTask: 0 },
+  { placement: 'late-binding', prefetchTasks: BASE_RUN.prefetchTasks, reservePerUrgentTask: 0 },
+  { placement: 'late-binding', prefetchTasks: BASE_RUN.prefetchTasks, reservePerUrgentTask: 1 }
+]
+
+interface Scenario {
+  readonly name: string
+  readonly changes: Partial<DecisionRunOptions>
+}
+
+const ALWAYS = { from: 10_000, to: Infinity }
+
+const SCENARIOS: readonly Scenario[] = [
+  { name: 'steady 50 %', changes: { load: 0.5 } },
+  { name: 'steady 70 %', changes: { load: 0.7 } },
+  { name: 'steady 90 %', changes: { load: 0.9 } },
+  { name: 'overload 300 %', changes: { load: 3, deadlineMilliseconds: 5_000 } },
+  { name: 'straggler', changes: { faults: new Map([[0, [{ ...ALWAYS, fault: 'slow' }]]]) } },
+  { name: 'hanging', changes: { faults: new Map([[2, [{ ...ALWAYS, fault: 'hangs' }]]]) } },
+  { name: 'fails all', changes: { faults: new Map([[1, [{ ...ALWAYS, fault: 'fails' }]]]) } },
+  { name: 'impossible jobs', changes: { failingJobs: 0.2 } },
+  { name: 'declared x 10', changes: { declaredFactor: 10 } },
+  { name: 'declared / 10', changes: { declaredFactor: 0.1 } }
+]
+
+function formatNumber (value: number): string {
+  return value.toFixed(2).padStart(8)
+}
+
+function runScenario (scenario: Scenario, seed: number): void {
+  process.stdout.write(`\n${scenario.name}\n`)
+  for (const variant of VARIANTS) {
+    const options = { ...BASE_RUN, ...scenario.changes, ...variant, seed }
+    const began = process.cpuUsage()
+    const result = runDecisions(options)
+    const used = process.cpuUsage(began)
+    const { urgent, jobs, failed, refused, expired, goodput } = summarize(options, result)
+    const ejections = result.events.filter(event => event.kind === 'ejected')
+    const firstEjection = ejections[0]?.at ?? NaN
+    const microseconds = (used.user + used.system) / Math.max(1, result.dispatched)
+    process.stdout.write([
+      `${variant.placement} ${variant.reservePerUrgentTask}`.padEnd(15),
+      'urgent', formatNumber(urgent.overOwnIdeal.median), formatNumber(urgent.overOwnIdeal.percentile99),
+      formatNumber(urgent.overFastestIdeal.median), formatNumber(urgent.overFastestIdeal.percentile99),
+      'jobs ms', formatNumber(jobs.responseMilliseconds.median), formatNumber(jobs.responseMilliseconds.percentile99),
+      'goodput', formatNumber(goodput), `failed ${failed} refused ${refused} expired ${expired}`,
+      `ejected ${ejections.length} first ${firstEjection} us/task ${microseconds.toFixed(0)}`
+    ].join(' ') + '\n')
+  }
+}
+
+const [chosen, seedText] = process.argv.slice(2)
+for (const scenario of SCENARIOS) {
+  if (chosen === undefined || chosen === 'all' || scenario.name === chosen) runScenario(scenario, Number(seedText ?? 1))
+}
--- a/packages/placement/src/agent-state.ts
+++ b/packages/placement/src/agent-state.ts
@@ -5,6 +5,7 @@
 import { type AgentSpeed, createAgentSpeed } from './run-time-model.js'
 
 const PART_OF_WINDOW_BEFORE_PROVEN = 0.25
+const WAIT_DECAY = 0.9
 
 /** A dispatched task without an outcome. */
 export interface OutstandingTask {
@@ -12,6 +13,7 @@
   readonly dispatchedAt: number
   /** Whether it tests an agent that was ejected. */
   readonly probe: boolean
+  readonly urgent: boolean
 }
 
 /** An agent with its outstanding tasks. */
@@ -22,6 +24,11 @@
   /** By `taskName`, oldest first. */
   readonly outstanding: Map<string, OutstandingTask>
   probesOutstanding: number
+  urgentOutstanding: number
+  /** Longest recent time between the dispatch and the end of a task in which it did not run, milliseconds. */
+  recentWaitMilliseconds: number
+  /** Unix time in milliseconds of the last end of a task that was not slow. */
+  lastNormalEndAt: number
   readonly speed: AgentSpeed
   readonly health: AgentHealth
 }
@@ -38,11 +45,39 @@
     window: 0,
     outstanding: new Map(),
     probesOutstanding: 0,
+    urgentOutstanding: 0,
+    recentWaitMilliseconds: 0,
+    lastNormalEndAt: 0,
     speed: createAgentSpeed(speedLogarithm),
     health: createAgentHealth(now)
   }
 }
 
+/** Notes a dispatched task. */
+export function addOutstanding (state: AgentState, task: WaitingTask, now: number): void {
+  const probe = state.health.standing === 'probing'
+  const { template, urgent } = task
+  state.outstanding.set(taskName(task), { template, dispatchedAt: now, probe, urgent })
+  if (probe) state.probesOutstanding += 1
+  if (urgent) state.urgentOutstanding += 1
+}
+
+/** Takes out a task that ended; undefined where it is not known. */
+export function removeOutstanding (state: AgentState, task: WaitingTask): OutstandingTask | undefined {
+  const name = taskName(task)
+  const outstanding = state.outstanding.get(name)
+  if (outstanding === undefined) return undefined
+  state.outstanding.delete(name)
+  if (outstanding.probe) state.probesOutstanding -= 1
+  if (outstanding.urgent) state.urgentOutstanding -= 1
+  return outstanding
+}
+
+/** Learns how long tasks wait at the agent before they run. */
+export function noteWait (state: AgentState, waitMilliseconds: number): void {
+  state.recentWaitMilliseconds = Math.max(waitMilliseconds, state.recentWaitMilliseconds * WAIT_DECAY)
+}
+
 /** Number of further tasks that the agent may get now. */
 export function roomOf (state: AgentState): number {
   const { health, window } = state
--- a/packages/placement/src/late-binding.ts
+++ b/packages/placement/src/late-binding.ts
@@ -11,7 +11,9 @@
 
 const FAR_MILLISECONDS = 3
 const FULL_LOAD_MILLISECONDS = 2
-const URGENT_PART_OF_ROOM = 0.05
+const URGENT_DEVIATIONS = 1
+const URGENT_WAIT_WEIGHT = 4
+const MOST_URGENT_WAITING = 4
 const MAXIMUM_CANDIDATES = 64
 const NOTABLY_SLOWER = 1.2
 
@@ -42,7 +44,7 @@
   }
 
   protected override pick (
-    service: ServiceState, task: WaitingTask, now: number, waiting: number
+    service: ServiceState, task: WaitingTask, now: number, waiting: number, owed: boolean
   ): AgentState | undefined {
     const { agents } = service
     const reference = this.model.reference(task.template) ?? Math.max(1, task.expectedMilliseconds)
@@ -50,29 +52,48 @@
     const start = agents.length > 1 ? this.#options.random.below(agents.length) : 0
     let best: Candidate | undefined
     let room = 0
-    let windows = 0
+    let urgentOutstanding = 0
     for (let step = 0; step < steps; step += 1) {
       const state = agents[(start + step) % agents.length]!
       room += roomOf(state)
-      windows += state.window
-      if (!this.mayTake(service, state, task, now)) continue
-      const milliseconds = this.#finishMilliseconds(service, state, reference)
+      urgentOutstanding += state.urgentOutstanding
+      if (!this.mayTake(service, state, task, now, waiting)) continue
+      const milliseconds = this.#finishMilliseconds(service, state, reference, task.urgent)
       if (best === undefined || milliseconds < best.milliseconds) best = { state, milliseconds }
     }
     if (best === undefined) return undefined
-    if (!task.urgent && room <= Math.floor(windows * URGENT_PART_OF_ROOM)) return undefined
+    if (task.urgent) return best.state
+    if (!owed && room <= this.#roomForUrgent(urgentOutstanding)) return undefined
     if (this.#worthWaiting(service, best, task, reference, now, waiting)) return undefined
     return best.state
   }
 
+  /** Places that jobs leave free, so that urgent tasks seldom wait: as many as the number of urgent ones varies by. */
+  #roomForUrgent (urgentOutstanding: number): number {
+    return Math.floor(URGENT_DEVIATIONS * Math.sqrt(urgentOutstanding))
+  }
+
+  /** An urgent task may also go ahead of the tasks that wait at an agent. */
+  protected override roomFor (state: AgentState, task: WaitingTask, waiting: number): number {
+    const room = roomOf(state)
+    if (!task.urgent || room > 0 || waiting > MOST_URGENT_WAITING) return room
+    const { health, outstanding, window } = state
+    if (health.standing !== 'active' || health.failureEvidence > 0) return room
+    return Math.max(0, window + state.agent.slots - outstanding.size)
+  }
+
   /** Expected time until the agent has finished one more task. */
-  #finishMilliseconds (service: ServiceState, state: AgentState, reference: number): number {
+  #finishMilliseconds (
+    service: ServiceState, state: AgentState, reference: number, urgent: boolean
+  ): number {
     const factor = Math.exp(state.speed.logarithm)
     const { slots, failureDomain } = state.agent
     const slotShare = Math.max(1, state.window * slots / (slots + this.#options.prefetchTasks))
-    const ahead = Math.max(0, state.outstanding.size + 1 - slotShare)
+    const waiting = Math.max(0, state.outstanding.size + 1 - slotShare)
     const mean = service.meanMilliseconds ?? reference
-    const wait = ahead * mean * factor / slotShare
+    // An urgent task waits at the agent for other urgent ones and for the first slot that becomes free.
+    const ahead = urgent ? Math.min(waiting, state.urgentOutstanding + 1) : waiting
+    const wait = ahead * mean * factor / (urgent ? slots / URGENT_WAIT_WEIGHT : slotShare)
     const distance = failureDomain === this.#options.failureDomain ? 0 : FAR_MILLISECONDS
     const spread = FULL_LOAD_MILLISECONDS * state.outstanding.size / slots
     return wait + reference * factor + distance + spread
--- a/packages/placement/src/overdue.ts
+++ b/packages/placement/src/overdue.ts
@@ -22,6 +22,8 @@
   readonly overdueProbes: number
   /** Logarithm of the likelihood ratio between a bad worker and usual long runs. */
   readonly evidence: number
+  /** Whether a task ended at the usual speed lately, so that overdue ones are more likely waiting than slow. */
+  readonly progressing: boolean
   /** Whether all tasks are outstanding so long that no run of the template is expected to take it. */
   readonly hanging: boolean
 }
@@ -32,8 +34,14 @@
   readonly overdue: number
 }
 
-/** Counts the overdue tasks of an agent. */
-export function overdueTasks (state: AgentState, model: RunTimeModel, now: number): OverdueCount {
+/**
+ * Counts the overdue tasks of an agent.
+ *
+ * @param meanMilliseconds - Mean run time of the service at reference speed.
+ */
+export function overdueTasks (
+  state: AgentState, model: RunTimeModel, meanMilliseconds: number, now: number
+): OverdueCount {
   const factor = Math.exp(state.speed.logarithm)
   const slots = state.agent.slots
   let overdue = 0
@@ -45,7 +53,7 @@
     const expected = (model.reference(task.template) ?? Infinity) * factor
     // Tasks beyond the slots wait at the agent for others first.
     const turns = 1 + Math.floor(position / slots)
-    const elapsed = now - task.dispatchedAt - GRACE_MILLISECONDS
+    const elapsed = now - task.dispatchedAt - state.recentWaitMilliseconds - GRACE_MILLISECONDS
     position += 1
     hanging &&= elapsed > Math.max(expected * HANGING_RATIO * turns, LEAST_HANGING_MILLISECONDS)
     const usual = Math.min(model.slowTimeShare(task.template), OVERDUE_SHARE_OF_BAD_WORKER)
@@ -57,12 +65,14 @@
       evidence += Math.log((1 - OVERDUE_SHARE_OF_BAD_WORKER) / (1 - usual))
     }
   }
-  return { outstanding: state.outstanding.size, overdue, overdueProbes, evidence, hanging }
+  const progressing = now - state.lastNormalEndAt <= meanMilliseconds * factor * SLOW_RATIO
+  return { outstanding: state.outstanding.size, overdue, overdueProbes, evidence, progressing, hanging }
 }
 
 /** The reason to eject an agent with these tasks, if any. */
 export function overdueReason (own: OverdueCount, others: OtherAgents): EjectionReason | undefined {
   if (others.overdue > others.outstanding * MOST_OVERDUE_SHARE_OF_OTHERS) return undefined
+  if (own.progressing) return undefined
   if (own.hanging) return 'hanging'
   if (own.overdueProbes > 0) return 'slow'
   return own.evidence >= EVIDENCE_LIMIT ? 'slow' : undefined
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -41,8 +41,9 @@
    * Chooses an agent for the task, or none if it should wait.
    *
    * @param waiting - Tasks that wait in the lane of the task, this one included.
+   * @param owed - Whether the task is a job's whose turn it is though urgent tasks wait.
    */
-  abstract choose (task: WaitingTask, now: number, waiting: number): AgentIdentity | undefined
+  abstract choose (task: WaitingTask, now: number, waiting: number, owed?: boolean): AgentIdentity | undefined
 
   /** Notes that the task was dispatched to the agent. */
   abstract dispatched (identity: AgentIdentity, task: WaitingTask, now: number): void
--- a/packages/placement/src/round-robin.ts
+++ b/packages/placement/src/round-robin.ts
@@ -8,13 +8,15 @@
   override readonly name = 'round-robin'
   readonly #turns = new WeakMap<ServiceState, number>()
 
-  protected override pick (service: ServiceState, task: WaitingTask, now: number): AgentState | undefined {
+  protected override pick (
+    service: ServiceState, task: WaitingTask, now: number, waiting: number
+  ): AgentState | undefined {
     const { agents } = service
     const turn = this.#turns.get(service) ?? 0
     for (let step = 0; step < agents.length; step += 1) {
       const position = (turn + step) % agents.length
       const state = agents[position]!
-      if (!this.mayTake(service, state, task, now)) continue
+      if (!this.mayTake(service, state, task, now, waiting)) continue
       this.#turns.set(service, position + 1)
       return state
     }
--- a/packages/placement/src/tracked-placement.ts
+++ b/packages/placement/src/tracked-placement.ts
@@ -2,7 +2,7 @@
 import type { WaitingTask } from '@baobabpost/admission'
 import type { AgentIdentity } from '@baobabpost/common'
 import { eject, ejectionReason, type EjectionReason, noteOutcome, noteProbeSuccess, noteSpeed, startProbing } from './agent-health.js'
-import { type AgentState, createAgentState, roomOf, taskName } from './agent-state.js'
+import { addOutstanding, type AgentState, createAgentState, noteWait, removeOutstanding, roomOf } from './agent-state.js'
 import { createFailureRecord } from './failure-record.js'
 import { overdueReason, overdueTasks } from './overdue.js'
 import { type PlaceableAgent, Placement, type PlacementEvent, type PlacementResult } from './placement.js'
@@ -30,7 +30,7 @@
 
   /** Picks an agent that `mayTake` the task, or none if it should wait. */
   protected abstract pick (
-    service: ServiceState, task: WaitingTask, now: number, waiting: number
+    service: ServiceState, task: WaitingTask, now: number, waiting: number, owed: boolean
   ): AgentState | undefined
 
   override setAgent (agent: PlaceableAgent): void {
@@ -66,18 +66,16 @@
     return false
   }
 
-  override choose (task: WaitingTask, now: number, waiting: number): AgentIdentity | undefined {
+  override choose (task: WaitingTask, now: number, waiting: number, owed = false): AgentIdentity | undefined {
     const service = this.#services.get(task.service)
     if (service === undefined) return undefined
-    return this.pick(service, task, now, waiting)?.agent.identity
+    return this.pick(service, task, now, waiting, owed)?.agent.identity
   }
 
   override dispatched (identity: AgentIdentity, task: WaitingTask, now: number): void {
     const state = this.#agents.get(identity)
     if (state === undefined) return
-    const probe = state.health.standing === 'probing'
-    state.outstanding.set(taskName(task), { template: task.template, dispatchedAt: now, probe })
-    if (probe) state.probesOutstanding += 1
+    addOutstanding(state, task, now)
   }
 
   override finished (
@@ -86,13 +84,11 @@
     this.#latest = now
     const state = this.#agents.get(identity)
     if (state === undefined) return
-    const name = taskName(task)
-    const outstanding = state.outstanding.get(name)
-    if (outstanding === undefined) return
-    state.outstanding.delete(name)
-    if (outstanding.probe) state.probesOutstanding -= 1
-    if (result === 'refused') return
+    const outstanding = removeOutstanding(state, task)
+    if (outstanding === undefined || result === 'refused') return
+    if (result === 'succeeded') noteWait(state, now - outstanding.dispatchedAt - runMilliseconds)
     const slow = result === 'succeeded' && this.#learnSpeed(state, task.template, runMilliseconds)
+    if (result === 'succeeded' && !slow) state.lastNormalEndAt = now
     this.#learnOutcome(state, task.template, result !== 'succeeded', now)
     this.#judge(state, outstanding.probe, result === 'succeeded', slow, now)
   }
@@ -109,9 +105,16 @@
     return events
   }
 
+  /** Number of further tasks like this that the agent may get now. */
+  protected roomFor (state: AgentState, _task: WaitingTask, _waiting: number): number {
+    return roomOf(state)
+  }
+
   /** Whether the agent may get the task now. */
-  protected mayTake (service: ServiceState, state: AgentState, task: WaitingTask, now: number): boolean {
-    if (roomOf(state) <= 0) return false
+  protected mayTake (
+    service: ServiceState, state: AgentState, task: WaitingTask, now: number, waiting: number
+  ): boolean {
+    if (this.roomFor(state, task, waiting) <= 0) return false
     const { identity } = state.agent
     const excluded = task.excludedAgents
     // Where all agents are excluded, any is better than none.
@@ -189,7 +192,7 @@
   }
 
   #examine (service: ServiceState, now: number): void {
-    const counts = service.agents.map(state => overdueTasks(state, this.model, now))
+    const counts = service.agents.map(state => overdueTasks(state, this.model, service.meanMilliseconds ?? 0, now))
     let overdue = 0
     let outstanding = 0
     for (const count of counts) {
--- a/packages/placement/src/two-choices.ts
+++ b/packages/placement/src/two-choices.ts
@@ -16,17 +16,19 @@
     this.#random = random
   }
 
-  protected override pick (service: ServiceState, task: WaitingTask, now: number): AgentState | undefined {
+  protected override pick (
+    service: ServiceState, task: WaitingTask, now: number, waiting: number
+  ): AgentState | undefined {
     const { agents } = service
     if (agents.length === 0) return undefined
     let first: AgentState | undefined
     for (let draw = 0; draw < DRAWS; draw += 1) {
       const state = agents[this.#random.below(agents.length)]!
-      if (state === first || !this.mayTake(service, state, task, now)) continue
+      if (state === first || !this.mayTake(service, state, task, now, waiting)) continue
       if (first !== undefined) return load(state) < load(first) ? state : first
       first = state
     }
-    return first ?? agents.find(state => this.mayTake(service, state, task, now))
+    return first ?? agents.find(state => this.mayTake(service, state, task, now, waiting))
   }
 }
 
