Keep slots free for urgent tasks at the agent

Change: the agent's start queue leaves slots to urgent tasks by their recent mean; Policy.urgentReserve sets how many (optional, default 1).

--- a/packages/bench/src/decision-run/decision-run.ts
+++ b/packages/bench/src/decision-run/decision-run.ts
@@ -23,6 +23,8 @@
   readonly placement: Placement['name']
   /** Tasks beyond its slots that an agent accepts ahead. */
   readonly prefetchTasks: number
+  /** Slots that jobs leave free at an agent for each urgent task that runs there on average. */
+  readonly reservePerUrgentTask: number
   readonly entries: number
   readonly agents: number
   readonly slots: number
@@ -66,6 +68,7 @@
   seed: 1,
   placement: 'late-binding',
   prefetchTasks: 2,
+  reservePerUrgentTask: 1,
   entries: 4,
   agents: 12,
   slots: 8,
@@ -111,6 +114,7 @@
       start: START,
       entries: options.entries,
       prefetchTasks: options.prefetchTasks,
+      reservePerUrgentTask: options.reservePerUrgentTask,
       windowGrew: entry => { entries[entry]?.windowChanged(agent) }
     })
     agents.set(model.identity, agent)
--- a/packages/bench/src/decision-run/model-agent.ts
+++ b/packages/bench/src/decision-run/model-agent.ts
@@ -1,7 +1,7 @@
 /** An agent with its upstream as a run with injected time needs it: slots, a queue, windows, a speed and faults. */
 import type { AgentIdentity } from '@baobabpost/common'
+import { createUrgentReserve, shareWindows } from '@baobabpost/execution'
 import type { EventQueue } from './event-queue.js'
-import { shareWindows } from '@baobabpost/execution'
 
 const FAILURE_MILLISECONDS = 5
 
@@ -56,6 +56,8 @@
   readonly start: number
   readonly entries: number
   readonly prefetchTasks: number
+  /** Slots that jobs leave free for each urgent task that runs on average. */
+  readonly reservePerUrgentTask: number
   /** Called when a window of an entry grew. */
   readonly windowGrew: (entry: number) => void
 }
@@ -67,6 +69,7 @@
   const unfinished = new Array<number>(options.entries).fill(0)
   const backlogs = new Array<number>(options.entries).fill(0)
   const capacity = model.slots + options.prefetchTasks
+  const reserve = createUrgentReserve({ slots: model.slots, slotsPerUrgentTask: () => options.reservePerUrgentTask })
   let windows = shareWindows(capacity, backlogs)
   let running = 0
   let busy = 0
@@ -102,16 +105,22 @@
     const runMilliseconds = failed ? FAILURE_MILLISECONDS : task.workMilliseconds * slowness
     running += 1
     busy += runMilliseconds
+    if (task.urgent) reserve.started(events.now())
     events.after(runMilliseconds, () => {
       running -= 1
+      if (task.urgent) reserve.ended(events.now())
       end(task, failed ? 'failed' : 'succeeded', runMilliseconds)
       startWaiting()
     })
   }
 
+  function nextJobTask (): AgentTask | undefined {
+    return running < model.slots - reserve.slots(events.now()) ? waiting.other.shift() : undefined
+  }
+
   function startWaiting (): void {
     while (running < model.slots) {
-      const task = waiting.urgent.shift() ?? waiting.other.shift()
+      const task = waiting.urgent.shift() ?? nextJobTask()
       if (task === undefined) return
       if (task.startBefore <= events.now()) end(task, 'refused', 0)
       else startTask(task)
--- a/packages/bench/src/decision-run/model-entry.ts
+++ b/packages/bench/src/decision-run/model-entry.ts
@@ -63,6 +63,10 @@
     slots += agent.model.slots
   }
 
+  function expectedMilliseconds (template: string): number {
+    return placement.expectedMilliseconds(template) ?? options.declaredMilliseconds(template)
+  }
+
   function itemOf (task: WaitingTask): WorkItem {
     return items.get(task.submission)![task.index]!
   }
@@ -130,7 +134,7 @@
         urgent: item.urgent,
         startBefore: now + options.deadlineMilliseconds,
         waitingSince: now,
-        expectedMilliseconds: placement.expectedMilliseconds(item.template) ?? options.declaredMilliseconds(item.template),
+        expectedMilliseconds: expectedMilliseconds(item.template),
         excludedAgents: []
       }))
       if (queue.offer(tasks, now).kind === 'refused') recorder.refused(tasks.length)
--- a/packages/execution/src/agent-registers.ts
+++ b/packages/execution/src/agent-registers.ts
@@ -8,8 +8,11 @@
   apply: (registers: readonly RegisterValue[], position: number) => void
   position: () => number
   prefetchTasks: () => number
+  /** Slots that jobs leave free for each urgent task that runs on average. */
+  urgentReserve: () => number
 }
 
+const DEFAULT_URGENT_RESERVE = 1
 const POLICY_PREFIX = 'policy/'
 const DEFAULT_POLICY = 'default'
 const decodePolicy = Schema.decodeUnknownResult(Policy)
@@ -17,6 +20,7 @@
 interface KnownPolicy {
   readonly version: number
   readonly prefetchTasks: number | undefined
+  readonly urgentReserve: number | undefined
 }
 
 /**
@@ -33,13 +37,14 @@
     const known = policies.get(register)
     if (known !== undefined && known.version >= version) return
     if (value === null) {
-      policies.set(register, { version, prefetchTasks: undefined })
+      policies.set(register, { version, prefetchTasks: undefined, urgentReserve: undefined })
       return
     }
     const decoded = decodePolicy(value)
     // A policy that does not decode leaves the one before it in force.
     const prefetchTasks = Result.isSuccess(decoded) ? decoded.success.prefetchTasks : known?.prefetchTasks
-    policies.set(register, { version, prefetchTasks })
+    const urgentReserve = Result.isSuccess(decoded) ? decoded.success.urgentReserve : known?.urgentReserve
+    policies.set(register, { version, prefetchTasks, urgentReserve })
   }
 
   return {
@@ -56,6 +61,13 @@
         if (prefetchTasks !== undefined) return prefetchTasks
       }
       return fallbackPrefetchTasks
+    },
+    urgentReserve () {
+      for (const name of relevant) {
+        const urgentReserve = policies.get(name)?.urgentReserve
+        if (urgentReserve !== undefined) return urgentReserve
+      }
+      return DEFAULT_URGENT_RESERVE
     }
   }
 }
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -44,7 +44,8 @@
     metrics: options.metrics,
     leaseUntil: lease.until,
     leaving: () => currentState() !== 'active',
-    highestEpoch: epochs.highest
+    highestEpoch: epochs.highest,
+    reservePerUrgentTask: registers.urgentReserve
   })
   const announcer = createAnnouncer({
     agent: options,
--- a/packages/execution/src/start-queue.ts
+++ b/packages/execution/src/start-queue.ts
@@ -4,8 +4,8 @@
 /** The waiting tasks of an agent. A task that is no longer `queued` is passed over. */
 export interface StartQueue {
   push: (task: TaskState, urgent: boolean) => void
-  /** Takes out the first task. */
-  next: () => TaskState | undefined
+  /** Takes out the first task, or the first urgent one where jobs may not start. */
+  next: (jobsToo: boolean) => TaskState | undefined
   /** Takes out all tasks for which the condition holds. */
   takeWhere: (condition: (task: TaskState) => boolean) => readonly TaskState[]
 }
@@ -54,7 +54,7 @@
       if (urgent) urgentTasks.push(task)
       else otherTasks.push(task)
     },
-    next: () => urgentTasks.next() ?? otherTasks.next(),
+    next: jobsToo => urgentTasks.next() ?? (jobsToo ? otherTasks.next() : undefined),
     takeWhere: condition => [...urgentTasks.takeWhere(condition), ...otherTasks.takeWhere(condition)]
   }
 }
--- a/packages/execution/src/task-runner.ts
+++ b/packages/execution/src/task-runner.ts
@@ -5,6 +5,7 @@
 import type { Reporter } from './reporter.js'
 import { findRefusal, START_RULES, type StartFacts, type StartRule } from './start-rules.js'
 import { createStartQueue } from './start-queue.js'
+import { createUrgentReserve } from './urgent-reserve.js'
 import type { TaskState, TaskWork } from './task-state.js'
 
 /** The slots of an agent. */
@@ -45,6 +46,8 @@
   readonly leaseUntil: () => number
   readonly leaving: () => boolean
   readonly highestEpoch: (partition: number) => number
+  /** Slots that jobs leave free for each urgent task that runs on average. */
+  readonly reservePerUrgentTask: () => number
 }
 
 const MAXIMUM_DETAIL_CHARACTERS = 500
@@ -73,6 +76,7 @@
 export function createTaskRunner (options: TaskRunnerOptions): TaskRunner {
   const { slots, startRules, upstream, reporter, invariants, metrics } = options
   const queue = createStartQueue()
+  const reserve = createUrgentReserve({ slots, slotsPerUrgentTask: options.reservePerUrgentTask })
   const unfinished = new Set<TaskState>()
   const running = new Set<TaskState>()
   let queuedCount = 0
@@ -127,6 +131,7 @@
     queuedCount -= 1
     startedCount += 1
     running.add(task)
+    if (work.group.urgent) reserve.started(now)
     task.state = 'running'
     task.startedAt = now
     work.giveUpAt = now + work.group.timeoutMilliseconds
@@ -155,7 +160,7 @@
     refuse,
     startNext (now) {
       while (running.size < slots) {
-        const task = queue.next()
+        const task = queue.next(running.size < slots - reserve.slots(now))
         if (task?.work === undefined) return
         const refusal = refusalOf(task.work, now)
         if (refusal === undefined) start(task, task.work, now)
@@ -164,6 +169,7 @@
     },
     completed (task, result, now) {
       if (!running.delete(task)) return
+      if (task.work?.group.urgent === true) reserve.ended(now)
       task.runMilliseconds = Math.max(0, now - task.startedAt)
       if (result.kind === 'succeeded') task.answerBytes = result.answerBytes
       if (result.kind === 'unreached') {
--- /dev/null
+++ b/packages/execution/tests/urgent-reserve.test.ts
@@ -0,0 +1,33 @@
+import { describe, expect, it } from 'vitest'
+import { createUrgentReserve } from '@baobabpost/execution'
+
+const NOW = 1_000_000
+
+describe('the reserve for urgent tasks', () => {
+  it('is zero without urgent tasks, so that jobs use every slot', () => {
+    expect(createUrgentReserve({ slots: 8, slotsPerUrgentTask: () => 1 }).slots(NOW)).toBe(0)
+  })
+
+  it('follows the number of urgent tasks that run on average, and goes again after them', () => {
+    const reserve = createUrgentReserve({ slots: 8, slotsPerUrgentTask: () => 1 })
+    reserve.started(NOW)
+    reserve.started(NOW)
+    expect(reserve.slots(NOW + 100)).toBe(0)
+    expect(reserve.slots(NOW + 20_000)).toBe(2)
+    reserve.ended(NOW + 20_000)
+    reserve.ended(NOW + 20_000)
+    expect(reserve.slots(NOW + 40_000)).toBe(0)
+  })
+
+  it('never takes more than half of the slots from jobs', () => {
+    const reserve = createUrgentReserve({ slots: 8, slotsPerUrgentTask: () => 1 })
+    for (let count = 0; count < 8; count += 1) reserve.started(NOW)
+    expect(reserve.slots(NOW + 60_000)).toBe(4)
+  })
+
+  it('is switched off by a factor of zero', () => {
+    const reserve = createUrgentReserve({ slots: 8, slotsPerUrgentTask: () => 0 })
+    for (let count = 0; count < 8; count += 1) reserve.started(NOW)
+    expect(reserve.slots(NOW + 60_000)).toBe(0)
+  })
+})
--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -54,6 +54,11 @@
   placement: Schema.Literals(['late-binding', 'two-choices', 'round-robin']),
   /** Tasks beyond its slots that an agent accepts ahead. */
   prefetchTasks: Whole,
+  /**
+   * Slots that jobs leave free at an agent for each urgent task that runs there on average. More favours the response
+   * of urgent tasks, 0 the throughput of jobs.
+   */
+  urgentReserve: Schema.optionalKey(Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 8 }))),
   /** Retries and hedges of single calls as a share of successes. */
   retryShare: Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 1 })),
   /** Whether unmarked single calls may be hedged. */
