Write the docs' lists and samples from the code, and probe capacity

Cause: lists in pages drift from the code; the target needs slopes that are measured on the real slices.

--- /dev/null
+++ b/packages/capacity/src/main.ts
@@ -0,0 +1,25 @@
+/** `npm run capacity`: measures the slopes and prints them as a table. */
+import { fitSlope } from './fit-slope.js'
+import type { Probe } from './probe.js'
+import { probeAgent } from './probes/agent-probe.js'
+import { probeConfiguration } from './probes/configuration-probe.js'
+import { probeEntry } from './probes/entry-probe.js'
+import { probeLink } from './probes/link-probe.js'
+
+const PROBES: readonly Probe[] = [probeLink, probeAgent, probeConfiguration, probeEntry]
+
+function formatNumber (value: number): string {
+  return Math.abs(value) >= 100 ? value.toFixed(0) : value.toPrecision(3)
+}
+
+process.stdout.write('| per | cost | slope | fixed | fit | sizes |\n|---|---|---|---|---|---|\n')
+for (const probe of PROBES) {
+  for (const { per, cost, points } of await probe()) {
+    const { perUnit, fixed, fit } = fitSlope(points)
+    const sizes = points.map(point => point.size).join(', ')
+    const cells = [per, cost, formatNumber(perUnit), formatNumber(fixed), fit.toFixed(3), sizes]
+    process.stdout.write(`| ${cells.join(' | ')} |\n`)
+  }
+}
+const { rss, heapUsed } = process.memoryUsage()
+process.stdout.write(`\nthis process: ${Math.round(rss / 1_048_576)} MB resident, ${Math.round(heapUsed / 1_048_576)} MB of heap\n`)
--- /dev/null
+++ b/packages/capacity/src/probes/agent-probe.ts
@@ -0,0 +1,188 @@
+/** What a task and an entry cost at an agent, in its decisions alone: no sockets, an upstream that answers at once. */
+import {
+  createAgentIdentity, createEntryIdentity, createInvariants, createSubmissionKey, silentLogger, silentMetrics,
+  type EntryIdentity
+} from '@baobabpost/common'
+import { createExecution, type Execution } from '@baobabpost/execution'
+import type { DispatchGroup, LinkMessage } from '@baobabpost/messages'
+import type { Point } from '../fit-slope.js'
+import { heapBytes, leastOf, microsecondsOf } from '../measure.js'
+import type { ProbeResult } from '../probe.js'
+
+const SLOTS = 64
+const TASKS_PER_GROUP = 20
+const HEARTBEAT_MILLISECONDS = 500
+const HEARTBEAT_ROUNDS = 1_000
+const REPETITIONS = 3
+
+/** An agent whose upstream answers at once and whose entries acknowledge everything. */
+interface ProbedAgent {
+  readonly execution: Execution
+  readonly entries: readonly EntryIdentity[]
+  /** Messages sent since they were last taken. */
+  readonly takeSent: () => readonly LinkMessage[]
+  /** Answers what was sent since the last call; returns the number of tasks that were reported. */
+  settle: (now: number) => number
+}
+
+function createProbedAgent (entryCount: number, startedAt: number): ProbedAgent {
+  const entries = Array.from({ length: entryCount }, (_, place) => createEntryIdentity(`entry-${place}`))
+  const addresses = entries.map((identity, place) => ({ identity, address: `10.0.0.${place}:7001` }))
+  const outgoing: Array<{ to: EntryIdentity, message: LinkMessage }> = []
+  const started: Array<{ submission: string, index: number }> = []
+  let sent: LinkMessage[] = []
+  const execution = createExecution({
+    identity: createAgentIdentity('agent-1'),
+    address: '10.1.0.1:7101',
+    service: 'lending',
+    failureDomain: 'dakar-1',
+    slots: SLOTS,
+    connections: 60,
+    heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
+    outbox: {
+      send: (to, message) => {
+        sent.push(message)
+        outgoing.push({ to: to as EntryIdentity, message })
+      },
+      append: () => {}
+    },
+    upstream: {
+      startTask: ({ submission, index }) => { started.push({ submission, index }) },
+      abortTask: () => {},
+      probe: () => {}
+    },
+    entries: {
+      setEntry: () => {},
+      forgetEntry: () => {},
+      sendToSeeds: message => { outgoing.push({ to: entries[0] as EntryIdentity, message }) }
+    },
+    invariants: createInvariants((invariant, detail) => { throw new Error(`${invariant}: ${detail}`) }),
+    logger: silentLogger,
+    metrics: silentMetrics
+  })
+
+  function answer (to: EntryIdentity, message: LinkMessage, now: number): number {
+    if (message.method === 'announce') {
+      execution.receive(to, {
+        method: 'announced',
+        parameters: {
+          sequence: message.parameters.sequence,
+          standing: 'joined',
+          entries: addresses,
+          registers: [],
+          configurationPosition: 0
+        }
+      }, now)
+    }
+    if (message.method !== 'report') return 0
+    execution.receive(to, { method: 'acknowledge', parameters: { sequences: [message.parameters.sequence] } }, now)
+    return message.parameters.submissions.reduce((sum, part) => sum + part.tasks.length, 0)
+  }
+
+  function settle (now: number): number {
+    let reported = 0
+    for (;;) {
+      const ends = started.splice(0)
+      for (const { submission, index } of ends) {
+        execution.completed(submission, index, { kind: 'succeeded', answer: { ok: true }, answerBytes: 11 }, now)
+      }
+      execution.flush(now)
+      const messages = outgoing.splice(0)
+      for (const { to, message } of messages) reported += answer(to, message, now)
+      if (ends.length === 0 && messages.length === 0) return reported
+    }
+  }
+
+  for (let round = 0; round < 3; round += 1) {
+    execution.tick(startedAt - HEARTBEAT_MILLISECONDS * (3 - round))
+    settle(startedAt - HEARTBEAT_MILLISECONDS * (3 - round))
+  }
+  execution.tick(startedAt)
+  settle(startedAt)
+  function takeSent (): readonly LinkMessage[] {
+    const taken = sent
+    sent = []
+    return taken
+  }
+
+  return { execution, entries, takeSent, settle }
+}
+
+function createGroup (now: number): DispatchGroup {
+  return {
+    header: {
+      submission: createSubmissionKey(now),
+      digest: 'd'.repeat(64),
+      taskCount: TASKS_PER_GROUP,
+      customer: 'medina',
+      template: 'checkout'
+    },
+    ownership: { partition: 7, epoch: 41 },
+    path: '/checkout',
+    timeoutMilliseconds: 5_000,
+    parameters: { desk: 'medina' },
+    urgent: false,
+    startBefore: now + 1_000,
+    tasks: Array.from({ length: TASKS_PER_GROUP }, (_, index) => ({ index, input: { tool: `drill-${index}` } }))
+  }
+}
+
+/** Runs tasks through an agent and returns their number. */
+function runTasks (agent: ProbedAgent, tasks: number, now: number): number {
+  const [owner] = agent.entries
+  if (owner === undefined) throw new Error('the agent has no entry')
+  let reported = 0
+  for (let group = 0; group < tasks / TASKS_PER_GROUP; group += 1) {
+    const dispatch = { groups: [createGroup(now)], backlog: TASKS_PER_GROUP }
+    agent.execution.receive(owner, { method: 'dispatch', parameters: dispatch }, now)
+    reported += agent.settle(now)
+    agent.takeSent()
+  }
+  return reported
+}
+
+function measureTasks (tasks: number): { time: Point, memory: Point } {
+  const now = Date.now()
+  const agent = createProbedAgent(3, now)
+  if (runTasks(agent, 2_000, now) !== 2_000) throw new Error('the agent did not run every task')
+  const heapBefore = heapBytes()
+  const microseconds = microsecondsOf(() => { runTasks(agent, tasks, now) })
+  const bytes = heapBytes() - heapBefore
+  if (agent.execution.snapshot().rememberedTasks < tasks) throw new Error('the agent forgot tasks')
+  return { time: { size: tasks, cost: microseconds }, memory: { size: tasks, cost: bytes } }
+}
+
+/** Processor time and bytes of the heartbeats of one second, by the number of entries. */
+function measureHeartbeats (entryCount: number): { time: Point, bytes: Point } {
+  const startedAt = Date.now()
+  const agent = createProbedAgent(entryCount, startedAt)
+  const seconds = HEARTBEAT_ROUNDS * HEARTBEAT_MILLISECONDS / 1_000
+  agent.takeSent()
+  const microseconds = microsecondsOf(() => {
+    for (let round = 1; round <= HEARTBEAT_ROUNDS; round += 1) {
+      const now = startedAt + round * HEARTBEAT_MILLISECONDS
+      agent.execution.tick(now)
+      agent.settle(now)
+    }
+  })
+  const bytes = agent.takeSent().reduce((sum, message) => sum + JSON.stringify(message).length, 0)
+  return {
+    time: { size: entryCount, cost: microseconds / seconds }, bytes: { size: entryCount, cost: bytes / seconds }
+  }
+}
+
+/** Measures the agent. */
+export function probeAgent (): Promise<readonly ProbeResult[]> {
+  const tasks = [5_000, 10_000, 20_000, 40_000].map(size => {
+    const runs = Array.from({ length: REPETITIONS }, () => measureTasks(size))
+    const least = leastOf(REPETITIONS, () => runs.pop()?.time.cost ?? Number.POSITIVE_INFINITY)
+    return { time: { size, cost: least }, memory: measureTasks(size).memory }
+  })
+  const heartbeats = [6, 12, 24, 48].map(measureHeartbeats)
+  return Promise.resolve([
+    { per: 'task', cost: 'agent: microseconds of decisions', points: tasks.map(part => part.time) },
+    { per: 'task', cost: 'agent: bytes of memory for the key window', points: tasks.map(part => part.memory) },
+    { per: 'entry', cost: 'agent: microseconds a second of heartbeats', points: heartbeats.map(part => part.time) },
+    { per: 'entry', cost: 'agent: bytes a second of heartbeats sent', points: heartbeats.map(part => part.bytes) }
+  ])
+}
--- a/packages/command-line/src/commands/upstream-drain.ts
+++ b/packages/command-line/src/commands/upstream-drain.ts
@@ -1,18 +1,38 @@
 /** `baobabpost upstream drain AGENT`. */
 import { Args } from '@oclif/core'
-import { DrainAccepted } from '@baobabpost/messages'
+import { DrainAccepted, FleetStatus } from '@baobabpost/messages'
+import { CommandFailure } from '../command-failure.js'
+import type { EntryClient } from '../entry-client.js'
 import { OperatorCommand } from '../operator-command.js'
 
+/** Finds the agent that a name stands for; an identity stands for itself. */
+async function resolveAgent (client: EntryClient, given: string): Promise<string> {
+  if (given.includes('@')) return given
+  const { agents } = await client.ask('GET', '/v1/fleet', FleetStatus)
+  const matches = agents.filter(({ identity, standing }) => standing !== 'departed' && identity.startsWith(`${given}@`))
+  const [only, ...others] = matches
+  if (only === undefined) throw new CommandFailure({ exit: 'unknown', detail: `There is no agent '${given}'` })
+  if (others.length === 0) return only.identity
+  const identities = matches.map(match => match.identity).join(', ')
+  throw new CommandFailure({ exit: 'usage', detail: `'${given}' stands for several agents: ${identities}` })
+}
+
 /** Drains an upstream. */
 export class UpstreamDrain extends OperatorCommand {
   static override summary = 'Send an upstream nothing new; what it is running ends as usual'
-  static override examples = ['<%= config.bin %> upstream drain lending-3@0198c0de-0000-7000-8000-000000000000']
-  static override args = { agent: Args.string({ required: true, description: 'identity, as upstream list prints it' }) }
+  static override examples = [
+    '<%= config.bin %> upstream drain lending-3',
+    '<%= config.bin %> upstream drain lending-3@0198c0de-0000-7000-8000-000000000000'
+  ]
+
+  static override args = { agent: Args.string({ required: true, description: 'name of the agent, or its identity' }) }
 
   async run (): Promise<DrainAccepted> {
     const { args, flags } = await this.parse(UpstreamDrain)
-    const path = `/v1/upstreams/${encodeURIComponent(args.agent)}/drain`
-    const accepted = await this.asking(flags, 'draining', client => client.ask('POST', path, DrainAccepted))
+    const accepted = await this.asking(flags, 'draining', async client => {
+      const agent = await resolveAgent(client, args.agent)
+      return await client.ask('POST', `/v1/upstreams/${encodeURIComponent(agent)}/drain`, DrainAccepted)
+    })
     this.log(`${accepted.agent} is ${accepted.standing}; unfinished tasks of this entry: ${accepted.unfinished}`)
     return accepted
   }
--- a/packages/command-line/tests/command-line.test.ts
+++ b/packages/command-line/tests/command-line.test.ts
@@ -53,8 +53,7 @@
     slots: 8,
     window: 10,
     unfinished: 3,
-    speed: 1.25,
-    heardAt: 999_500
+    speed: 1.25
   }]
 }
 
@@ -259,13 +258,25 @@
     }
   })
 
-  test('drain names the agent in the path', async () => {
-    const environment = await serve(() => ({ status: 200, body: { agent: AGENT, standing: 'leaving', unfinished: 3 } }))
-    const end = await runCommand(['upstream', 'drain', AGENT], environment)
-    expect(entry?.asked[0]).toMatchObject({ method: 'POST', path: `/v1/upstreams/${encodeURIComponent(AGENT)}/drain` })
+  test.each([['identity', AGENT], ['name', 'lending-3']])('drain takes the %s of an agent', async (_form, given) => {
+    const accepted = { agent: AGENT, standing: 'leaving', unfinished: 3 }
+    const environment = await serve(({ method }) => ({ status: 200, body: method === 'GET' ? FLEET : accepted }))
+    const end = await runCommand(['upstream', 'drain', given], environment)
+    const path = `/v1/upstreams/${encodeURIComponent(AGENT)}/drain`
+    expect(entry?.asked.at(-1)).toMatchObject({ method: 'POST', path })
     expect(end.output).toContain('is leaving')
   })
 
+  test('drain of a name that two runs of an agent have names both and drains none', async () => {
+    const [agent] = FLEET.agents
+    const second = { ...agent, identity: createAgentIdentity('lending-3') }
+    const environment = await serve(() => ({ status: 200, body: { ...FLEET, agents: [agent, second] } }))
+    const end = await runCommand(['upstream', 'drain', 'lending-3'], environment)
+    expect(end.code).toBe(EXIT_CODES.usage.code)
+    expect(end.errors).toContain(second.identity)
+    expect(entry?.asked.map(request => request.method)).toEqual(['GET'])
+  })
+
   test('the burn report comes as a table, as JSON and as a page that fetches nothing', async () => {
     const report: BurnReport = { at: 0, periodMilliseconds: 259_200_000, entries: [ENTRY], objectives: [] }
     const environment = await serve(() => ({ status: 200, body: report }))
--- a/packages/docs-lists/src/lists.ts
+++ b/packages/docs-lists/src/lists.ts
@@ -1,8 +1,14 @@
 /** Every list of the docs: the page that it stands in, its name there, and how it is written from the code. */
-import { COMMANDS, EXIT_CODES, OperatorCommand } from '@baobabpost/command-line'
+import { computeBurn, renderBurnPage, renderBurnTable } from '@baobabpost/burn-report'
+import {
+  COMMANDS, EXIT_CODES, OperatorCommand, renderExplanation, renderFleet, renderUpstreams
+} from '@baobabpost/command-line'
 import { ERROR_KINDS, errorAnswer, METRICS } from '@baobabpost/common'
 import { code, formatMarkdownTable } from './markdown.js'
 import type { Repository } from './repository.js'
+import {
+  SAMPLE_ENTRY, SAMPLE_EXPLANATION, SAMPLE_FLEET, SAMPLE_OBJECTIVES, SAMPLE_TIME, sampleBuckets
+} from './samples.js'
 
 /** A list of the docs. */
 export interface DocsList {
@@ -61,6 +67,24 @@
   return repository.pages().map(({ path, title }) => `- [${title}](${path})`).join('\n')
 }
 
+const SAMPLE_COLUMNS = 100
+
+function quote (text: string): string {
+  return '```\n' + text.trimEnd() + '\n```'
+}
+
+function sampleBurnReport (): ReturnType<typeof computeBurn> {
+  return computeBurn({ objectives: SAMPLE_OBJECTIVES, buckets: sampleBuckets(), present: [SAMPLE_ENTRY] }, SAMPLE_TIME)
+}
+
+/** Page that the sample of the burn report's HTML page is written to. */
+export const SAMPLE_PAGE = 'docs/samples/burn-report.html'
+
+/** Writes the sample of the burn report's HTML page. */
+export function renderSamplePage (): string {
+  return renderBurnPage(sampleBurnReport())
+}
+
 /** All lists of the docs. */
 export const DOCS_LISTS: readonly DocsList[] = [
   { page: 'docs/ERRORS.md', name: 'errors', render: renderErrors },
@@ -69,5 +93,13 @@
   { page: 'docs/COMMANDS.md', name: 'connection-flags', render: renderConnectionFlags },
   { page: 'docs/COMMANDS.md', name: 'exit-codes', render: renderExitCodes },
   { page: 'docs/ARCHITECTURE.md', name: 'packages', render: renderPackages },
-  { page: 'docs/README.md', name: 'pages', render: renderPages }
+  { page: 'docs/README.md', name: 'pages', render: renderPages },
+  {
+    page: 'docs/REPORTS.md',
+    name: 'burn',
+    render: () => quote(renderBurnTable(sampleBurnReport(), { columns: SAMPLE_COLUMNS, colours: false }))
+  },
+  { page: 'docs/REPORTS.md', name: 'fleet', render: () => quote(renderFleet(SAMPLE_FLEET, SAMPLE_COLUMNS)) },
+  { page: 'docs/REPORTS.md', name: 'upstreams', render: () => quote(renderUpstreams(SAMPLE_FLEET.agents, SAMPLE_COLUMNS)) },
+  { page: 'docs/REPORTS.md', name: 'explanation', render: () => quote(renderExplanation(SAMPLE_EXPLANATION, SAMPLE_COLUMNS)) }
 ]
--- a/packages/docs-lists/tests/docs-lists.test.ts
+++ b/packages/docs-lists/tests/docs-lists.test.ts
@@ -2,7 +2,7 @@
 import { fileURLToPath } from 'node:url'
 import { describe, expect, test } from 'vitest'
 import { NOT_RUN_REASONS, UNKNOWN_REASONS } from '@baobabpost/messages'
-import { DOCS_LISTS, openRepository, replaceList } from '@baobabpost/docs-lists'
+import { DOCS_LISTS, openRepository, renderSamplePage, replaceList, SAMPLE_PAGE } from '@baobabpost/docs-lists'
 
 const root = fileURLToPath(new URL('../../../', import.meta.url))
 const repository = openRepository(root)
@@ -13,6 +13,10 @@
     expect(text, 'run: npm run docs').toBe(replaceList(text, name, list.render(repository)))
   })
 
+  test('the sample page is the one that the code writes', () => {
+    expect(repository.read(SAMPLE_PAGE), 'run: npm run docs').toBe(renderSamplePage())
+  })
+
   test('every reason for which work is not run, or its outcome is unknown, is explained', () => {
     const page = repository.read('docs/ERRORS.md')
     for (const reason of [...NOT_RUN_REASONS, ...UNKNOWN_REASONS]) expect(page).toContain(`| \`${reason}\` |`)
