--- a/packages/docs-lists/src/lists.ts
+++ b/packages/docs-lists/src/lists.ts
@@ -1,9 +1,11 @@
 /** Every list of the docs: the page that it stands in, its name there, and how it is written from the code. */
+import { agentSettings } from '@baobabpost/agent'
 import { computeBurn, renderBurnPage, renderBurnTable } from '@baobabpost/burn-report'
 import {
   COMMANDS, EXIT_CODES, OperatorCommand, renderExplanation, renderFleet, renderUpstreams
 } from '@baobabpost/command-line'
-import { ERROR_KINDS, errorAnswer, METRICS } from '@baobabpost/common'
+import { ERROR_KINDS, errorAnswer, flagName, METRICS, variableName, type SettingDefinitions } from '@baobabpost/common'
+import { ENTRY_SETTINGS } from '@baobabpost/entry'
 import { code, formatMarkdownTable } from './markdown.js'
 import type { Repository } from './repository.js'
 import {
@@ -58,6 +60,14 @@
   return formatMarkdownTable(['code', 'meaning'], Object.values(EXIT_CODES).map(exit => [String(exit.code), exit.about]))
 }
 
+function renderSettings (definitions: SettingDefinitions): string {
+  const rows = Object.entries(definitions).map(([name, { about, fallback, secret }]) => {
+    const standard = fallback === undefined ? 'required' : fallback === '' ? 'empty' : code(fallback)
+    return [code(`--${flagName(name)}`), code(variableName(name)), secret === true ? `${about} (secret)` : about, standard]
+  })
+  return formatMarkdownTable(['flag', 'variable', 'meaning', 'default'], rows)
+}
+
 function renderPackages (repository: Repository): string {
   const rows = repository.packages().map(({ directory, description }) => [code(directory), description])
   return formatMarkdownTable(['package', 'duty'], rows)
@@ -89,6 +99,8 @@
 export const DOCS_LISTS: readonly DocsList[] = [
   { page: 'docs/ERRORS.md', name: 'errors', render: renderErrors },
   { page: 'docs/METRICS.md', name: 'metrics', render: renderMetrics },
+  { page: 'docs/SETTINGS.md', name: 'entry-settings', render: () => renderSettings(ENTRY_SETTINGS) },
+  { page: 'docs/SETTINGS.md', name: 'agent-settings', render: () => renderSettings(agentSettings) },
   { page: 'docs/COMMANDS.md', name: 'commands', render: renderCommands },
   { page: 'docs/COMMANDS.md', name: 'connection-flags', render: renderConnectionFlags },
   { page: 'docs/COMMANDS.md', name: 'exit-codes', render: renderExitCodes },
