--- a/packages/docs-lists/src/lists.ts
+++ b/packages/docs-lists/src/lists.ts
@@ -6,6 +6,8 @@
 } from '@baobabpost/command-line'
 import { ERROR_KINDS, errorAnswer, flagName, METRICS, variableName, type SettingDefinitions } from '@baobabpost/common'
 import { ENTRY_SETTINGS } from '@baobabpost/entry'
+import { standInPlatformSettings } from '@baobabpost/stand-in-platform'
+import { standInUpstreamSettings } from '@baobabpost/stand-in-upstream'
 import { code, formatMarkdownTable } from './markdown.js'
 import type { Repository } from './repository.js'
 import {
@@ -101,6 +103,8 @@
   { page: 'docs/METRICS.md', name: 'metrics', render: renderMetrics },
   { page: 'docs/SETTINGS.md', name: 'entry-settings', render: () => renderSettings(ENTRY_SETTINGS) },
   { page: 'docs/SETTINGS.md', name: 'agent-settings', render: () => renderSettings(agentSettings) },
+  { page: 'docs/SETTINGS.md', name: 'platform-settings', render: () => renderSettings(standInPlatformSettings) },
+  { page: 'docs/SETTINGS.md', name: 'upstream-settings', render: () => renderSettings(standInUpstreamSettings) },
   { page: 'docs/COMMANDS.md', name: 'commands', render: renderCommands },
   { page: 'docs/COMMANDS.md', name: 'connection-flags', render: renderConnectionFlags },
   { page: 'docs/COMMANDS.md', name: 'exit-codes', render: renderExitCodes },
--- a/packages/stand-in-platform/src/index.ts
+++ b/packages/stand-in-platform/src/index.ts
@@ -2,3 +2,4 @@
 export * from './faults.js'
 export type * from './log-store.js'
 export * from './stand-in-platform.js'
+export * from './stand-in-platform-settings.js'
--- a/packages/stand-in-upstream/src/main.ts
+++ b/packages/stand-in-upstream/src/main.ts
@@ -1,26 +1,13 @@
 #!/usr/bin/env node
 /** Binary `baobabpost-stand-in-upstream`. */
-import { integerSetting, Name, settingsOrExit } from '@baobabpost/common'
-import { Schema } from 'effect'
+import { settingsOrExit } from '@baobabpost/common'
 import { createStandInUpstream } from './stand-in-upstream.js'
+import { standInUpstreamSettings } from './stand-in-upstream-settings.js'
 
 const VERSION = '0.1.0'
 
-const settings = settingsOrExit('baobabpost-stand-in-upstream', 'Stand-in for an upstream', VERSION, {
-  name: { schema: Name, about: 'Name told in each answer', fallback: 'stand-in' },
-  listenPort: { schema: integerSetting(0, 65_535), about: 'Port on 127.0.0.1; 0 takes any', fallback: '0' },
-  slots: { schema: integerSetting(1, 1_000), about: 'Tasks that run at once', fallback: '8' },
-  speed: {
-    schema: Schema.FiniteFromString.check(Schema.isGreaterThan(0)),
-    about: 'Factor by which run times are divided',
-    fallback: '1'
-  },
-  defaultMilliseconds: {
-    schema: integerSetting(0, 600_000),
-    about: 'Run time of a task that names none, in milliseconds',
-    fallback: '50'
-  }
-})
+const settings = settingsOrExit(
+  'baobabpost-stand-in-upstream', 'Stand-in for an upstream', VERSION, standInUpstreamSettings)
 
 const upstream = await createStandInUpstream({ ...settings, port: settings.listenPort })
 process.stdout.write(`${JSON.stringify({ name: settings.name, address: upstream.address })}\n`)
