--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -6,7 +6,7 @@
 const SLOTS = 8
 const SPEEDS = [1, 1.5, 2, 2.5, 3, 4]
 const FIRST_PORT = 8081
-const CUSTOMERS = ['medina', 'kaasik-office']
+const CUSTOMERS = ['medina', 'kalamaja']
 
 function print (line: string): void {
   process.stdout.write(line + '\n')
--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -52,14 +52,15 @@
   const fold = createRegisterFold({
     retentionMilliseconds: settings.logRetentionMilliseconds,
     invariants,
-    onOutcomes: (outcomes, now) => { publisher.settled(outcomes, now) },
+    onOutcomes: outcomes => { publisher.settled(outcomes) },
     onBadRecord: bad => {
       metrics.count('configuration.bad-record.count')
       logger.error('log record skipped', { offset: bad.offset, register: bad.register, reason: bad.fault })
     }
   })
-  const publisher: Publisher = createPublisher({ fold, append: options.append })
-  return { fold, configuration: createConfiguration({ fold }), publisher }
+  const configuration = createConfiguration({ fold })
+  const publisher: Publisher = createPublisher({ fold, history: configuration.history, append: options.append })
+  return { fold, configuration, publisher }
 }
 
 /** Makes all slices of an entry. */
@@ -72,11 +73,10 @@
     identity,
     address: settings.address,
     failureDomain,
+    startedAt: options.startedAt,
     keyWindowMilliseconds,
     fold,
     outbox,
-    random,
-    logger,
     sendToSeeds: options.sendToSeeds
   })
   const placement: CurrentPlacement = createCurrentPlacement({
