--- a/packages/configuration/tests/configuration.test.ts
+++ b/packages/configuration/tests/configuration.test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, test } from 'vitest'
 import fc from 'fast-check'
 import { createInvariants } from '@baobabpost/common'
-import type { Customer, JobRequest, LogEntry, LogRecord } from '@baobabpost/messages'
+import type { JobRequest, LogEntry, LogRecord } from '@baobabpost/messages'
 import { createRegisterFold, valueFault, type LogStanding, type RegisterFold, type WriteOutcome } from '@baobabpost/platform-log'
 import {
-  createConfiguration, createPublisher, MAXIMUM_HISTORY_VERSIONS, PUBLISH_BOUND_MILLISECONDS,
+  createConfiguration, createPublisher, firstPublications, MAXIMUM_HISTORY_VERSIONS, PUBLISH_BOUND_MILLISECONDS,
   sampleConfiguration, type Configuration, type Publication, type Publisher, type PublishResult
 } from '@baobabpost/configuration'
 
@@ -33,13 +33,12 @@
       log.push({ offset: log.length + 1, record: { author: 'test', nonce, changes } })
       return nonce
     }
-    const publisher = createPublisher({ fold, append })
+    const publisher = createPublisher({ fold, history: configuration.history, append })
     function read (now = 0): void {
       const batch = { entries: [...log], first: 1, next: log.length + 1, readStartedAt: now, reachedEnd: true }
-      const changes = fold.apply(batch, now)
-      publisher.settled(outcomes.splice(0), now)
-      configuration.changed(changes, now)
-      publisher.changed(changes, now)
+      configuration.changed(fold.apply(batch, now), now)
+      publisher.settled(outcomes.splice(0))
+      publisher.changed()
     }
     return { fold, configuration, publisher, read }
   }
@@ -61,13 +60,14 @@
 
 function startedProcess (): Process {
   const process = createFleet().join()
-  for (const { register, value } of sampleConfiguration()) publish(process, { register, value, replaces: 0 })
+  const { lending, ledger } = sampleConfiguration()
+  for (const publication of [...firstPublications(lending), ...firstPublications(ledger)]) publish(process, publication)
   process.read()
   return process
 }
 
 const job = (fields: Partial<JobRequest>): JobRequest => ({
-  template: 'check-out-tool', customer: 'medina', tasks: [{ tool: 'drill', member: 'awa', deposit: 5_000 }], ...fields
+  template: 'checkout-tool', customer: 'medina', tasks: [{ tool: 'drill', member: 'awa' }], ...fields
 })
 
 describe('resolving', () => {
@@ -77,21 +77,21 @@
       kind: 'resolved',
       request: {
         service: 'lending',
-        path: '/checkouts',
-        team: 'dakar-libraries',
+        path: '/lending/checkout-tool',
+        team: 'dakar',
         callType: 'non-idempotent',
-        parameters: { library: 'Medina' }
+        parameters: { depositFrancs: 4_000, branch: 'medina' }
       }
     })
-    const call = { template: 'post-payment', customer: 'nomme-office', input: { company: 'a', account: 'b', cents: 1 } }
+    const call = { template: 'post-payment', customer: 'kalamaja', input: { account: 'a', amountCents: 1 } }
     expect(configuration.resolveCall(call)).toMatchObject({ kind: 'resolved', request: { service: 'ledger' } })
   })
 
   test.each([
     ['unknown-template', job({ template: 'nothing' }), "'nothing'"],
     ['unknown-customer', job({ customer: 'nobody' }), "'nobody'"],
-    ['unknown-parameter', job({ tasks: [{ tool: 'a', member: 'b', deposit: 1 }, { library: 'c' }] }), 'Task 1'],
-    ['missing-parameter', job({ tasks: [{ tool: 'a', member: 'b', deposit: 1 }, { tool: 'a' }] }), 'Task 1']
+    ['unknown-parameter', job({ tasks: [{ tool: 'a', member: 'b' }, { branch: 'c' }] }), 'Task 1'],
+    ['missing-parameter', job({ tasks: [{ tool: 'a', member: 'b' }, { tool: 'a' }] }), 'Task 1']
   ] as Array<[string, JobRequest, string]>)('%s is refused before anything starts', (reason, request, named) => {
     const resolution = startedProcess().configuration.resolveJob(request)
     if (resolution.kind !== 'problem') throw new Error('it was resolved')
@@ -109,12 +109,13 @@
   })
 
   test('every sample is valid, and names its teams and customers', () => {
-    const samples = sampleConfiguration()
-    const faults = samples.map(({ register, value }) => valueFault(register, value))
-    expect(faults.filter(fault => fault !== undefined)).toEqual([])
-    const names = new Set(samples.map(({ register }) => register))
-    const customers = samples.filter(({ register }) => register.startsWith('customer/'))
-    expect(customers.filter(({ value }) => !names.has(`team/${(value as Customer).team}`))).toEqual([])
+    const { lending, ledger } = sampleConfiguration()
+    for (const deployment of [lending, ledger]) {
+      const faults = firstPublications(deployment).map(({ register, value }) => valueFault(register, value))
+      expect(faults.filter(fault => fault !== undefined)).toEqual([])
+      const teams = deployment.teams.map(({ name }) => name)
+      expect(deployment.customers.filter(customer => !teams.includes(customer.team))).toEqual([])
+    }
   })
 })
 
@@ -161,8 +162,8 @@
 
   test('a conflict tells the version in force', () => {
     const process = startedProcess()
-    const current = process.fold.read('policy/default')?.version ?? 0
-    const result = publish(process, { register: 'policy/default', value: null, replaces: 0 })[0]
+    const current = process.fold.read('team/dakar')?.version ?? 0
+    const result = publish(process, { register: 'team/dakar', value: team(7), replaces: 0 })[0]
     expect(describeResult(result)).toBe(`version-conflict ${current}`)
   })
 
--- a/packages/demo/tests/bad-input.test.ts
+++ b/packages/demo/tests/bad-input.test.ts
@@ -37,7 +37,7 @@
     ['an unknown template', { template: 'nothing', customer: 'medina', tasks: [{}] }, 422, 'not-run-invalid'],
     ['an unknown parameter', { template: 'reserve-tool', customer: 'medina', tasks: [{ tool: 'a', member: 'b', z: 1 }] }, 422, 'not-run-invalid'],
     ['a missing parameter', { template: 'reserve-tool', customer: 'medina', tasks: [{ tool: 'a' }] }, 422, 'not-run-invalid'],
-    ['another customer', { template: 'reserve-tool', customer: 'pikine', tasks: [{}] }, 403, 'forbidden']
+    ['another customer', { template: 'reserve-tool', customer: 'yoff', tasks: [{}] }, 403, 'forbidden']
   ])('%s gets an error of the closed list', async (_name, body, status, kind) => {
     const before = countStarts(fleet).size
     expect(await put(`/v1/submissions/${createSubmissionKey()}`, body)).toMatchObject({ status, body: { kind, ran: 'no' } })
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -75,9 +75,9 @@
   let handoverRemaining = 0
 
   function applyChanges (changes: readonly RegisterChange[], now: number): void {
-    if (changes.length === 0) return
     configuration.changed(changes, now)
-    publisher.changed(changes, now)
+    publisher.changed()
+    if (changes.length === 0) return
     slices.quotas.changed(changes)
     burn.changed(changes)
     // Ownership first: whether an agent is joined decides whether membership's events take it into use.
