Lint all sources in one program

Cause: a type-checked program for each of 25 packages took the linter over 4 GB and it ended out of memory. Change: tsconfig.tests.json covers all sources and tests by path mapping, and the linter uses it alone.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,8 @@
   {
     files: ['**/*.ts'],
     languageOptions: {
-      parserOptions: { project: ['./packages/*/tsconfig.json', './tsconfig.tests.json'], tsconfigRootDir: import.meta.dirname }
+      // One program over all sources: a program a package takes gigabytes and minutes.
+      parserOptions: { project: './tsconfig.tests.json', tsconfigRootDir: import.meta.dirname }
     },
     rules: {
       '@typescript-eslint/consistent-type-imports': 'error',
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -94,7 +94,7 @@
 
   function receiveHeartbeatAnswer (from: EntryIdentity, answer: EntryHeartbeatAnswer, now: number): void {
     // Newer registers first: an answer from an entry that knows of a newer owner must not extend the lease.
-    applyChanges(fold.adopt(answer, now), now)
+    applyChanges(fold.adopt(answer), now)
     fleet.follow(membership.entryHeartbeatAnswer(from, answer, now), now)
     const entry = membership.liveEntries().find(view => view.identity === from)
     if (entry?.answeredSentAt === undefined) return
--- a/packages/platform-log/src/create-register-fold.ts
+++ b/packages/platform-log/src/create-register-fold.ts
@@ -35,7 +35,7 @@
   /** Receives what was skipped. */
   readonly onBadRecord: (record: BadRecord) => void
   /** Receives what became of the writes of each batch, before the changes come back. */
-  readonly onOutcomes: (outcomes: readonly WriteOutcome[], now: number) => void
+  readonly onOutcomes: (outcomes: readonly WriteOutcome[]) => void
 }
 
 /** What a reader that started in the middle of the log knows of a register whose history it lacks. */
@@ -165,11 +165,11 @@
     for (const change of entry.record.changes) applyChange(entry, entry.record.nonce, change, now)
   }
 
-  function takeChanges (now: number): readonly RegisterChange[] {
+  function takeChanges (): readonly RegisterChange[] {
     const { changes, outcomes } = results
     results.changes = []
     results.outcomes = []
-    if (outcomes.length > 0) onOutcomes(outcomes, now)
+    if (outcomes.length > 0) onOutcomes(outcomes)
     return changes
   }
 
@@ -185,7 +185,7 @@
     if (!recovering) logPosition = readTo
     reachedEndOnce ||= batch.reachedEnd
     table.pruneForgotten(readTo - MAXIMUM_RESTATEMENT_LAG_RECORDS)
-    return takeChanges(now)
+    return takeChanges()
   }
 
   function adoptRegister (value: RegisterValue, knownTo: number): void {
@@ -200,11 +200,11 @@
     judge.setRegister(value.register, next, version)
   }
 
-  function adopt (delta: RegisterDelta, now: number): readonly RegisterChange[] {
+  function adopt (delta: RegisterDelta): readonly RegisterChange[] {
     const knownTo = position()
     for (const value of delta.registers) adoptRegister(value, knownTo)
     history.adoptedPosition = Math.max(history.adoptedPosition, delta.position)
-    return takeChanges(now)
+    return takeChanges()
   }
 
   function changesSince (since: number, limit: number, kind?: RegisterKind): RegisterDelta {
--- a/packages/platform-log/src/register-fold.ts
+++ b/packages/platform-log/src/register-fold.ts
@@ -55,7 +55,7 @@
    */
   apply: (batch: LogBatch, now: number) => readonly RegisterChange[]
   /** Takes what a peer knows and this process doesn't; never lowers a version. */
-  adopt: (delta: RegisterDelta, now: number) => readonly RegisterChange[]
+  adopt: (delta: RegisterDelta) => readonly RegisterChange[]
   /** Registers with a version above the position, removed ones too; `kind` restricts them. */
   changesSince: (position: number, limit: number, kind?: RegisterKind) => RegisterDelta
   /** The register, or undefined if it was never written, was removed and forgotten, or is not known. */
--- a/packages/trials/src/ledger.ts
+++ b/packages/trials/src/ledger.ts
@@ -98,7 +98,7 @@
         check(starts === 0, 'what was told as not run did not run',
           () => `${key}/${index} (${task.reason}) had started`, now)
         account.toldNotRunAt.set(index, now)
-        return
+        break
       case 'outcome-unknown':
     }
   }
