--- a/packages/execution/src/urgent-reserve.ts
+++ b/packages/execution/src/urgent-reserve.ts
@@ -2,8 +2,8 @@
  * Slots that jobs leave free for urgent tasks.
  *
  * Only the agent sees the tasks of all entries, so only here can a slot be kept free without keeping one for each
- * entry. The reserve follows the urgent tasks that run here on average: without urgent tasks it is zero and jobs use
- * every slot.
+ * entry. The reserve follows the urgent tasks that run here on average: without urgent tasks it is zero, and where
+ * they fill the slots it is zero too.
  */
 
 const AVERAGING_MILLISECONDS = 2_000
@@ -56,7 +56,9 @@
     },
     slots: now => {
       average(now)
-      return Math.min(Math.round(mean * options.slotsPerUrgentTask()), most)
+      // The number of urgent tasks varies less the fewer slots they leave.
+      const varying = mean * Math.max(0, 1 - mean / options.slots)
+      return Math.min(Math.round(varying * options.slotsPerUrgentTask()), most)
     }
   }
 }
--- a/packages/placement/src/assign-waiting.ts
+++ b/packages/placement/src/assign-waiting.ts
@@ -24,12 +24,11 @@
 ): readonly Assignment[] {
   const assignments: Assignment[] = []
   let lane: Lane | undefined
-  for (;;) {
+  while (placement.hasRoom(service, now)) {
     const task = queue.next(service, now, lane)
     if (task === undefined) break
     const waiting = queue.length(service, task.urgent ? 'urgent' : 'jobs') + 1
-    const owed = lane === undefined && !task.urgent && queue.length(service, 'urgent') > 0
-    const agent = placement.choose(task, now, waiting, owed)
+    const agent = placement.choose(task, now, waiting)
     if (agent !== undefined) {
       placement.dispatched(agent, task, now)
       assignments.push({ agent, task })
--- a/packages/placement/src/late-binding.ts
+++ b/packages/placement/src/late-binding.ts
@@ -2,7 +2,7 @@
  * Late binding: tasks wait at the entry until an agent has room, and go to the one that should finish them soonest.
  *
  * A slow agent stays idle while waiting for a faster one should end sooner, which is no longer so once many tasks
- * wait. The last places over all agents are kept for urgent tasks.
+ * wait. Urgent tasks may go ahead at agents whose window is full, while few of them wait.
  */
 import type { WaitingTask } from '@baobabpost/admission'
 import type { Random } from '@baobabpost/common'
@@ -11,7 +11,6 @@
 
 const FAR_MILLISECONDS = 3
 const FULL_LOAD_MILLISECONDS = 2
-const URGENT_DEVIATIONS = 1
 const URGENT_WAIT_WEIGHT = 4
 const MOST_URGENT_WAITING = 4
 const MAXIMUM_CANDIDATES = 64
@@ -44,42 +43,34 @@
   }
 
   protected override pick (
-    service: ServiceState, task: WaitingTask, now: number, waiting: number, owed: boolean
+    service: ServiceState, task: WaitingTask, now: number, waiting: number
   ): AgentState | undefined {
     const { agents } = service
     const reference = this.model.reference(task.template) ?? Math.max(1, task.expectedMilliseconds)
     const steps = Math.min(agents.length, MAXIMUM_CANDIDATES)
     const start = agents.length > 1 ? this.#options.random.below(agents.length) : 0
     let best: Candidate | undefined
-    let room = 0
-    let urgentOutstanding = 0
     for (let step = 0; step < steps; step += 1) {
       const state = agents[(start + step) % agents.length]!
-      room += roomOf(state)
-      urgentOutstanding += state.urgentOutstanding
       if (!this.mayTake(service, state, task, now, waiting)) continue
       const milliseconds = this.#finishMilliseconds(service, state, reference, task.urgent)
       if (best === undefined || milliseconds < best.milliseconds) best = { state, milliseconds }
     }
     if (best === undefined) return undefined
     if (task.urgent) return best.state
-    if (!owed && room <= this.#roomForUrgent(urgentOutstanding)) return undefined
     if (this.#worthWaiting(service, best, task, reference, now, waiting)) return undefined
     return best.state
   }
 
-  /** Places that jobs leave free, so that urgent tasks seldom wait: as many as the number of urgent ones varies by. */
-  #roomForUrgent (urgentOutstanding: number): number {
-    return Math.floor(URGENT_DEVIATIONS * Math.sqrt(urgentOutstanding))
-  }
-
   /** An urgent task may also go ahead of the tasks that wait at an agent. */
   protected override roomFor (state: AgentState, task: WaitingTask, waiting: number): number {
     const room = roomOf(state)
     if (!task.urgent || room > 0 || waiting > MOST_URGENT_WAITING) return room
-    const { health, outstanding, window } = state
-    if (health.standing !== 'active' || health.failureEvidence > 0) return room
-    return Math.max(0, window + state.agent.slots - outstanding.size)
+    return roomAhead(state)
+  }
+
+  override hasRoom (service: string): boolean {
+    return this.agentsOf(service).some(state => roomOf(state) > 0 || roomAhead(state) > 0)
   }
 
   /** Expected time until the agent has finished one more task. */
@@ -121,3 +112,9 @@
     return wait + reference * weightedFactor / completionsPerMillisecond < best.milliseconds
   }
 }
+
+/** Number of urgent tasks that the agent may get beyond its window. */
+function roomAhead ({ agent, health, outstanding, window }: AgentState): number {
+  if (health.standing !== 'active' || health.failureEvidence > 0) return 0
+  return Math.max(0, window + agent.slots - outstanding.size)
+}
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -34,16 +34,15 @@
   /** Sets the number of unfinished tasks of this entry that the agent accepts. */
   abstract setWindow (identity: AgentIdentity, window: number): void
 
-  /** Whether any agent of the service could take a task now. */
+  /** Whether any agent of the service could take a task now, if only an urgent one. */
   abstract hasRoom (service: string, now: number): boolean
 
   /**
    * Chooses an agent for the task, or none if it should wait.
    *
    * @param waiting - Tasks that wait in the lane of the task, this one included.
-   * @param owed - Whether the task is a job's whose turn it is though urgent tasks wait.
    */
-  abstract choose (task: WaitingTask, now: number, waiting: number, owed?: boolean): AgentIdentity | undefined
+  abstract choose (task: WaitingTask, now: number, waiting: number): AgentIdentity | undefined
 
   /** Notes that the task was dispatched to the agent. */
   abstract dispatched (identity: AgentIdentity, task: WaitingTask, now: number): void
--- a/packages/placement/src/tracked-placement.ts
+++ b/packages/placement/src/tracked-placement.ts
@@ -30,7 +30,7 @@
 
   /** Picks an agent that `mayTake` the task, or none if it should wait. */
   protected abstract pick (
-    service: ServiceState, task: WaitingTask, now: number, waiting: number, owed: boolean
+    service: ServiceState, task: WaitingTask, now: number, waiting: number
   ): AgentState | undefined
 
   override setAgent (agent: PlaceableAgent): void {
@@ -60,16 +60,13 @@
   }
 
   override hasRoom (service: string): boolean {
-    for (const state of this.#services.get(service)?.agents ?? []) {
-      if (roomOf(state) > 0) return true
-    }
-    return false
+    return this.agentsOf(service).some(state => roomOf(state) > 0)
   }
 
-  override choose (task: WaitingTask, now: number, waiting: number, owed = false): AgentIdentity | undefined {
+  override choose (task: WaitingTask, now: number, waiting: number): AgentIdentity | undefined {
     const service = this.#services.get(task.service)
     if (service === undefined) return undefined
-    return this.pick(service, task, now, waiting, owed)?.agent.identity
+    return this.pick(service, task, now, waiting)?.agent.identity
   }
 
   override dispatched (identity: AgentIdentity, task: WaitingTask, now: number): void {
@@ -105,6 +102,10 @@
     return events
   }
 
+  protected agentsOf (service: string): readonly AgentState[] {
+    return this.#services.get(service)?.agents ?? []
+  }
+
   /** Number of further tasks like this that the agent may get now. */
   protected roomFor (state: AgentState, _task: WaitingTask, _waiting: number): number {
     return roomOf(state)
