--- a/packages/demo/src/main-job.ts
+++ b/packages/demo/src/main-job.ts
@@ -1,7 +1,7 @@
 /** The main job: a lending job and a filing job with urgent counter requests beside them, on a fleet of both users. */
 import { createRandom, createSubmissionKey, PARTITION_COUNT, type SubmissionKey } from '@baobabpost/common'
-import { sampleConfiguration } from '@baobabpost/configuration'
-import { NEVER_WRITTEN, type JsonRecord, type SubmissionAnswer } from '@baobabpost/messages'
+import { firstPublications, sampleConfiguration, type Publication } from '@baobabpost/configuration'
+import type { JsonRecord, SubmissionAnswer, Template } from '@baobabpost/messages'
 import type { RunningEntry } from '@baobabpost/entry'
 import { send, type CallerAnswer } from './caller.js'
 import { callerSecret, OPERATOR_SECRET, type Fleet } from './fleet.js'
@@ -66,24 +66,38 @@
   {
     title: 'Kaasik & Tamm: VAT returns',
     template: 'file-vat-return',
-    customer: 'kaasik-office',
+    customer: 'kalamaja',
     service: 'ledger',
     createInput: index => ({ period: '2026-11', company: `company-${index}` })
   }
 ]
 
+/** Parameters by which a task tells a stand-in upstream what to do. */
+const STAND_IN_PARAMETERS = ['workMilliseconds', 'fail']
+
+/** The sample configuration of both deployments, with templates that let a task steer its stand-in upstream. */
+function samplePublications (): readonly Publication[] {
+  const { lending, ledger } = sampleConfiguration()
+  const openTemplate = (template: Template): Template => ({
+    ...template, taskParameters: [...template.taskParameters, ...STAND_IN_PARAMETERS]
+  })
+  return [lending, ledger].flatMap(deployment => firstPublications({
+    ...deployment, templates: deployment.templates.map(openTemplate)
+  }))
+}
+
 /** Publishes the sample configuration through an entry. */
 export async function publishSamples (fleet: Fleet): Promise<number> {
   const [entry] = fleet.entries
   if (entry === undefined) throw new Error('a fleet has an entry')
-  const samples = sampleConfiguration()
-  for (const { register, value } of samples) {
+  const samples = samplePublications()
+  for (const { register, value, replaces } of samples) {
     const answer = await send({
       method: 'PUT',
       url: entry.url,
       path: `/v1/configuration/${register}`,
       secret: OPERATOR_SECRET,
-      body: { replaces: NEVER_WRITTEN, value }
+      body: { replaces, value }
     })
     if (answer.status !== 200) throw new Error(`publishing ${register} failed: ${JSON.stringify(answer.body)}`)
   }
--- a/packages/demo/tests/small-fleet.ts
+++ b/packages/demo/tests/small-fleet.ts
@@ -6,7 +6,7 @@
 import type { RunningEntry } from '@baobabpost/entry'
 import type { JsonRecord } from '@baobabpost/messages'
 
-export const CUSTOMERS = ['medina', 'kaasik-office']
+export const CUSTOMERS = ['medina', 'kalamaja']
 export const SLOTS = 4
 
 export async function startSmallFleet (): Promise<Fleet> {
