--- /dev/null
+++ b/packages/bench/src/rig/table.ts
@@ -0,0 +1,38 @@
+/** The table of the bench's figures. */
+import type { Points, RunFigures } from './figures.js'
+
+function formatPoints ({ median, percentile99, percentile999 }: Points): string {
+  return [median, percentile99, percentile999].map(value => value.toFixed(2).padStart(6)).join(' ')
+}
+
+function formatCounts (counts: Readonly<Record<string, number>>): string {
+  return Object.entries(counts).filter(([, count]) => count > 0).map(([name, count]) => `${name} ${count}`).join(', ')
+}
+
+/** Heading of the table. */
+export const TABLE_HEADING = [
+  '| scenario | policy | urgent over own: median, 99th, 99.9th | over fastest | jobs over ideal | goodput |',
+  ' messages, starts a task | entry, agent us a task | entry MiB | calls | jobs | doubled, invariants |',
+  '\n|---|---|---|---|---|---|---|---|---|---|---|---|'
+].join('')
+
+/** Writes one line of the table. */
+export function formatFigures (figures: RunFigures): string {
+  const entry = figures.use.entry
+  const agent = figures.use.agent
+  const cells = [
+    figures.scenario,
+    figures.policy,
+    formatPoints(figures.urgentOverOwn),
+    formatPoints(figures.urgentOverFastest),
+    formatPoints(figures.jobsOverIdeal),
+    figures.goodput.toFixed(2),
+    `${figures.messagesPerTask.toFixed(2)}, ${figures.startsPerTask.toFixed(3)}`,
+    `${entry?.microsecondsPerTask.toFixed(0)}, ${agent?.microsecondsPerTask.toFixed(0)}`,
+    `${entry?.peakMebibytes.toFixed(0)}`,
+    formatCounts(figures.calls),
+    formatCounts(figures.jobs),
+    `${figures.doubledTasks}, ${figures.invariantsViolated}`
+  ]
+  return `| ${cells.join(' | ')} |`
+}
