--- a/packages/capacity/src/probed-entry.ts
+++ b/packages/capacity/src/probed-entry.ts
@@ -4,10 +4,10 @@
  */
 import {
   createAgentIdentity, createEntryIdentity, createInvariants, createRandom, PARTITION_COUNT, silentLogger,
-  silentMetrics, type AgentIdentity, type ProcessIdentity
+  silentMetrics, type AgentIdentity, type EntryIdentity, type ProcessIdentity
 } from '@baobabpost/common'
 import { createEntryCore, type EntryCore } from '@baobabpost/entry'
-import type { Announce, Dispatch, LinkMessage } from '@baobabpost/messages'
+import type { Announce, Dispatch, EntryHeartbeat, LinkMessage } from '@baobabpost/messages'
 import { microsecondsOf } from './measure.js'
 import { createMemoryLog, type MemoryLog } from './memory-log.js'
 import { firstWrite, sampleCustomer, sampleTeam, SAMPLE_TEMPLATE } from './sample-values.js'
@@ -22,6 +22,8 @@
 export interface ProbedFleet {
   readonly agents: number
   readonly customers: number
+  /** Other entries, which only send and answer heartbeats; with them the entry owns its share of the partitions. */
+  readonly peers: number
 }
 
 /** An entry under measurement. */
@@ -53,8 +55,25 @@
   }
 }
 
-/** What an agent answers to a message, if anything. */
-function answerOf (message: LinkMessage, sequence: number): LinkMessage | undefined {
+function heartbeat (identity: EntryIdentity, place: number, sequence: number, position: number): EntryHeartbeat {
+  return {
+    identity,
+    address: `10.0.0.${place + 2}:7001`,
+    failureDomain: `domain-${place % 3}`,
+    state: 'ready',
+    sequence,
+    position,
+    suspectedAgents: [],
+    heardAgents: []
+  }
+}
+
+/** What an agent or another entry answers to a message, if anything. */
+function answerOf (message: LinkMessage, sequence: number, position: number): LinkMessage | undefined {
+  if (message.method === 'entryHeartbeat') {
+    const answer = { sequence: message.parameters.sequence, position, registers: [] }
+    return { method: 'entryHeartbeatAnswer', parameters: answer }
+  }
   if (message.method === 'collect') {
     const { partitions } = message.parameters
     return { method: 'collected', parameters: { partitions, part: 0, parts: 1, submissions: [] } }
@@ -81,13 +100,14 @@
 }
 
 /**
- * Makes an entry that is ready: it owns every partition and may use every agent.
+ * Makes an entry that is ready: it owns its share of the partitions, all without peers, and may use every agent.
  *
  * @throws Error if it does not get ready.
  */
 export function createProbedEntry (fleet: ProbedFleet): ProbedEntry {
   const log = createMemoryLog()
   const agents = Array.from({ length: fleet.agents }, (_, place) => createAgentIdentity(`agent-${place}`))
+  const peers = Array.from({ length: fleet.peers }, (_, place) => createEntryIdentity(`peer-${place}`))
   const outgoing: Array<{ to: ProcessIdentity, message: LinkMessage }> = []
   const sentBytes = new Map<string, number>()
   let now = Date.now()
@@ -95,6 +115,10 @@
   let sequence = 0
   let announcedAt = 0
   publishSamples(log, fleet, now)
+  for (const [place, identity] of peers.entries()) {
+    const { address, failureDomain } = heartbeat(identity, place, 0, 0)
+    log.append(identity, [firstWrite(`entry/${identity}`, { identity, address, failureDomain })], now)
+  }
   const core = createEntryCore({
     settings: {
       identity: createEntryIdentity('entry-1'),
@@ -137,7 +161,7 @@
       for (const { to, message } of messages) {
         noteSent(message)
         sequence += 1
-        const answer = answerOf(message, sequence)
+        const answer = answerOf(message, sequence, log.end())
         if (answer !== undefined) act(time => { core.receive(to, answer, time) })
       }
     }
@@ -150,6 +174,13 @@
       const message: LinkMessage = { method: 'announce', parameters: announcement(identity, place, sequence) }
       act(time => { core.receive(identity, message, time) })
     }
+    for (const [place, identity] of peers.entries()) {
+      sequence += 1
+      const message: LinkMessage = {
+        method: 'entryHeartbeat', parameters: heartbeat(identity, place, sequence, log.end())
+      }
+      act(time => { core.receive(identity, message, time) })
+    }
   }
 
   function step (): void {
@@ -162,7 +193,9 @@
   }
 
   function isReady (): boolean {
-    return core.slices.ownership.ownedCount() === PARTITION_COUNT && core.collectingCount() === 0 &&
+    // The shares of the entries differ; half of the mean is surely less than the least.
+    const least = fleet.peers === 0 ? PARTITION_COUNT : PARTITION_COUNT / (fleet.peers + 1) / 2
+    return core.slices.ownership.ownedCount() >= least && core.collectingCount() === 0 &&
       core.joinedAgentCount() === fleet.agents
   }
 
@@ -172,6 +205,6 @@
     const owned = core.slices.ownership.ownedCount()
     throw new Error(`not ready: ${owned} partitions, ${core.joinedAgentCount()} of ${fleet.agents} agents`)
   }
-  for (let steps = 0; steps < 20; steps += 1) step()
+  for (let steps = 0; steps < 40; steps += 1) step()
   return { core, spent: () => microseconds, sentBytes: () => sentBytes, now: () => now, act, step }
 }
--- a/packages/capacity/src/probes/entry-probe.ts
+++ b/packages/capacity/src/probes/entry-probe.ts
@@ -8,6 +8,7 @@
 
 const AGENTS = 12
 const CUSTOMERS = 4
+const ALONE = 0
 const JOBS = 60
 const WARM_UP_TASKS = 4_000
 const HEARTBEAT_SECONDS = 20
@@ -65,38 +66,65 @@
   return { time: { size: tasks, cost: time }, memory: { size: tasks, cost: (heapBytes() - heapBefore) / JOBS } }
 }
 
-/** Microseconds and bytes a second of a fleet in which nothing is submitted. */
-function measureIdle (fleet: ProbedFleet): { time: number, memory: number, bytes: number } {
+/** What a fleet in which nothing is submitted costs its entry. */
+interface IdleCost {
+  readonly microsecondsPerSecond: number
+  readonly heapBytes: number
+  /** Bytes a second of the answers to the heartbeats of agents. */
+  readonly agentBytesPerSecond: number
+  /** Bytes a second of heartbeats to other entries and of the answers to theirs. */
+  readonly entryBytesPerSecond: number
+}
+
+async function measureIdle (fleet: ProbedFleet): Promise<IdleCost> {
+  // Lets go of the stack, so that what the last measurement made can be collected.
+  await new Promise(resolve => { setImmediate(resolve) })
   const heapBefore = heapBytes()
   const entry = createProbedEntry(fleet)
-  const memory = heapBytes() - heapBefore
-  const sumOf = (): number => [...entry.sentBytes().values()].reduce((sum, bytes) => sum + bytes, 0)
+  const heap = heapBytes() - heapBefore
+  const bytesOf = (...methods: string[]): number =>
+    methods.reduce((sum, method) => sum + (entry.sentBytes().get(method) ?? 0), 0)
   const spentBefore = entry.spent()
-  const bytesBefore = sumOf()
+  const agentBytesBefore = bytesOf('announced')
+  const entryBytesBefore = bytesOf('entryHeartbeat', 'entryHeartbeatAnswer')
   for (let step = 0; step < HEARTBEAT_SECONDS * STEPS_PER_SECOND; step += 1) entry.step()
   return {
-    time: (entry.spent() - spentBefore) / HEARTBEAT_SECONDS, memory, bytes: (sumOf() - bytesBefore) / HEARTBEAT_SECONDS
+    microsecondsPerSecond: (entry.spent() - spentBefore) / HEARTBEAT_SECONDS,
+    heapBytes: heap,
+    agentBytesPerSecond: (bytesOf('announced') - agentBytesBefore) / HEARTBEAT_SECONDS,
+    entryBytesPerSecond: (bytesOf('entryHeartbeat', 'entryHeartbeatAnswer') - entryBytesBefore) / HEARTBEAT_SECONDS
   }
 }
 
+/** Measures idle fleets of several sizes. */
+async function measureSizes (
+  sizes: readonly number[], fleetOf: (size: number) => ProbedFleet
+): Promise<(cost: keyof IdleCost) => Point[]> {
+  const costs: IdleCost[] = []
+  for (const size of sizes) costs.push(await measureIdle(fleetOf(size)))
+  return cost => sizes.map((size, place) => ({ size, cost: costs[place]?.[cost] ?? Number.NaN }))
+}
+
 /** Measures the entry. The cost for size 0 of `task` is that of the job itself. */
-export function probeEntry (): Promise<readonly ProbeResult[]> {
-  const entry = createProbedEntry({ agents: AGENTS, customers: CUSTOMERS })
+export async function probeEntry (): Promise<readonly ProbeResult[]> {
+  const small: ProbedFleet = { agents: AGENTS, customers: CUSTOMERS, peers: ALONE }
+  const entry = createProbedEntry(small)
   runJobs(entry, 20, WARM_UP_TASKS / 20)
   const tasks = [1, 20, 100, 200, 400].map(size => measureTasks(entry, size))
-  const agentSizes = [25, 50, 100, 200]
-  const agents = agentSizes.map(size => measureIdle({ agents: size, customers: CUSTOMERS }))
-  const customerSizes = [100, 200, 400, 800]
-  const customers = customerSizes.map(size => measureIdle({ agents: AGENTS, customers: size }))
-  const pointsOf = (sizes: readonly number[], costs: readonly number[]): Point[] =>
-    sizes.map((size, place) => ({ size, cost: costs[place] ?? Number.NaN }))
-  return Promise.resolve([
+  const agents = await measureSizes([50, 100, 200, 400], size => ({ ...small, agents: size }))
+  const peers = await measureSizes([2, 4, 8, 16], size => ({ ...small, peers: size }))
+  const customers = await measureSizes([500, 1_000, 2_000, 4_000], size => ({ ...small, customers: size }))
+  const list = peers('agentBytesPerSecond').map(({ size, cost }) => ({ size, cost: cost / AGENTS }))
+  return [
     { per: 'task', cost: 'entry: microseconds of decisions (fixed: a job)', points: tasks.map(part => part.time) },
     { per: 'task', cost: 'entry: bytes of memory for the key window (fixed: a job)', points: tasks.map(part => part.memory) },
-    { per: 'agent', cost: 'entry: microseconds a second while idle', points: pointsOf(agentSizes, agents.map(it => it.time)) },
-    { per: 'agent', cost: 'entry: bytes a second sent while idle', points: pointsOf(agentSizes, agents.map(it => it.bytes)) },
-    { per: 'agent', cost: 'entry: bytes of memory', points: pointsOf(agentSizes, agents.map(it => it.memory)) },
-    { per: 'customer', cost: 'entry: microseconds a second while idle', points: pointsOf(customerSizes, customers.map(it => it.time)) },
-    { per: 'customer', cost: 'entry: bytes of memory', points: pointsOf(customerSizes, customers.map(it => it.memory)) }
-  ])
+    { per: 'agent', cost: 'entry: microseconds a second of idle decisions', points: agents('microsecondsPerSecond') },
+    { per: 'agent', cost: 'entry: bytes a second of answers to heartbeats', points: agents('agentBytesPerSecond') },
+    { per: 'agent', cost: 'entry: bytes of memory', points: agents('heapBytes') },
+    { per: 'entry', cost: 'entry: microseconds a second of idle decisions', points: peers('microsecondsPerSecond') },
+    { per: 'entry', cost: 'entry: bytes a second of heartbeats to entries', points: peers('entryBytesPerSecond') },
+    { per: 'entry', cost: 'entry: bytes a second more to each agent', points: list },
+    { per: 'customer', cost: 'entry: microseconds a second of idle decisions', points: customers('microsecondsPerSecond') },
+    { per: 'customer', cost: 'entry: bytes of memory', points: customers('heapBytes') }
+  ]
 }
