Probe the burn report

Cause: at 510 teams the buckets of the burn report are bytes that every entry reads. Change: packages/capacity/src/probes/burn-probe.ts.

--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -2,6 +2,7 @@
 export * from './fit-slope.js'
 export * from './probe.js'
 export * from './probes/agent-probe.js'
+export * from './probes/burn-probe.js'
 export * from './probes/configuration-probe.js'
 export * from './probes/entry-probe.js'
 export * from './probes/link-probe.js'
--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -2,11 +2,12 @@
 import { fitSlope } from './fit-slope.js'
 import type { Probe } from './probe.js'
 import { probeAgent } from './probes/agent-probe.js'
+import { probeBurn } from './probes/burn-probe.js'
 import { probeConfiguration } from './probes/configuration-probe.js'
 import { probeEntry } from './probes/entry-probe.js'
 import { probeLink } from './probes/link-probe.js'
 
-const PROBES: readonly Probe[] = [probeLink, probeAgent, probeConfiguration, probeEntry]
+const PROBES: readonly Probe[] = [probeLink, probeAgent, probeConfiguration, probeEntry, probeBurn]
 
 function formatNumber (value: number): string {
   return Math.abs(value) >= 100 ? value.toFixed(0) : value.toPrecision(3)
--- /dev/null
+++ b/packages/capacity/src/probes/burn-probe.ts
@@ -0,0 +1,70 @@
+/** What the burn report costs an entry: an answer that is counted, and an objective in the record of each minute. */
+import { createBurnRecorder, MINUTE_MILLISECONDS } from '@baobabpost/burn-report'
+import { createEntryIdentity } from '@baobabpost/common'
+import type { Objective } from '@baobabpost/messages'
+import type { Point } from '../fit-slope.js'
+import { leastOf, microsecondsOf } from '../measure.js'
+import type { ProbeResult } from '../probe.js'
+
+const START = Date.UTC(2026, 0, 1)
+const ANSWERS_PER_OBJECTIVE = 60
+const REPETITIONS = 3
+
+function createObjective (place: number): Objective {
+  return {
+    name: `customer-${place}-response`,
+    service: 'lending',
+    customer: `customer-${place}`,
+    indicator: 'response',
+    boundMilliseconds: 1_000,
+    target: 0.99
+  }
+}
+
+/** Counts answers of which one in twenty is late. */
+function recordAnswers (recorder: ReturnType<typeof createBurnRecorder>, answers: number, customers: number): void {
+  for (let answer = 0; answer < answers; answer += 1) {
+    recorder.record({
+      service: 'lending',
+      customer: `customer-${answer % customers}`,
+      responseMilliseconds: answer % 20 === 0 ? 1_500 : 50 + answer % 700,
+      upstream: 'agent-1'
+    }, START)
+  }
+}
+
+function createRecorder (objectives: number): ReturnType<typeof createBurnRecorder> {
+  const recorder = createBurnRecorder({ entry: createEntryIdentity('entry-1'), startedAt: START })
+  recorder.setObjectives(Array.from({ length: objectives }, (_, place) => createObjective(place)))
+  return recorder
+}
+
+function measureAnswers (answers: number): Point {
+  const cost = leastOf(REPETITIONS, () => {
+    const recorder = createRecorder(10)
+    return microsecondsOf(() => { recordAnswers(recorder, answers, 10) })
+  })
+  return { size: answers, cost }
+}
+
+function measureBucket (objectives: number): { bytes: Point, time: Point } {
+  const recorder = createRecorder(objectives)
+  recordAnswers(recorder, objectives * ANSWERS_PER_OBJECTIVE, objectives)
+  let bytes = 0
+  const cost = microsecondsOf(() => {
+    bytes = JSON.stringify(recorder.takeClosed(START + MINUTE_MILLISECONDS)).length
+  })
+  return { bytes: { size: objectives, cost: bytes }, time: { size: objectives, cost } }
+}
+
+/** Measures the burn report. */
+export function probeBurn (): Promise<readonly ProbeResult[]> {
+  measureAnswers(50_000)
+  measureBucket(100)
+  const buckets = [50, 100, 200, 400].map(measureBucket)
+  return Promise.resolve([
+    { per: 'answer', cost: 'burn: microseconds to count it', points: [20_000, 40_000, 80_000, 160_000].map(measureAnswers) },
+    { per: 'objective', cost: 'burn: microseconds a minute to close its bucket', points: buckets.map(part => part.time) },
+    { per: 'objective', cost: 'burn: bytes a minute on the log', points: buckets.map(part => part.bytes) }
+  ])
+}
--- a/packages/capacity/src/probes/entry-probe.ts
+++ b/packages/capacity/src/probes/entry-probe.ts
@@ -11,7 +11,7 @@
 const ALONE = 0
 const JOBS = 60
 const WARM_UP_TASKS = 4_000
-const HEARTBEAT_SECONDS = 20
+const HEARTBEAT_SECONDS = 10
 const STEPS_PER_SECOND = 20
 const LONGEST_STEPS = 4_000
 
@@ -111,9 +111,9 @@
   const entry = createProbedEntry(small)
   runJobs(entry, 20, WARM_UP_TASKS / 20)
   const tasks = [1, 20, 100, 200, 400].map(size => measureTasks(entry, size))
-  const agents = await measureSizes([50, 100, 200, 400], size => ({ ...small, agents: size }))
+  const agents = await measureSizes([500, 1_000, 2_000, 4_000], size => ({ ...small, agents: size }))
   const peers = await measureSizes([2, 4, 8, 16], size => ({ ...small, peers: size }))
-  const customers = await measureSizes([500, 1_000, 2_000, 4_000], size => ({ ...small, customers: size }))
+  const customers = await measureSizes([1_000, 2_000, 4_000, 8_000], size => ({ ...small, customers: size }))
   const list = peers('agentBytesPerSecond').map(({ size, cost }) => ({ size, cost: cost / AGENTS }))
   return [
     { per: 'task', cost: 'entry: microseconds of decisions (fixed: a job)', points: tasks.map(part => part.time) },
