--- a/packages/agent/src/agent-run.ts
+++ b/packages/agent/src/agent-run.ts
@@ -7,7 +7,7 @@
 import type { AgentSettings } from './agent-settings.js'
 import { createUpstreamClient } from './upstream-client.js'
 
-const TICK_MILLISECONDS = 50
+const TICK_MILLISECONDS = 100
 
 /** One run. */
 export interface AgentRun {
@@ -25,7 +25,7 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly invariants: Invariants
-  /** Called about every 50 ms. */
+  /** Called about every 100 ms. */
   readonly onTick: () => void
 }
 
--- a/packages/execution/src/announcer.ts
+++ b/packages/execution/src/announcer.ts
@@ -27,13 +27,15 @@
   readonly heartbeatMilliseconds: number
   /** Unfinished tasks to share out; 0 while nothing may start. */
   readonly capacity: () => number
+  readonly hasFreeSlots: () => boolean
   readonly leaving: () => boolean
   readonly configurationPosition: () => number
 }
 
 const BACKLOG_HALF_LIFE_MILLISECONDS = 500
 const NEGLIGIBLE_BACKLOG_TASKS = 0.5
-const MINIMUM_GAP_MILLISECONDS = 20
+const GAP_MILLISECONDS = 20
+const GAP_WITHOUT_FREE_SLOTS_MILLISECONDS = 100
 const SEEDS_AFTER_ROUNDS = 3
 
 /** Tasks that an entry has use for here; what it last told counts less with time. */
@@ -100,6 +102,13 @@
     for (const [place, entry] of all.entries()) entry.window = windows[place] ?? 0
   }
 
+  /** Whether an entry has use for the window that it was not told yet, and can't be left waiting for a report. */
+  function isWorthTelling (entry: EntryState, now: number): boolean {
+    if (entry.backlog === 0 || entry.window <= entry.toldWindow) return false
+    const gap = options.hasFreeSlots() ? GAP_MILLISECONDS : GAP_WITHOUT_FREE_SLOTS_MILLISECONDS
+    return now - entry.announcedAt >= gap && demandOf(entry, now) > entry.toldWindow
+  }
+
   return {
     updateWindows,
     announceSoon () { soon = true },
@@ -115,9 +124,7 @@
         return
       }
       for (const entry of entries.all().values()) {
-        const waits = entry.backlog > 0 && entry.window > entry.toldWindow
-        const isNew = entry.announcedAt === 0
-        if (isNew || (waits && now - entry.announcedAt >= MINIMUM_GAP_MILLISECONDS)) announceTo(entry, now)
+        if (entry.announcedAt === 0 || isWorthTelling(entry, now)) announceTo(entry, now)
       }
     }
   }
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -69,6 +69,7 @@
     capacity: () => currentState() === 'active' && runner.upstreamReachable() && !answers.exhausted()
       ? options.slots + registers.prefetchTasks()
       : 0,
+    hasFreeSlots: () => runner.runningCount() < options.slots,
     leaving: () => currentState() === 'leaving',
     configurationPosition: registers.position
   })
--- a/packages/execution/tests/share-windows.test.ts
+++ b/packages/execution/tests/share-windows.test.ts
@@ -60,4 +60,19 @@
     }
     expect(agent.execution.snapshot().windows).toEqual(new Map([[FIRST_ENTRY, 6], [SECOND_ENTRY, 6]]))
   })
+
+  test('an entry without use for a wider window is not sent one beside the heartbeats', () => {
+    const agent = createAgentUnderTest({ slots: 8, prefetchTasks: 4 })
+    agent.grantLease()
+    agent.grantLease(SECOND_ENTRY)
+    agent.flush()
+    agent.sent.splice(0)
+    const group = createGroup('job', [0, 1], { startBefore: agent.now() + 2_000 })
+    agent.receive(FIRST_ENTRY, { method: 'dispatch', parameters: { groups: [group], backlog: 3 } })
+    for (let turn = 0; turn < 10; turn += 1) {
+      agent.pass(20)
+      agent.flush()
+    }
+    expect(agent.sent).toEqual([])
+  })
 })
