--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -8,6 +8,7 @@
 import { Schema } from 'effect'
 import { JobRequest, Problem, SubmissionAnswer } from './caller.js'
 import { JsonRecord, Milliseconds, Whole } from './json.js'
+import { Explanation } from './operator.js'
 import { TaskOutcome } from './outcome.js'
 import { RegisterValue } from './register.js'
 
@@ -32,8 +33,8 @@
   index: Whole,
   input: JsonRecord,
   /**
-   * Number of this dispatch of the task under its epoch. A refusal holds for its epoch and attempt and all lower ones,
-   * so that a delayed copy stays refused while a later attempt may come to the same agent.
+   * Number of this dispatch of the task: it rises with each dispatch and with the epoch. A refusal holds for its
+   * attempt and all lower ones, so that a delayed copy stays refused while a later attempt may come to the same agent.
    */
   attempt: Schema.optionalKey(Whole)
 })
@@ -173,7 +174,9 @@
   sequence: Whole,
   /** Log offset up to which the sender has applied records. */
   position: Whole,
-  /** Agents that the sender heard from lately. */
+  /** Agents that the sender suspects. */
+  suspectedAgents: Schema.Array(AgentIdentity),
+  /** Of the agents that other entries suspect, those that the sender heard from lately. */
   heardAgents: Schema.Array(AgentIdentity)
 })
 export type EntryHeartbeat = typeof EntryHeartbeat.Type
@@ -190,7 +193,8 @@
 export const ForwardedOperation = Schema.Union([
   Schema.Struct({ kind: Schema.Literal('submit'), request: JobRequest, digest: Schema.String }),
   Schema.Struct({ kind: Schema.Literal('query') }),
-  Schema.Struct({ kind: Schema.Literal('cancel') })
+  Schema.Struct({ kind: Schema.Literal('cancel') }),
+  Schema.Struct({ kind: Schema.Literal('explain') })
 ])
 export type ForwardedOperation = typeof ForwardedOperation.Type
 
@@ -208,6 +212,7 @@
 /** Owner's answer to a forwarded operation. */
 export const OperationResult = Schema.Union([
   Schema.Struct({ kind: Schema.Literal('answer'), answer: SubmissionAnswer }),
+  Schema.Struct({ kind: Schema.Literal('explanation'), explanation: Explanation }),
   Schema.Struct({ kind: Schema.Literal('problem'), problem: Problem })
 ])
 export type OperationResult = typeof OperationResult.Type
--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -1,6 +1,7 @@
 /** Values of registers: one schema for each kind of register, and the names of the registers. */
 import { AgentIdentity, EntryIdentity, Name } from '@baobabpost/common'
 import { Schema } from 'effect'
+import { BurnBucket } from './burn.js'
 import { JsonRecord, Milliseconds, Whole } from './json.js'
 
 /** Register `template/NAME`: a kind of task. */
@@ -54,6 +55,11 @@
   placement: Schema.Literals(['late-binding', 'two-choices', 'round-robin']),
   /** Tasks beyond its slots that an agent accepts ahead. */
   prefetchTasks: Whole,
+  /**
+   * Slots that jobs leave free at an agent for each urgent task that runs there on average. More favours the response
+   * of urgent tasks, 0 the throughput of jobs.
+   */
+  urgentReserve: Schema.optionalKey(Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 8 }))),
   /** Retries and hedges of single calls as a share of successes. */
   retryShare: Schema.Finite.check(Schema.isBetween({ minimum: 0, maximum: 1 })),
   /** Whether unmarked single calls may be hedged. */
@@ -75,6 +81,10 @@
 })
 export type Objective = typeof Objective.Type
 
+/** Register `drain/NAME`: the agent of that name gets no new work while the register is there. */
+export const Drain = Schema.Struct({ name: Name, reason: Schema.String.check(Schema.isMaxLength(200)) })
+export type Drain = typeof Drain.Type
+
 /** Register `partition/NUMBER`: the owner of a partition of submission keys; the version is the epoch. */
 export const PartitionOwner = Schema.Struct({
   owner: EntryIdentity,
@@ -112,6 +122,8 @@
   team: Team,
   policy: Policy,
   objective: Objective,
+  drain: Drain,
+  burn: BurnBucket,
   partition: PartitionOwner,
   entry: EntryRegistration,
   agent: AgentRegistration
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -37,8 +37,13 @@
   /** Whether any agent of the service could take a task now. */
   abstract hasRoom (service: string, now: number): boolean
 
-  /** Chooses an agent for the task, or none if it should wait. */
-  abstract choose (task: WaitingTask, now: number): AgentIdentity | undefined
+  /**
+   * Chooses an agent for the task, or none if it should wait.
+   *
+   * @param waiting - Tasks that wait in the lane of the task, this one included.
+   * @param owed - Whether the task is a job's whose turn it is though urgent tasks wait.
+   */
+  abstract choose (task: WaitingTask, now: number, waiting: number, owed?: boolean): AgentIdentity | undefined
 
   /** Notes that the task was dispatched to the agent. */
   abstract dispatched (identity: AgentIdentity, task: WaitingTask, now: number): void
--- a/packages/requests/src/requests.ts
+++ b/packages/requests/src/requests.ts
@@ -31,16 +31,36 @@
   | { readonly kind: 'withdraw', readonly attempt: string }
   | { readonly kind: 'answer', readonly request: string, readonly result: RequestResult }
 
-/** The single calls of one entry: retries and hedges within a budget. */
+/** What the policy of the deployment says about single calls. */
+export interface RequestPolicy {
+  /** Retries and hedges as a share of successes, from 0 to 1. */
+  readonly retryShare: number
+  /** Whether idempotent calls may be hedged. */
+  readonly hedge: boolean
+}
+
+/**
+ * The single calls of one entry: retries and hedges within a budget.
+ *
+ * An attempt for which `dispatched` was not called is still in the entry's queue, so that a `withdraw` proves that it
+ * does not run. The entry carries out the actions in their order.
+ */
 export interface Requests {
   begin: (call: RequestCall, now: number) => readonly RequestAction[]
   /** The attempt was sent to an agent. */
   dispatched: (attempt: string, agent: AgentIdentity, now: number) => readonly RequestAction[]
-  /** The attempt ended: at an agent, in the queue (not run), or with its agent (outcome unknown). */
-  finished: (attempt: string, outcome: TaskOutcome, now: number) => readonly RequestAction[]
+  /**
+   * The attempt ended: at an agent, in the queue (not run), or with its agent (outcome unknown).
+   *
+   * @param retryAfterMilliseconds - When the caller may come back, where a refusal said so.
+   */
+  finished: (
+    attempt: string, outcome: TaskOutcome, now: number, retryAfterMilliseconds?: number
+  ) => readonly RequestAction[]
   /** The caller broke off. */
   abandon: (request: string, now: number) => readonly RequestAction[]
   tick: (now: number) => readonly RequestAction[]
+  setPolicy: (policy: RequestPolicy) => void
   /** Number of calls that have no answer yet. */
   pending: () => number
 }
