Kill real processes in the middle of jobs, and replace every process under load

Cause: the promises were shown on slices and on one process only. Change: tests that kill entries and agents by id while clients resubmit, and that replace all entries and agents under load; the fleet of the demo can add and stop single processes.

--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -8,6 +8,10 @@
 const LINK_KEY = 'shared key of the links'
 const DEFAULT_WORK_MILLISECONDS = 100
 const ANY_PORT = '127.0.0.1:0'
+const KEY_WINDOW_MILLISECONDS = 600_000
+const CLOCK_SKEW_MILLISECONDS = 2_000
+const LOG_RETENTION_MILLISECONDS = 86_400_000
+const STOP_TIMEOUT_MILLISECONDS = 20_000
 
 /** Secret of the operator's key. */
 export const OPERATOR_SECRET = 'operator-of-the-demo'
@@ -47,6 +51,14 @@
   readonly platform: StandInPlatform
   readonly entries: readonly RunningEntry[]
   readonly upstreams: readonly FleetUpstream[]
+  /** Starts one more entry. */
+  readonly addEntry: (failureDomain: string) => Promise<RunningEntry>
+  /** Starts a new agent beside an upstream, as a replacement of the one that was there. */
+  readonly addAgent: (replaced: FleetUpstream) => Promise<FleetUpstream>
+  /** Planned stop of one entry, which leaves the fleet. */
+  readonly stopEntry: (entry: RunningEntry) => Promise<void>
+  /** Planned stop of one agent, which leaves the fleet; its upstream stays. */
+  readonly stopAgent: (upstream: FleetUpstream) => Promise<void>
   /** Planned stop of everything. */
   readonly stop: () => Promise<void>
 }
@@ -56,6 +68,71 @@
   return [`operator:demo:${OPERATOR_SECRET}`, ...callers].join(',')
 }
 
+/** What an entry of the fleet is started with. */
+interface EntryStart {
+  readonly number: number
+  readonly failureDomain: string
+  readonly platformAddress: string
+  readonly peerAddresses: readonly string[]
+}
+
+function startFleetEntry (plan: FleetPlan, start: EntryStart): Promise<RunningEntry> {
+  const firstPort = plan.firstPort ?? 0
+  return startEntry({
+    name: `entry-${start.number}`,
+    failureDomain: start.failureDomain,
+    listenAddress: `127.0.0.1:${firstPort === 0 ? 0 : firstPort + start.number - 1}`,
+    linkAddress: ANY_PORT,
+    advertisedLinkAddress: '',
+    platformLogAddress: start.platformAddress,
+    peerAddresses: start.peerAddresses,
+    linkKeys: [LINK_KEY],
+    accessKeys: accessKeys(plan.customers),
+    accessKeyFile: '',
+    certificateFile: '',
+    certificateKeyFile: '',
+    logLevel: plan.logLevel,
+    metricsAddress: '',
+    policy: 'default',
+    keyWindowMilliseconds: KEY_WINDOW_MILLISECONDS,
+    clockSkewMilliseconds: CLOCK_SKEW_MILLISECONDS,
+    logRetentionMilliseconds: LOG_RETENTION_MILLISECONDS,
+    maximumQueuedTasks: 200_000,
+    stopTimeoutMilliseconds: STOP_TIMEOUT_MILLISECONDS
+  })
+}
+
+/** What an agent of the fleet is started with. */
+interface AgentStart {
+  readonly number: number
+  readonly agentPlan: FleetAgentPlan
+  readonly failureDomain: string
+  readonly upstreamAddress: string
+  readonly entryAddresses: readonly string[]
+}
+
+function startFleetAgent (plan: FleetPlan, start: AgentStart): Promise<RunningAgent> {
+  return startAgent({
+    name: `agent-${start.number}`,
+    listenAddress: ANY_PORT,
+    advertisedAddress: '',
+    failureDomain: start.failureDomain,
+    service: start.agentPlan.service,
+    slots: plan.slots,
+    connections: 60,
+    upstreamAddress: start.upstreamAddress,
+    entryAddresses: start.entryAddresses,
+    linkKeys: [LINK_KEY],
+    logLevel: plan.logLevel,
+    metricsAddress: '',
+    keyWindowMilliseconds: KEY_WINDOW_MILLISECONDS,
+    leaseMilliseconds: 3_000,
+    clockSkewMilliseconds: CLOCK_SKEW_MILLISECONDS,
+    upstreamIdleMilliseconds: 2_000,
+    stopTimeoutMilliseconds: STOP_TIMEOUT_MILLISECONDS
+  })
+}
+
 /**
  * Starts a fleet.
  *
@@ -66,69 +143,62 @@
 export async function startFleet (plan: FleetPlan): Promise<Fleet> {
   const platform = await createStandInPlatform()
   const entries: RunningEntry[] = []
-  for (const [place, failureDomain] of plan.failureDomains.entries()) {
-    const firstPort = plan.firstPort ?? 0
-    entries.push(await startEntry({
-      name: `entry-${place + 1}`,
-      failureDomain,
-      listenAddress: `127.0.0.1:${firstPort === 0 ? 0 : firstPort + place}`,
-      linkAddress: ANY_PORT,
-      advertisedLinkAddress: '',
-      platformLogAddress: platform.address,
-      peerAddresses: entries.map(entry => entry.linkAddress),
-      linkKeys: [LINK_KEY],
-      accessKeys: accessKeys(plan.customers),
-      accessKeyFile: '',
-      certificateFile: '',
-      certificateKeyFile: '',
-      logLevel: plan.logLevel,
-      metricsAddress: '',
-      policy: 'default',
-      keyWindowMilliseconds: 600_000,
-      clockSkewMilliseconds: 2_000,
-      logRetentionMilliseconds: 86_400_000,
-      maximumQueuedTasks: 200_000,
-      stopTimeoutMilliseconds: 20_000
-    }))
-  }
   const upstreams: FleetUpstream[] = []
-  for (const [place, agentPlan] of plan.agents.entries()) {
+  let entryCount = 0
+  let agentCount = 0
+
+  async function addEntry (failureDomain: string): Promise<RunningEntry> {
+    entryCount += 1
+    const peerAddresses = entries.map(entry => entry.linkAddress)
+    const start = { number: entryCount, failureDomain, platformAddress: platform.address, peerAddresses }
+    const entry = await startFleetEntry(plan, start)
+    entries.push(entry)
+    return entry
+  }
+
+  async function startBeside (agentPlan: FleetAgentPlan, upstream: StandInUpstream): Promise<FleetUpstream> {
+    const failureDomain = plan.failureDomains[agentCount % plan.failureDomains.length] ?? 'none'
+    agentCount += 1
+    const entryAddresses = entries.map(entry => entry.linkAddress)
+    const agent = await startFleetAgent(plan, {
+      number: agentCount, agentPlan, failureDomain, upstreamAddress: upstream.address, entryAddresses
+    })
+    const started = { plan: agentPlan, upstream, agent }
+    upstreams.push(started)
+    return started
+  }
+
+  async function addUpstream (agentPlan: FleetAgentPlan): Promise<void> {
     const upstream = await createStandInUpstream({
-      name: `upstream-${place + 1}`,
+      name: `upstream-${agentCount + 1}`,
       port: 0,
       slots: plan.slots,
       speed: agentPlan.speed,
       defaultMilliseconds: DEFAULT_WORK_MILLISECONDS
     })
-    const agent = await startAgent({
-      name: `agent-${place + 1}`,
-      listenAddress: ANY_PORT,
-      advertisedAddress: '',
-      failureDomain: plan.failureDomains[place % plan.failureDomains.length] ?? 'none',
-      service: agentPlan.service,
-      slots: plan.slots,
-      connections: 60,
-      upstreamAddress: upstream.address,
-      entryAddresses: entries.map(entry => entry.linkAddress),
-      linkKeys: [LINK_KEY],
-      logLevel: plan.logLevel,
-      metricsAddress: '',
-      keyWindowMilliseconds: 600_000,
-      leaseMilliseconds: 3_000,
-      clockSkewMilliseconds: 2_000,
-      upstreamIdleMilliseconds: 2_000,
-      stopTimeoutMilliseconds: 10_000
-    })
-    upstreams.push({ plan: agentPlan, upstream, agent })
+    await startBeside(agentPlan, upstream)
   }
 
+  for (const failureDomain of plan.failureDomains) await addEntry(failureDomain)
+  for (const agentPlan of plan.agents) await addUpstream(agentPlan)
+
   return {
     platform,
     entries,
     upstreams,
+    addEntry,
+    addAgent: replaced => startBeside(replaced.plan, replaced.upstream),
+    async stopEntry (entry) {
+      await entry.stop()
+      entries.splice(entries.indexOf(entry), 1)
+    },
+    async stopAgent (upstream) {
+      await upstream.agent.stop()
+      upstreams.splice(upstreams.indexOf(upstream), 1)
+    },
     async stop () {
       await Promise.all(upstreams.map(({ agent }) => agent.stop()))
-      await Promise.all(upstreams.map(({ upstream }) => upstream.close()))
+      await Promise.all([...new Set(upstreams.map(({ upstream }) => upstream))].map(upstream => upstream.close()))
       await Promise.all(entries.map(entry => entry.stop()))
       await platform.close()
     }
--- a/packages/demo/src/main-job.ts
+++ b/packages/demo/src/main-job.ts
@@ -86,15 +86,24 @@
   }))
 }
 
-/** Publishes the sample configuration through an entry. */
+/** Publishes the sample configuration through the first entry of a fleet. */
 export async function publishSamples (fleet: Fleet): Promise<number> {
   const [entry] = fleet.entries
   if (entry === undefined) throw new Error('a fleet has an entry')
+  return await publishSamplesThrough(entry.url)
+}
+
+/**
+ * Publishes the sample configuration through the entry at a URL.
+ *
+ * @returns The number of registers.
+ */
+export async function publishSamplesThrough (url: string): Promise<number> {
   const samples = samplePublications()
   for (const { register, value, replaces } of samples) {
     const answer = await send({
       method: 'PUT',
-      url: entry.url,
+      url,
       path: `/v1/configuration/${register}`,
       secret: OPERATOR_SECRET,
       body: { replaces, value }
