--- a/packages/configuration/tests/configuration.test.ts
+++ b/packages/configuration/tests/configuration.test.ts
@@ -125,7 +125,8 @@
     const process = fleet.join()
     const bad = publish(process, { register: 'team/dakar', value: { name: 'dakar', share: -1 }, replaces: 0 })
     const foreign = publish(process, { register: 'partition/1', value: null, replaces: 0 })
-    expect([bad[0], foreign[0]].map(describeResult)).toEqual(['malformed-request 0', 'malformed-request 0'])
+    const misspelt = publish(process, { register: 'team/dakar', value: { ...team(1) as object, shares: 2 }, replaces: 0 })
+    expect([bad, foreign, misspelt].flat().map(describeResult)).toEqual(Array(3).fill('malformed-request 0'))
     expect(fleet.log).toHaveLength(0)
   })
 
@@ -195,7 +196,7 @@
   const [peer, fresh] = [fleet.join(), fleet.join()]
   publish(peer, { register: 'team/dakar', value: team(1), replaces: 0 })
   peer.read()
-  fresh.configuration.changed(fresh.fold.adopt(peer.fold.changesSince(0, 100)), 0)
+  fresh.configuration.changed(fresh.fold.adopt(peer.fold.changesSince(0, 100), 0), 0)
   const standing: LogStanding = {
     position: 0, end: 3, endReadStartedAt: undefined, behindSince: 500, pendingAppends: 0
   }
