--- a/packages/outcomes/tests/fake-owner.ts
+++ b/packages/outcomes/tests/fake-owner.ts
@@ -127,13 +127,13 @@
 
   answer (waiter: string): SubmissionAnswer {
     const result = this.result(waiter)
-    if (result.kind !== 'answer') throw new Error(`${waiter} got ${result.problem.kind}`)
+    if (result.kind !== 'answer') throw new Error(`${waiter} got ${JSON.stringify(result)}`)
     return result.answer
   }
 
   problem (waiter: string): string {
     const result = this.result(waiter)
-    return result.kind === 'problem' ? result.problem.kind : `answer ${result.answer.state}`
+    return result.kind === 'problem' ? result.problem.kind : result.kind
   }
 
   setState (state: PartitionState, partition: number, now: number = NOW): void {
--- a/packages/trials/src/callers.ts
+++ b/packages/trials/src/callers.ts
@@ -32,8 +32,8 @@
   readonly taskCount: number
   readonly waitMilliseconds: number
   readonly patienceMilliseconds: number
-  /** Entry that is asked first. */
-  readonly entry?: EntryNode
+  /** Chooses the entry that is asked first. */
+  readonly chooseFirst?: (key: SubmissionKey) => EntryNode | undefined
 }
 
 /** A connection of a caller to an entry. */
@@ -60,7 +60,7 @@
   let nextAt = world.now()
   let end: CallerEnd | undefined
   let lastProblem: string | undefined
-  let firstEntry = options.entry
+  let firstEntry = options.chooseFirst?.(key)
 
   function ask (operation: ForwardedOperation, entry: EntryNode, onResult: (result: OperationResult) => void): number {
     if (operation.kind === 'submit') ledger.submitted(key, options.taskCount, world.now())
@@ -99,6 +99,7 @@
       else end ??= result.answer.state
       return
     }
+    if (result.kind !== 'problem') return
     const { kind, retryAfterMilliseconds } = result.problem
     lastProblem = kind
     if (kind !== 'outcome-unknown' && kind !== 'not-run') {
--- /dev/null
+++ b/packages/trials/src/faults.ts
@@ -0,0 +1,279 @@
+/** The faults of the matrix: each strikes once, at one step of a life, and is over some seconds later. */
+import type { SubmissionCaller } from './callers.js'
+import type { Fate, Letter } from './mail.js'
+import type { AgentNode, EntryNode, TrialNode } from './nodes.js'
+import type { World } from './world.js'
+
+/** Where a fault strikes. */
+export interface Scene {
+  readonly world: World
+  /** Entry where the work arrived. */
+  readonly arrival: EntryNode | undefined
+  /** Owner of the submission; the entry of arrival for a call. */
+  readonly owner: EntryNode | undefined
+  /** Agent that the work is at, or any. */
+  readonly agent: AgentNode | undefined
+  /** Message that is the step, if a message is. */
+  readonly letter: Letter | undefined
+  /** The caller of the submission. */
+  readonly caller: SubmissionCaller | undefined
+  /** Lets something happen later. */
+  readonly after: (milliseconds: number, action: () => void) => void
+}
+
+/** One fault. */
+export interface Fault {
+  readonly name: string
+  /** Whether the work has to succeed in spite of it. */
+  readonly isBearable: boolean
+  readonly strike: (scene: Scene) => void
+}
+
+const FAULT_MILLISECONDS = 6_000
+const LONG_PAUSE_MILLISECONDS = 9_000
+const SHORT_PAUSE_MILLISECONDS = 1_500
+const SECOND_STRIKE_MILLISECONDS = 2_500
+
+function strikeFate (scene: Scene, fate: Fate): void {
+  const { world, letter } = scene
+  if (letter === undefined) return
+  world.setFate(current => current === letter ? fate : 'deliver')
+}
+
+/** All messages of some seconds meet a fate now and then. */
+function strikeWave (scene: Scene, fate: Fate, oneIn: number): void {
+  const { world } = scene
+  world.setFate(() => world.random.below(oneIn) === 0 ? fate : 'deliver')
+  scene.after(FAULT_MILLISECONDS, () => { world.setFate(() => 'deliver') })
+}
+
+function kill (scene: Scene, node: TrialNode | undefined): void {
+  if (node !== undefined) scene.world.kill(node)
+}
+
+function pause (scene: Scene, node: TrialNode | undefined, milliseconds: number): void {
+  if (node !== undefined) scene.world.pause(node, milliseconds)
+}
+
+/** Cuts a link in one or both directions for some seconds. */
+function cut (scene: Scene, from: TrialNode | undefined, to: TrialNode | undefined): void {
+  if (from === undefined || to === undefined || from === to) return
+  scene.world.cut(from.identity, to.identity)
+  scene.after(FAULT_MILLISECONDS, () => { scene.world.healCuts() })
+}
+
+/** Cuts a process off from every entry. */
+function isolate (scene: Scene, node: TrialNode | undefined): void {
+  for (const entry of scene.world.entries()) {
+    cut(scene, node, entry)
+    cut(scene, entry, node)
+  }
+}
+
+function withoutLog (scene: Scene, entry: EntryNode | undefined): void {
+  if (entry === undefined) return
+  entry.reachesLog = false
+  scene.after(LONG_PAUSE_MILLISECONDS, () => { entry.reachesLog = true })
+}
+
+function logOutage (scene: Scene): void {
+  scene.world.log.isDown = true
+  scene.after(LONG_PAUSE_MILLISECONDS, () => { scene.world.log.isDown = false })
+}
+
+function logSlow (scene: Scene): void {
+  scene.world.log.delayMilliseconds = 1_500
+  scene.after(LONG_PAUSE_MILLISECONDS, () => { scene.world.log.delayMilliseconds = 5 })
+}
+
+function logLossy (scene: Scene): void {
+  scene.world.log.losesAcknowledgements = true
+  scene.after(LONG_PAUSE_MILLISECONDS, () => { scene.world.log.losesAcknowledgements = false })
+}
+
+function upstreams (scene: Scene, fate: AgentNode['upstream']['fate']): void {
+  for (const agent of scene.world.agents()) agent.upstream.fate = fate
+  scene.after(SHORT_PAUSE_MILLISECONDS, () => {
+    for (const agent of scene.world.agents()) agent.upstream.fate = 'answer'
+  })
+}
+
+function nextOwner (scene: Scene): EntryNode | undefined {
+  return scene.world.entries().find(entry => entry !== scene.arrival) ?? scene.world.entries()[0]
+}
+
+/** All faults of the matrix. */
+export const FAULTS: readonly Fault[] = [
+  { name: 'none', isBearable: true, strike: () => {} },
+  { name: 'the message is lost', isBearable: true, strike: scene => { strikeFate(scene, 'lose') } },
+  { name: 'the message is delayed', isBearable: true, strike: scene => { strikeFate(scene, 'delay') } },
+  { name: 'the message is repeated', isBearable: true, strike: scene => { strikeFate(scene, 'repeat') } },
+  { name: 'the message is overtaken', isBearable: true, strike: scene => { strikeFate(scene, 'overtaken') } },
+  { name: 'many messages are lost', isBearable: false, strike: scene => { strikeWave(scene, 'lose', 3) } },
+  { name: 'all messages are repeated', isBearable: true, strike: scene => { strikeWave(scene, 'repeat', 1) } },
+  { name: 'many messages are delayed', isBearable: false, strike: scene => { strikeWave(scene, 'delay', 2) } },
+  { name: 'the owner dies', isBearable: false, strike: scene => { kill(scene, scene.owner) } },
+  { name: 'the entry of arrival dies', isBearable: false, strike: scene => { kill(scene, scene.arrival) } },
+  {
+    name: 'both entries die',
+    isBearable: false,
+    strike: scene => {
+      kill(scene, scene.owner)
+      kill(scene, scene.arrival)
+    }
+  },
+  {
+    name: 'the owner dies, then another entry',
+    isBearable: false,
+    strike: scene => {
+      kill(scene, scene.owner)
+      scene.after(SECOND_STRIKE_MILLISECONDS, () => { kill(scene, nextOwner(scene)) })
+    }
+  },
+  {
+    name: 'the owner pauses and wakes superseded',
+    isBearable: false,
+    strike: scene => { pause(scene, scene.owner, LONG_PAUSE_MILLISECONDS) }
+  },
+  {
+    name: 'the owner pauses shortly, twice',
+    isBearable: false,
+    strike: scene => {
+      pause(scene, scene.owner, SHORT_PAUSE_MILLISECONDS)
+      scene.after(SECOND_STRIKE_MILLISECONDS, () => { pause(scene, scene.owner, SHORT_PAUSE_MILLISECONDS) })
+    }
+  },
+  { name: 'the agent dies', isBearable: false, strike: scene => { kill(scene, scene.agent) } },
+  {
+    name: 'the agent dies, then another',
+    isBearable: false,
+    strike: scene => {
+      kill(scene, scene.agent)
+      scene.after(SECOND_STRIKE_MILLISECONDS, () => { kill(scene, scene.world.agents()[0]) })
+    }
+  },
+  {
+    name: 'the agent pauses and wakes replaced',
+    isBearable: false,
+    strike: scene => { pause(scene, scene.agent, LONG_PAUSE_MILLISECONDS) }
+  },
+  {
+    name: 'the agent pauses shortly',
+    isBearable: false,
+    strike: scene => { pause(scene, scene.agent, SHORT_PAUSE_MILLISECONDS) }
+  },
+  {
+    name: 'owner and agent die',
+    isBearable: false,
+    strike: scene => {
+      kill(scene, scene.owner)
+      kill(scene, scene.agent)
+    }
+  },
+  {
+    name: 'the owner dies, the agent pauses',
+    isBearable: false,
+    strike: scene => {
+      kill(scene, scene.owner)
+      pause(scene, scene.agent, LONG_PAUSE_MILLISECONDS)
+    }
+  },
+  {
+    name: 'owner and agent pause',
+    isBearable: false,
+    strike: scene => {
+      pause(scene, scene.owner, LONG_PAUSE_MILLISECONDS)
+      pause(scene, scene.agent, LONG_PAUSE_MILLISECONDS)
+    }
+  },
+  { name: 'cut from owner to agent', isBearable: false, strike: scene => { cut(scene, scene.owner, scene.agent) } },
+  { name: 'cut from agent to owner', isBearable: false, strike: scene => { cut(scene, scene.agent, scene.owner) } },
+  { name: 'cut from arrival to owner', isBearable: false, strike: scene => { cut(scene, scene.arrival, scene.owner) } },
+  { name: 'cut from owner to arrival', isBearable: false, strike: scene => { cut(scene, scene.owner, scene.arrival) } },
+  { name: 'the agent is cut off', isBearable: false, strike: scene => { isolate(scene, scene.agent) } },
+  { name: 'the owner is cut off from entries', isBearable: false, strike: scene => { isolate(scene, scene.owner) } },
+  { name: 'the owner does not reach the log', isBearable: true, strike: scene => { withoutLog(scene, scene.owner) } },
+  {
+    name: 'the owner reaches neither entries nor log',
+    isBearable: false,
+    strike: scene => {
+      isolate(scene, scene.owner)
+      withoutLog(scene, scene.owner)
+    }
+  },
+  { name: 'the log is down', isBearable: true, strike: logOutage },
+  { name: 'the log is slow', isBearable: true, strike: logSlow },
+  {
+    name: 'the log is down and the owner dies',
+    isBearable: false,
+    strike: scene => {
+      logOutage(scene)
+      kill(scene, scene.owner)
+    }
+  },
+  {
+    name: 'the log loses acknowledgements and the owner dies',
+    isBearable: false,
+    strike: scene => {
+      logLossy(scene)
+      kill(scene, scene.owner)
+    }
+  },
+  {
+    name: 'the log is slow and the owner dies',
+    isBearable: false,
+    strike: scene => {
+      logSlow(scene)
+      kill(scene, scene.owner)
+    }
+  },
+  { name: 'upstreams lose answers', isBearable: false, strike: scene => { upstreams(scene, 'answer-lost') } },
+  { name: 'upstreams fail', isBearable: false, strike: scene => { upstreams(scene, 'fail') } },
+  { name: 'upstreams refuse connections', isBearable: true, strike: scene => { upstreams(scene, 'refuse-connection') } },
+  {
+    name: 'the owner stops as planned',
+    isBearable: true,
+    strike: scene => { if (scene.owner !== undefined) scene.world.stop(scene.owner) }
+  },
+  {
+    name: 'the agent stops as planned',
+    isBearable: true,
+    strike: scene => { if (scene.agent !== undefined) scene.world.stop(scene.agent) }
+  },
+  { name: 'an entry joins', isBearable: true, strike: scene => { scene.world.addEntry() } },
+  {
+    name: 'the owner stops as planned and dies half way',
+    isBearable: false,
+    strike: scene => {
+      if (scene.owner !== undefined) scene.world.stop(scene.owner)
+      scene.after(40, () => { kill(scene, scene.owner) })
+    }
+  },
+  {
+    name: 'the caller cancels',
+    isBearable: false,
+    strike: scene => { scene.caller?.cancel() }
+  },
+  {
+    name: 'the caller cancels and the owner dies',
+    isBearable: false,
+    strike: scene => {
+      scene.caller?.cancel()
+      scene.after(20, () => { kill(scene, scene.owner) })
+    }
+  },
+  {
+    name: 'the caller submits again through another entry',
+    isBearable: true,
+    strike: scene => { scene.caller?.submitAgain() }
+  },
+  { name: 'the caller breaks off and asks again', isBearable: true, strike: scene => { scene.caller?.breakOff() } },
+  {
+    name: 'the caller submits again and the owner dies',
+    isBearable: false,
+    strike: scene => {
+      scene.caller?.submitAgain()
+      scene.after(20, () => { kill(scene, scene.owner) })
+    }
+  }
+]
--- a/packages/trials/src/ledger.ts
+++ b/packages/trials/src/ledger.ts
@@ -131,7 +131,7 @@
         if (result.answer.state !== 'running') checkAnswer(account, key, result.answer, now)
         return
       }
-      if (result.problem.ran !== 'no') return
+      if (result.kind !== 'problem' || result.problem.ran !== 'no') return
       for (let index = 0; index < account.taskCount; index += 1) {
         check(account.starts[index] === 0, 'what was told as not run did not run',
           () => `${key}/${index} had started: ${result.problem.kind}`, now)
