--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -98,6 +98,7 @@
   const outcomes: Outcomes = createOutcomes({
     ports: {
       partitionState: partition => ownership.partitionState(partition),
+      mayJudge: now => ownership.mayJudge(now),
       resolve: jobQueue.resolve,
       offer: jobQueue.offer,
       restore: jobQueue.restore,
--- a/packages/outcomes/src/arrivals.ts
+++ b/packages/outcomes/src/arrivals.ts
@@ -39,6 +39,8 @@
   waiterDue: (waiter: string, submission: SubmissionKey, now: number) => void
   /** Looks again at what was parked, because the partition's state changed. */
   partitionChanged: (partition: number, state: PartitionState, now: number) => void
+  /** Looks again at what was parked until this entry may judge. */
+  tick: (now: number) => void
   parkedCount: () => number
 }
 
@@ -65,10 +67,24 @@
       return
     }
     const job = store.find(submission)
-    if (job === undefined) arriveUnknown(arrival, partition, state, now)
+    const isSafe = ports.mayJudge(now) || (job !== undefined && arrival.kind !== 'cancel')
+    if (!isSafe) park(partition, arrival, now)
+    else if (job === undefined) arriveUnknown(arrival, partition, state, now)
     else arriveKnown(arrival, job, now)
   }
 
+  function arriveAgain (partition: number, now: number): void {
+    const waiters = parked.get(partition)
+    if (waiters === undefined) return
+    parked.delete(partition)
+    for (const arrival of waiters.values()) arrive(arrival, now)
+  }
+
+  function isCollecting (partition: number): boolean {
+    const state = ports.partitionState(partition)
+    return state.kind === 'ours' && state.phase === 'collecting'
+  }
+
   function park (partition: number, arrival: Arrival, now: number): void {
     const { waiter, submission, waitUntil } = arrival.operation
     if (waitUntil <= now) {
@@ -193,10 +209,13 @@
       lifecycle.answer(waiter, uncertainResult(submission, options.retryAfterMilliseconds), now)
     },
     partitionChanged (partition, state, now) {
-      const waiters = parked.get(partition)
-      if (waiters === undefined || (state.kind === 'ours' && state.phase === 'collecting')) return
-      parked.delete(partition)
-      for (const arrival of waiters.values()) arrive(arrival, now)
+      if (state.kind !== 'ours' || state.phase === 'serving') arriveAgain(partition, now)
+    },
+    tick (now) {
+      if (parked.size === 0 || !ports.mayJudge(now)) return
+      for (const partition of [...parked.keys()]) {
+        if (!isCollecting(partition)) arriveAgain(partition, now)
+      }
     },
     parkedCount () {
       let count = 0
--- a/packages/outcomes/src/create-outcomes.ts
+++ b/packages/outcomes/src/create-outcomes.ts
@@ -4,7 +4,7 @@
 import { createArrivals } from './arrivals.js'
 import { explainJob } from './explanation.js'
 import { attemptNumber, type HeldTasks, type Job, TaskState } from './job.js'
-import { createJobLifecycle, type DueItem, notRun } from './job-lifecycle.js'
+import { createJobLifecycle, type DueItem } from './job-lifecycle.js'
 import { createJobStore, isForeign } from './job-store.js'
 import { createJobTakeover } from './job-takeover.js'
 import type { Outcomes, OutcomesOptions } from './outcomes.js'
@@ -107,6 +107,9 @@
       case 'adoption':
         if (store.find(item.job.submission) === item.job) lifecycle.adoptionDue(item.job, now)
         return
+      case 'release':
+        if (store.find(item.job.submission) === item.job) lifecycle.release(item.job, now)
+        return
       case 'expiry':
         expiryDue(item.job, now)
     }
@@ -188,7 +191,7 @@
       const waiting = indexes.filter(index => job.state(index) === TaskState.waiting)
       if (waiting.length === 0) return
       job.steps.add('expired', waiting.length, now)
-      lifecycle.finishAll(job, waiting, notRun('deadline'), now)
+      lifecycle.judgeNotRun(job, waiting, 'deadline', now)
     },
 
     agentDeparted: reports.agentDeparted,
@@ -205,6 +208,7 @@
 
     tick (now) {
       for (const item of timeline.takeDue(now)) due(item, now)
+      arrivals.tick(now)
       lifecycle.flushWithdrawals(now)
     },
 
--- a/packages/outcomes/src/job-lifecycle.ts
+++ b/packages/outcomes/src/job-lifecycle.ts
@@ -9,6 +9,8 @@
 
 const FIRST_HOLD_BACK_MILLISECONDS = 20
 const LAST_HOLD_BACK_MILLISECONDS = 1_000
+/** Time after which a verdict is tried again that could not be given. */
+const VERDICT_RETRY_MILLISECONDS = 100
 
 /** What falls due for a submission. */
 export type DueItem =
@@ -16,6 +18,7 @@
   | { readonly kind: 'resend', readonly job: Job, readonly held: HeldTasks }
   | { readonly kind: 'held-back', readonly job: Job, readonly index: number }
   | { readonly kind: 'adoption', readonly job: Job }
+  | { readonly kind: 'release', readonly job: Job }
   | { readonly kind: 'expiry', readonly job: Job }
 
 /** What the life of jobs works with. */
@@ -38,6 +41,10 @@
   /** Sets the final outcome of a task, and answers everybody once it is the last. */
   finish: (job: Job, index: number, outcome: TaskOutcome, now: number) => void
   finishAll: (job: Job, indexes: readonly number[], outcome: TaskOutcome, now: number) => void
+  /** Ends tasks as not run, as soon as that may be said. */
+  judgeNotRun: (job: Job, indexes: readonly number[], reason: NotRunReason, now: number) => void
+  /** Tells a finished job's answer to all who wait, as soon as that may be said. */
+  release: (job: Job, now: number) => void
   /** Queues tasks that did not start, or ends them where that can't be. */
   requeue: (job: Job, indexes: readonly number[], now: number) => void
   /** Queues a task again after a time that grows with its refusals. */
@@ -87,13 +94,36 @@
     job.excludedAgents.clear()
     job.refusals.clear()
     job.steps.add('finished', job.header.taskCount, now, undefined, whole.state)
+    release(job, now)
+  }
+
+  function release (job: Job, now: number): void {
+    const { answer: whole } = job
+    if (whole === undefined || job.waiters.size === 0) return
+    // A failed answer may say that tasks did not run, which a next owner may have changed.
+    if (whole.state === 'failed' && !ports.mayJudge(now)) {
+      timeline.add(now + VERDICT_RETRY_MILLISECONDS, { kind: 'release', job })
+      return
+    }
     const result = answerResult(whole)
     const waiters = [...job.waiters.keys()]
     job.waiters.clear()
-    if (waiters.length > 0) job.steps.add('answered', waiters.length, now)
+    job.steps.add('answered', waiters.length, now)
     for (const waiter of waiters) answer(waiter, result, now)
   }
 
+  function judgeNotRun (job: Job, indexes: readonly number[], reason: NotRunReason, now: number): void {
+    if (ports.mayJudge(now)) {
+      finishAll(job, indexes, notRun(reason), now)
+      return
+    }
+    for (const index of indexes) {
+      store.release(job, index)
+      job.setState(index, TaskState.waiting)
+      timeline.add(now + VERDICT_RETRY_MILLISECONDS, { kind: 'held-back', job, index })
+    }
+  }
+
   function finishAll (job: Job, indexes: readonly number[], outcome: TaskOutcome, now: number): void {
     for (const index of indexes) finish(job, index, outcome, now)
   }
@@ -114,7 +144,7 @@
   function requeue (job: Job, indexes: readonly number[], now: number): void {
     if (indexes.length === 0) return
     if (job.cancelled) {
-      finishAll(job, indexes, notRun('cancelled'), now)
+      judgeNotRun(job, indexes, 'cancelled', now)
       return
     }
     const tasks = waitingTasks(job, indexes)
@@ -123,7 +153,7 @@
       return
     }
     if (now >= tasks.job.startBefore) {
-      finishAll(job, indexes, notRun('deadline'), now)
+      judgeNotRun(job, indexes, 'deadline', now)
       return
     }
     toState(job, indexes, TaskState.waiting)
@@ -157,17 +187,14 @@
 
   return {
     wait (job, waiter, waitUntil, now) {
-      if (job.answer !== undefined) {
-        job.steps.add('answered', 1, now)
-        answer(waiter, answerResult(job.answer), now)
-        return
-      }
+      job.waiters.set(waiter, waitUntil)
+      release(job, now)
+      if (!job.waiters.has(waiter)) return
       if (waitUntil <= now) {
         job.waiters.delete(waiter)
         answer(waiter, answerResult(runningAnswer(job, options.retryAfterMilliseconds)), now)
         return
       }
-      job.waiters.set(waiter, waitUntil)
       timeline.add(waitUntil, { kind: 'waiter', waiter, submission: job.submission })
     },
 
@@ -181,6 +208,8 @@
     answer,
     finish,
     finishAll,
+    judgeNotRun,
+    release,
     requeue,
 
     holdBack (job, index, now) {
@@ -210,7 +239,8 @@
 
     adoptionDue (job, now) {
       if (job.answer !== undefined || job.request !== undefined) return
-      finishAll(job, job.indexesIn(TaskState.bodiless), notRun('owner-lost'), now)
+      if (ports.mayJudge(now)) finishAll(job, job.indexesIn(TaskState.bodiless), notRun('owner-lost'), now)
+      else timeline.add(now + VERDICT_RETRY_MILLISECONDS, { kind: 'adoption', job })
     },
 
     cancel (job, now) {
@@ -220,7 +250,7 @@
       if (job.count(TaskState.waiting) > 0) ports.removeWaiting(job.submission)
       for (const held of job.held.values()) withdraw(job, held)
       const unstarted = [...job.indexesIn(TaskState.waiting), ...job.indexesIn(TaskState.bodiless)]
-      finishAll(job, unstarted, notRun('cancelled'), now)
+      judgeNotRun(job, unstarted, 'cancelled', now)
     },
 
     repeat (job, held, now) {
--- a/packages/outcomes/src/outcomes.ts
+++ b/packages/outcomes/src/outcomes.ts
@@ -71,6 +71,8 @@
 /** What the submissions need from the rest of the entry. */
 export interface OutcomesPorts {
   readonly partitionState: (partition: number) => PartitionState
+  /** Whether this entry may tell that a task did not run; an owner that may be superseded may not. */
+  readonly mayJudge: (now: number) => boolean
   /** Resolves a job; called once a submission is accepted or adopted, not for one that joins. */
   readonly resolve: (request: JobRequest, now: number) => JobResolution
   /** Offers the tasks of a new submission to the queue: all or none. */
--- a/packages/outcomes/tests/fake-owner.ts
+++ b/packages/outcomes/tests/fake-owner.ts
@@ -34,6 +34,7 @@
 export class FakeOwner {
   state: PartitionState = SERVING
   decision: QueueDecision = { kind: 'admitted' }
+  mayJudge = true
   readonly queued = new Map<string, readonly AgentIdentity[]>()
   readonly answers = new Map<string, OperationResult[]>()
   readonly rerouted: string[] = []
@@ -47,6 +48,7 @@
     invariants: createInvariants((name, detail) => { this.violations.push(`${name}: ${detail}`) }),
     ports: {
       partitionState: () => this.state,
+      mayJudge: () => this.mayJudge,
       resolve: () => ({
         kind: 'resolved',
         job: {
--- a/packages/outcomes/tests/takeover.test.ts
+++ b/packages/outcomes/tests/takeover.test.ts
@@ -116,6 +116,55 @@
   })
 })
 
+describe('an owner that may be superseded', () => {
+  it('does not tell that a task did not run until it knows that it still is the owner', () => {
+    const key = keyAt()
+    owner.outcomes.tick(NOW)
+    owner.submit(key, jobOf(2))
+    owner.dispatch(key, [0], 1)
+    owner.report(key, 1, [{ index: 0, outcome: SUCCEEDED }])
+    owner.mayJudge = false
+    owner.query(key, 'ask', NOW + 90_000)
+    owner.outcomes.expired(key, [1], NOW + 60_000)
+    owner.outcomes.tick(NOW + 61_000)
+    expect(owner.answers.has('ask')).toBe(false)
+    owner.mayJudge = true
+    owner.outcomes.tick(NOW + 62_000)
+    expect(owner.answer('ask').tasks?.[1]).toEqual({ status: 'not-run', reason: 'deadline' })
+  })
+
+  it('keeps a failed answer, an unknown key and a cancellation until then', () => {
+    const [failed, running, unknown] = [keyAt(), keyAt(), keyAt()]
+    owner.outcomes.tick(NOW)
+    for (const key of [failed, running]) owner.submit(key, jobOf(1), `submit/${key}`)
+    owner.outcomes.expired(failed, [0], NOW)
+    expect(owner.answer(`submit/${failed}`).state).toBe('failed')
+    owner.mayJudge = false
+    owner.query(failed, 'failed', NOW + 5_000)
+    owner.query(unknown, 'unknown', NOW + 5_000)
+    owner.submit(unknown, jobOf(1), 'submit')
+    owner.cancel(running, 'cancel')
+    owner.outcomes.tick(NOW + 500)
+    expect(owner.answers.size).toBe(1)
+    expect(owner.queued.has(`${running}/0`)).toBe(true)
+    owner.mayJudge = true
+    owner.outcomes.tick(NOW + 1_000)
+    expect(owner.answer('failed').state).toBe('failed')
+    expect(owner.problem('unknown')).toBe('unknown-submission')
+    expect(owner.answer('cancel').state).toBe('failed')
+    expect(owner.queued.has(`${unknown}/0`)).toBe(true)
+  })
+
+  it('answers at once what is complete, which no next owner changes', () => {
+    const key = keyAt()
+    owner.submit(key, jobOf(1))
+    owner.dispatch(key, [0], 1)
+    owner.mayJudge = false
+    owner.report(key, 1, [{ index: 0, outcome: SUCCEEDED }])
+    expect(owner.answer('local/1').state).toBe('complete')
+  })
+})
+
 describe('a partition that moves away', () => {
   it('sends the waiters to the next owner and drops the tasks that wait', () => {
     const key = keyAt()
--- a/packages/ownership/src/create-ownership.ts
+++ b/packages/ownership/src/create-ownership.ts
@@ -11,6 +11,7 @@
 import { createTakeovers } from './takeovers.js'
 
 const DEFAULT_OWNER_LEASE_MILLISECONDS = 2_000
+const DEFAULT_VERDICT_LEASE_MILLISECONDS = 1_000
 const DEFAULT_COLLECT_BOUND_MILLISECONDS = 3_000
 const DEFAULT_OWNER_ABSENCE_MILLISECONDS = 1_000
 const DEFAULT_SETTLE_MILLISECONDS = 500
@@ -38,6 +39,7 @@
 export function createOwnership (options: OwnershipOptions): Ownership {
   const { identity, ports, invariants, clockSkewMilliseconds } = options
   const ownerLeaseMilliseconds = options.ownerLeaseMilliseconds ?? DEFAULT_OWNER_LEASE_MILLISECONDS
+  const verdictLeaseMilliseconds = options.verdictLeaseMilliseconds ?? DEFAULT_VERDICT_LEASE_MILLISECONDS
   const quorum = createLeaseQuorum(identity)
   const fences = createFenceClock({ quorum, ownerLeaseMilliseconds, clockSkewMilliseconds })
   const roster = createAgentRoster()
@@ -53,6 +55,7 @@
     fences,
     exchange,
     clockSkewMilliseconds,
+    verdictLeaseMilliseconds,
     collectBoundMilliseconds: options.collectBoundMilliseconds ?? DEFAULT_COLLECT_BOUND_MILLISECONDS,
     departureWindowMilliseconds: options.keyWindowMilliseconds + ownerLeaseMilliseconds + 2 * clockSkewMilliseconds
   })
@@ -125,8 +128,13 @@
     if (fences.update(now)) takeovers.fenced(now)
   }
 
+  /** Time at which this entry last learned that it is the owner of what it owns. */
+  function confirmedAt (now: number): number {
+    return Math.max(logReadAt, quorum.majorityAnsweredAt(now))
+  }
+
   function leaseEnd (now: number): number {
-    return Math.max(logReadAt, quorum.majorityAnsweredAt(now)) + ownerLeaseMilliseconds
+    return confirmedAt(now) + ownerLeaseMilliseconds
   }
 
   function appendHandovers (now: number): void {
@@ -178,6 +186,7 @@
     },
     partitionState: table.state,
     dispatchEpoch: (partition, now) => now < leaseEnd(now) ? table.servingEpoch(partition) : undefined,
+    mayJudge: now => now < confirmedAt(now) + verdictLeaseMilliseconds,
     mayDispatch: now => now < leaseEnd(now),
     leaseEnd,
     isJoined: roster.isJoined,
--- a/packages/ownership/src/fence-clock.ts
+++ b/packages/ownership/src/fence-clock.ts
@@ -23,6 +23,8 @@
    * Time such that keys made after it can't have been run by an owner that lacks the offset; Infinity while unknown.
    */
   fencedFrom: (offset: number) => number
+  /** Time since which every majority includes an entry that has applied the offset; Infinity while unknown. */
+  coveredSince: (offset: number) => number
 }
 
 /**
@@ -59,6 +61,7 @@
     fencedFrom (offset) {
       const time = coveredAt.get(offset)
       return time === undefined ? Infinity : time + marginMilliseconds
-    }
+    },
+    coveredSince: offset => coveredAt.get(offset) ?? Infinity
   }
 }
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -64,6 +64,8 @@
   readonly clockSkewMilliseconds: number
   /** Time for which an owner may dispatch after it last learned that it still is the owner. */
   readonly ownerLeaseMilliseconds?: number
+  /** Time for which an owner may judge that a task did not run after it last learned that it still is the owner. */
+  readonly verdictLeaseMilliseconds?: number
   /** Time after which a takeover serves without the agents that have not answered. */
   readonly collectBoundMilliseconds?: number
   /** Time for which an owner must be absent from the live entries before its partitions are claimed. */
@@ -108,6 +110,11 @@
   partitionState: (partition: number) => PartitionState
   /** Epoch under which work of the partition may be dispatched now, or undefined where it may not. */
   dispatchEpoch: (partition: number, now: number) => number | undefined
+  /**
+   * Whether this entry may still tell that a task of its partitions did not run. A next owner starts nothing before
+   * this has ended, unless it was handed the partition.
+   */
+  mayJudge: (now: number) => boolean
   /** Whether the owner lease holds. */
   mayDispatch: (now: number) => boolean
   /** Time at which the owner lease ends, for `startBefore` of dispatches. */
--- a/packages/ownership/src/partition-table.ts
+++ b/packages/ownership/src/partition-table.ts
@@ -80,14 +80,17 @@
       epoch,
       phase: takeover?.phase() ?? 'serving',
       unaccounted: takeover?.unaccounted() ?? 0,
-      uncertainBefore: takeover?.uncertainBefore() ?? view.uncertainBefore
+      uncertainBefore: takeover?.uncertainBefore(partition) ?? view.uncertainBefore
     }
   }
 
   function isWhole (partition: number): boolean {
     const view = views[partition]
     if (view?.owner !== identity) return false
-    return view.takeover === undefined || (view.takeover.phase() === 'serving' && view.takeover.unaccounted() === 0)
+    const { takeover } = view
+    if (takeover === undefined) return true
+    return takeover.phase() === 'serving' && takeover.unaccounted() === 0 &&
+      takeover.uncertainBefore(partition) !== Infinity
   }
 
   function givenBy (partition: number, value: PartitionOwner | undefined, epoch: number): GivenPartition | undefined {
@@ -141,7 +144,7 @@
       for (const partition of takeover.partitions) {
         const view = views[partition]
         if (view?.takeover !== takeover) continue
-        view.uncertainBefore = takeover.uncertainBefore()
+        view.uncertainBefore = takeover.uncertainBefore(partition)
         view.takeover = undefined
       }
     },
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -31,7 +31,11 @@
   readonly departed: readonly DepartedAgent[]
   readonly startedAt: number
   readonly collectBoundMilliseconds: number
+  /** Time for which an owner that lacks the claim may still judge that a task did not run. */
+  readonly verdictLeaseMilliseconds: number
   readonly clockSkewMilliseconds: number
+  /** Age from which a departure can't matter to any key that is still accepted. */
+  readonly departureWindowMilliseconds: number
   readonly fences: FenceClock
 }
 
@@ -48,8 +52,8 @@
   collected: (agent: AgentIdentity, message: Collected) => boolean
   /** Notes that an agent is gone; tells whether that changes anything. */
   departed: (departure: DepartedAgent) => boolean
-  /** The previous owner told all; `uncertainBefore` is what it could not tell. */
-  imported: (uncertainBefore: number) => void
+  /** The previous owner told all of a partition; `uncertainBefore` is what it could not tell. */
+  imported: (partition: number, uncertainBefore: number) => void
   isImported: () => boolean
   /** Agents to ask now, with the question. */
   due: (now: number) => readonly AgentIdentity[]
@@ -59,7 +63,7 @@
   phase: () => 'collecting' | 'serving'
   /** Agents that are not accounted for and matter. */
   unaccounted: () => number
-  uncertainBefore: () => number
+  uncertainBefore: (partition: number) => number
   /** Whether nothing remains to be asked or waited for. */
   isSettled: () => boolean
 }
@@ -75,7 +79,7 @@
   const pending = new Map<AgentIdentity, PendingAgent>()
   const lost = new Map<AgentIdentity, DepartedAgent>()
   let phase: 'collecting' | 'serving' = 'collecting'
-  let importedUncertainBefore: number | undefined
+  const imported = new Map<number, number>()
   for (const agent of options.joined) {
     pending.set(agent, {
       parts: 0, received: new Set(), sendAt: options.startedAt, repeatMilliseconds: FIRST_REPEAT_MILLISECONDS
@@ -90,7 +94,6 @@
   }
 
   function uncertainBefore (): number {
-    if (importedUncertainBefore !== undefined) return importedUncertainBefore
     const fenced = options.fences.fencedFrom(options.epoch)
     let latest = pending.size > 0 ? fenced : 0
     for (const departure of lost.values()) {
@@ -104,9 +107,21 @@
     return Math.max(departure.changedAt + 2 * options.clockSkewMilliseconds, fenced)
   }
 
-  function isAccountedFor (): boolean {
-    if (importedUncertainBefore !== undefined) return true
-    return options.handedOverBy === undefined && pending.size === 0 && uncertainBefore() !== Infinity
+  function forgetAged (now: number): void {
+    for (const [agent, { changedAt }] of lost) {
+      if (changedAt < now - options.departureWindowMilliseconds) lost.delete(agent)
+    }
+  }
+
+  /** Whether the former owner, if it lives, has stopped telling callers that tasks did not run. */
+  function isFormerOwnerSilent (now: number): boolean {
+    return now >= options.fences.coveredSince(options.epoch) + options.verdictLeaseMilliseconds
+  }
+
+  function isAccountedFor (now: number): boolean {
+    if (imported.size > 0) return true
+    if (options.handedOverBy !== undefined || pending.size > 0) return false
+    return uncertainBefore() !== Infinity && isFormerOwnerSilent(now)
   }
 
   return {
@@ -136,8 +151,8 @@
       lost.set(departure.identity, departure)
       return true
     },
-    imported: uncertain => { importedUncertainBefore = uncertain },
-    isImported: () => importedUncertainBefore !== undefined,
+    imported: (partition, uncertain) => { imported.set(partition, uncertain) },
+    isImported: () => imported.size > 0,
     due (now) {
       const agents: AgentIdentity[] = []
       for (const [agent, progress] of pending) {
@@ -152,14 +167,16 @@
       partitions: [...partitions].map(partition => ({ partition, epoch: options.epoch }))
     }),
     advance (now) {
+      forgetAged(now)
       if (phase === 'serving') return false
-      if (!isAccountedFor() && now < options.startedAt + options.collectBoundMilliseconds) return false
+      if (!isAccountedFor(now) && now < options.startedAt + options.collectBoundMilliseconds) return false
       phase = 'serving'
       return true
     },
     phase: () => phase,
-    unaccounted: () => importedUncertainBefore === undefined ? pending.size : 0,
-    uncertainBefore,
-    isSettled: () => phase === 'serving' && pending.size === 0 && uncertainBefore() !== Infinity
+    unaccounted: () => imported.size === 0 ? pending.size : 0,
+    uncertainBefore: partition => imported.get(partition) ?? uncertainBefore(),
+    isSettled: () => phase === 'serving' && pending.size === 0 &&
+      (imported.size > 0 || uncertainBefore() !== Infinity)
   }
 }
--- a/packages/ownership/src/takeovers.ts
+++ b/packages/ownership/src/takeovers.ts
@@ -16,6 +16,7 @@
   readonly fences: FenceClock
   readonly exchange: HandoverExchange
   readonly collectBoundMilliseconds: number
+  readonly verdictLeaseMilliseconds: number
   readonly clockSkewMilliseconds: number
   /** Age from which a departure can't matter to any key that is still accepted. */
   readonly departureWindowMilliseconds: number
@@ -58,7 +59,9 @@
       departed: options.roster.departedSince(now - options.departureWindowMilliseconds),
       startedAt: now,
       collectBoundMilliseconds: options.collectBoundMilliseconds,
+      verdictLeaseMilliseconds: options.verdictLeaseMilliseconds,
       clockSkewMilliseconds: options.clockSkewMilliseconds,
+      departureWindowMilliseconds: options.departureWindowMilliseconds,
       fences: options.fences
     })
     active.add(takeover)
@@ -66,14 +69,12 @@
   }
 
   function importWhole (takeover: Takeover, whole: WholeHandover, now: number): void {
-    let uncertain = 0
     for (const { partition, uncertainBefore } of whole.partitions) {
-      uncertain = Math.max(uncertain, uncertainBefore)
       if (!takeover.partitions.has(partition)) continue
       const submissions = whole.submissions.filter(submission => submission.partition === partition)
       ports.importPartition(partition, submissions, now)
+      takeover.imported(partition, uncertainBefore)
     }
-    takeover.imported(uncertain)
   }
 
   function takeHandover (takeover: Takeover, now: number): void {
--- a/packages/trials/src/callers.ts
+++ b/packages/trials/src/callers.ts
@@ -39,7 +39,7 @@
 /** A connection of a caller to an entry. */
 interface Connection {
   readonly entry: EntryNode
-  readonly id: number
+  readonly breakOff: () => void
   readonly giveUpAt: number
 }
 
@@ -62,18 +62,31 @@
   let lastProblem: string | undefined
   let firstEntry = options.chooseFirst?.(key)
 
-  function ask (operation: ForwardedOperation, entry: EntryNode, onResult: (result: OperationResult) => void): number {
+  /** Gives an operation to an entry; the result is a function that breaks it off. */
+  function ask (
+    operation: ForwardedOperation, entry: EntryNode, onResult: (result: OperationResult) => void
+  ): () => void {
+    let id: number | undefined
+    let brokenOff = false
+    const startsBefore = ledger.startsOf(key)
     if (operation.kind === 'submit') ledger.submitted(key, options.taskCount, world.now())
-    return entry.core.beginOperation({
-      submission: key,
-      customer: TRIAL_CUSTOMER,
-      operation,
-      waitUntil: entry.localTime() + options.waitMilliseconds,
-      answer: result => {
-        ledger.answered(key, result, world.now())
-        onResult(result)
-      }
-    }, entry.localTime())
+    entry.accept(() => {
+      if (brokenOff) return
+      id = entry.core.beginOperation({
+        submission: key,
+        customer: TRIAL_CUSTOMER,
+        operation,
+        waitUntil: entry.localTime() + options.waitMilliseconds,
+        answer: result => {
+          ledger.answered(key, result, startsBefore, world.now())
+          onResult(result)
+        }
+      }, entry.localTime())
+    })
+    return () => {
+      brokenOff = true
+      if (id !== undefined && entry.isAlive) entry.accept(() => { entry.core.abandonOperation(id ?? 0) })
+    }
   }
 
   function submit (): void {
@@ -82,13 +95,13 @@
     nextAt = world.now() + RETRY_MILLISECONDS
     if (entry === undefined) return
     let answered = false
-    const id = ask({ kind: 'submit', request, digest }, entry, result => {
+    const breakOff = ask({ kind: 'submit', request, digest }, entry, result => {
       answered = true
       connection = undefined
       settle(result)
     })
     if (!answered) {
-      connection = { entry, id, giveUpAt: world.now() + options.waitMilliseconds + SILENCE_MILLISECONDS }
+      connection = { entry, breakOff, giveUpAt: world.now() + options.waitMilliseconds + SILENCE_MILLISECONDS }
     }
   }
 
@@ -135,7 +148,7 @@
     },
     breakOff () {
       if (connection === undefined) return
-      if (connection.entry.isAlive) connection.entry.core.abandonOperation(connection.id)
+      connection.breakOff()
       connection = undefined
       nextAt = world.now() + SILENCE_MILLISECONDS
     }
@@ -158,14 +171,17 @@
   let end: string | undefined
   if (entry === undefined) return { end: () => 'no-entry' }
   ledger.called(call, idempotent)
-  entry.core.beginCall({
-    request: {
-      template: JOB_TEMPLATE, customer: TRIAL_CUSTOMER, input: { call }, idempotent, deadlineMilliseconds: 20_000
-    },
-    answer: result => {
-      ledger.callAnswered(call, result, world.now())
-      end = result.kind === 'answer' ? 'answer' : result.problem.kind
-    }
-  }, entry.localTime())
+  const request = {
+    template: JOB_TEMPLATE, customer: TRIAL_CUSTOMER, input: { call }, idempotent, deadlineMilliseconds: 20_000
+  }
+  entry.accept(() => {
+    entry.core.beginCall({
+      request,
+      answer: result => {
+        ledger.callAnswered(call, result, world.now())
+        end = result.kind === 'answer' ? 'answer' : result.problem.kind
+      }
+    }, entry.localTime())
+  })
   return { end: () => end ?? (entry.isAlive ? undefined : 'entry-lost') }
 }
--- a/packages/trials/src/index.ts
+++ b/packages/trials/src/index.ts
@@ -2,3 +2,5 @@
 export * from './world.js'
 export * from './callers.js'
 export * from './ledger.js'
+export * from './matrix.js'
+export * from './soak.js'
--- a/packages/trials/src/nodes.ts
+++ b/packages/trials/src/nodes.ts
@@ -44,6 +44,8 @@
   /** True time until which the process does nothing. */
   pausedUntil: number
   readonly inbox: Letter[]
+  /** Callers' operations that came during a pause. */
+  readonly backlog: (() => void)[]
 }
 
 /** A process of a trial. */
@@ -66,6 +68,8 @@
   /** True time at which its planned stop began. */
   stoppingSince: number | undefined
   readLog: () => void
+  /** Gives the entry an operation of a caller: now, or when it wakes. */
+  accept: (operation: () => void) => void
 }
 
 /** An agent of a trial. */
@@ -118,9 +122,14 @@
     isAlive: true,
     pausedUntil: 0,
     inbox: [],
+    backlog: [],
     reachesLog: true,
     stoppingSince: undefined,
     localTime,
+    accept (operation) {
+      if (node.pausedUntil <= ports.now()) operation()
+      else node.backlog.push(operation)
+    },
     receive: ({ from, message }) => { core.receive(from, message, localTime()) },
     tick: () => { core.tick(localTime()) },
     flush () {
@@ -181,6 +190,7 @@
     isAlive: true,
     pausedUntil: 0,
     inbox: [],
+    backlog: [],
     isLeaving: false,
     localTime,
     receive: ({ from, message }) => { execution.receive(from as EntryIdentity, message, localTime()) },
