Split the matrix among workers and add faults that need the whole fence

Cause: one file of 828 cells ran 94 s; no cell needed the epoch and the start time of a dispatch at once.

--- a/packages/trials/src/faults.ts
+++ b/packages/trials/src/faults.ts
@@ -122,6 +122,22 @@
       kill(scene, scene.arrival)
     }
   },
+  {
+    name: 'messages are delayed and the owner dies',
+    isBearable: 'none',
+    strike: scene => {
+      strikeWave(scene, 'delay', 2)
+      scene.after(20, () => { kill(scene, scene.owner) })
+    }
+  },
+  {
+    name: 'messages are delayed and the owner pauses',
+    isBearable: 'none',
+    strike: scene => {
+      strikeWave(scene, 'delay', 2)
+      scene.after(20, () => { pause(scene, scene.owner, LONG_PAUSE_MILLISECONDS) })
+    }
+  },
   {
     name: 'the owner dies, then another entry',
     isBearable: 'none',
--- a/packages/trials/src/matrix.ts
+++ b/packages/trials/src/matrix.ts
@@ -12,7 +12,7 @@
 const ENTRY_COUNT = 3
 const AGENT_COUNT = 4
 const TASK_COUNT = 40
-const SETTLE_MILLISECONDS = 8_000
+const SETTLE_MILLISECONDS = 5_000
 const PATIENCE_MILLISECONDS = 45_000
 const CALL_MILLISECONDS = 25_000
 const AFTERMATH_MILLISECONDS = 4_000
--- a/packages/trials/tests/broken-fence.test.ts
+++ b/packages/trials/tests/broken-fence.test.ts
@@ -16,10 +16,11 @@
 
 describe('a broken fence', () => {
   it('agents that start under any epoch, at any time, make the matrix red', () => {
-    const startRules = rulesWithout('stale-epoch', 'expired', 'lease-lapsed')
-    const cells = matrixCells().filter(({ life, fault }) => life === 'submission' && /pauses|delayed/.test(fault.name))
+    const startRules = rulesWithout('stale-epoch', 'expired')
+    const cells = matrixCells().filter(({ life, fault }) => life === 'submission' && /delayed and/.test(fault.name))
+    expect(cells.flatMap(cell => runCell(cell, 1).violations)).toEqual([])
     const violations = cells.flatMap(cell => runCell(cell, 1, { startRules }).violations)
-    expect(violations.length).toBeGreaterThan(0)
+    expect(promisesBroken(violations)).toContain('no task starts twice')
   })
 
   it('agents that forget what they started make the randomised run red', () => {
--- /dev/null
+++ b/packages/trials/tests/matrix-calls.test.ts
@@ -0,0 +1,3 @@
+import { checkMatrix } from './matrix-check.js'
+
+checkMatrix('call', 1, 0)
--- /dev/null
+++ b/packages/trials/tests/matrix-submissions-1.test.ts
@@ -0,0 +1,3 @@
+import { checkMatrix } from './matrix-check.js'
+
+checkMatrix('submission', 2, 0)
