Dispatch what a caller begins in the same turn of the loop

Cause: a submission or call that arrived over HTTP was dispatched only with the next tick or log read: 'job explain' on a hand-started fleet showed 1 to 40 ms between 'accepted' and 'dispatched' on an idle fleet. Change: the routes' core plans a flush after beginOperation and beginCall, as messages of links do already. Measured: the two new tests of packages/demo/tests/prompt-dispatch.test.ts failed before (0 passed, 2 failed) and pass now (2 passed, 0 failed).

--- a/packages/entry/src/running-entry.ts
+++ b/packages/entry/src/running-entry.ts
@@ -134,12 +134,27 @@
     metrics
   })
 
+  /** What callers begin is dispatched in this turn of the loop and not with the next tick. */
+  const promptCore: EntryCore = {
+    ...core,
+    beginOperation (request, at) {
+      const id = core.beginOperation(request, at)
+      planFlush()
+      return id
+    },
+    beginCall (call, at) {
+      const id = core.beginCall(call, at)
+      planFlush()
+      return id
+    }
+  }
+
   const keySettings = { text: settings.accessKeys, file: settings.accessKeyFile }
   const access = createAccess({ keys: readKeySettings(keySettings).keys })
   const keySource = createKeySource({ settings: keySettings, access, logger })
   const certificates = readCertificates(settings)
   const server = createCallerServer({
-    routes: createRoutes({ core, now, invariants }),
+    routes: createRoutes({ core: promptCore, now, invariants }),
     access,
     logger,
     metrics,
