Write burn buckets right after their minute

Cause: an entry wrote its buckets a minute after its start and every minute from then on, so up to 59 s after the end of a minute; reports count on a bucket 15 s after it and marked the other entries' last minute as a gap. Change: burn accounts publish 500 ms after the end of each minute.

--- a/packages/entry/src/burn-accounts.ts
+++ b/packages/entry/src/burn-accounts.ts
@@ -1,10 +1,12 @@
 /** Counts the answers of this entry against the objectives and exchanges the counts with the other entries. */
-import { computeBurn, createBurnRecorder, createBurnStream, type AnsweredRequest } from '@baobabpost/burn-report'
+import {
+  computeBurn, createBurnRecorder, createBurnStream, floorTo, MINUTE_MILLISECONDS, type AnsweredRequest
+} from '@baobabpost/burn-report'
 import type { EntryIdentity } from '@baobabpost/common'
 import { NEVER_WRITTEN, type BurnReport, type Objective, type Outbox } from '@baobabpost/messages'
 import type { RegisterChange, RegisterFold } from '@baobabpost/platform-log'
 
-const PUBLISH_MILLISECONDS = 60_000
+const PUBLICATION_DELAY_MILLISECONDS = 500
 const BURN_PREFIX = 'burn/'
 
 /** What the accounts need. */
@@ -28,6 +30,11 @@
   report: (now: number) => BurnReport
 }
 
+/** A moment after the end of the minute, so that its bucket reaches the others before their reports count on it. */
+function nextPublication (now: number): number {
+  return floorTo(now, MINUTE_MILLISECONDS) + MINUTE_MILLISECONDS + PUBLICATION_DELAY_MILLISECONDS
+}
+
 /** Makes the accounts of an entry. */
 export function createBurnAccounts (options: BurnAccountsOptions): BurnAccounts {
   const { identity, startedAt, fold, outbox } = options
@@ -35,7 +42,7 @@
   const stream = createBurnStream({
     identity, versionOf: register => fold.read(register)?.version ?? NEVER_WRITTEN
   })
-  let publishAt = startedAt + PUBLISH_MILLISECONDS
+  let publishAt = nextPublication(startedAt)
 
   function publish (now: number): void {
     const changes = stream.changes(options.presentEntries(), now)
@@ -54,7 +61,7 @@
 
     tick (now) {
       if (now < publishAt) return
-      publishAt = now + PUBLISH_MILLISECONDS
+      publishAt = nextPublication(now)
       stream.addOwn(recorder.takeClosed(now))
       publish(now)
     },
