Name the addressee of each link batch, so that no run takes in what was meant for the one before

Cause: a batch named its sender alone; an agent that restarted on the same address took a dispatch that was resent to its former run and started the task again: 2 starts counted by the upstream over real sockets. Change: a signed header with the addressee, 421 to a batch meant for another, an outgoing side for each addressee, the sender told of it as proof of no delivery; tests of link and agent. Measured: the agent test fails without the change (expected 2 to be 1) and passes with it.

--- a/packages/agent/tests/agent.test.ts
+++ b/packages/agent/tests/agent.test.ts
@@ -144,6 +144,21 @@
     await expect.poll(() => entry.outcomes.get('job/0')).toMatchObject({ status: 'succeeded' })
   })
 
+  test('an agent restarted on the same address does not take work that was sent to the run before it', async () => {
+    const address = agent.address()
+    const former = agent.identity()
+    dispatch(entry, createGroup('job', 5, [{}]))
+    await expect.poll(() => entry.outcomes.size).toBe(1)
+    await agent.stop()
+    agent = await startAgent(settingsFor([entry], { listenAddress: address }))
+    await untilLeased()
+    entry.link.setPeer(former, address)
+    entry.send(former, { method: 'dispatch', parameters: { groups: [createGroup('job', 5, [{}])], backlog: 0 } })
+    dispatch(entry, createGroup('next', 5, [{}]))
+    await expect.poll(() => entry.outcomes.has('next/0')).toBe(true)
+    expect(upstream.starts().get('job/0')).toBe(1)
+  })
+
   test('a second owner collects what the first had started', async () => {
     const second = await startTestEntry('entry-2')
     second.link.setPeer(agent.identity(), agent.address())
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -25,6 +25,7 @@
   const sent = { messages: 0, batches: 0, bytes: 0 }
 
   const server = createIncomingServer({
+    identity: options.identity,
     keys: options.keys,
     logger: options.logger,
     onMessage: (sender, message) => {
@@ -46,26 +47,29 @@
   }
 
   function forgetPeer (identity: ProcessIdentity): void {
-    const peerAddress = addresses.get(identity)
     addresses.delete(identity)
-    if (peerAddress === undefined || [...addresses.values()].includes(peerAddress)) return
-    peers.get(peerAddress)?.close()
-    peers.delete(peerAddress)
+    for (const [key, peer] of peers) {
+      if (peer.addressee !== identity) continue
+      peer.close()
+      peers.delete(key)
+    }
   }
 
-  function peerAt (peerAddress: string): OutgoingPeer {
-    const known = peers.get(peerAddress)
+  function peerAt (peerAddress: string, addressee: ProcessIdentity | undefined): OutgoingPeer {
+    const key = addressee === undefined ? peerAddress : `${peerAddress} ${addressee}`
+    const known = peers.get(key)
     if (known !== undefined) return known
     const peer = createOutgoingPeer({
       identity: options.identity,
       ownAddress: address,
       peerAddress,
+      addressee,
       key: signingKey as string,
       logger: options.logger,
       onSent: (messages, bytes) => { noteSent(messages, bytes) },
-      onUndelivered: messages => { tellUndelivered(peerAddress, messages) }
+      onUndelivered: messages => { tellUndelivered(addressee, messages) }
     })
-    peers.set(peerAddress, peer)
+    peers.set(key, peer)
     return peer
   }
 
@@ -77,12 +81,9 @@
     options.metrics.count('link.bytes.count', bytes)
   }
 
-  function tellUndelivered (peerAddress: string, messages: readonly LinkMessage[]): void {
-    if (options.onUndelivered === undefined) return
-    for (const [identity, known] of addresses) {
-      if (known !== peerAddress) continue
-      for (const message of messages) options.onUndelivered(identity, message)
-    }
+  function tellUndelivered (addressee: ProcessIdentity | undefined, messages: readonly LinkMessage[]): void {
+    if (options.onUndelivered === undefined || addressee === undefined) return
+    for (const message of messages) options.onUndelivered(addressee, message)
   }
 
   function send (to: ProcessIdentity, message: LinkMessage): void {
@@ -91,7 +92,7 @@
       options.logger.debug('message to an unknown peer dropped', { peer: to, method: message.method })
       return
     }
-    peerAt(peerAddress).send(message)
+    peerAt(peerAddress, to).send(message)
   }
 
   async function close (): Promise<void> {
@@ -106,7 +107,7 @@
   return {
     address,
     send,
-    sendToAddress: (peerAddress, message) => { peerAt(peerAddress).send(message) },
+    sendToAddress: (peerAddress, message) => { peerAt(peerAddress, undefined).send(message) },
     setPeer,
     forgetPeer,
     statistics: () => ({ ...sent }),
--- a/packages/link/src/incoming.ts
+++ b/packages/link/src/incoming.ts
@@ -4,7 +4,7 @@
 import { LINK_SCHEMAS, MAXIMUM_LINK_BYTES, type LinkMessage, type LinkMethod } from '@baobabpost/messages'
 import { Result, Schema } from 'effect'
 import { isJSONRPCRequests, JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0'
-import { LINK_HEADERS, LINK_PATH } from './outgoing-peer.js'
+import { LINK_HEADERS, LINK_PATH, MISDIRECTED_STATUS } from './outgoing-peer.js'
 import { verifyBatch, type SignedSender } from './signature.js'
 
 const KEEP_ALIVE_MILLISECONDS = 60_000
@@ -12,6 +12,8 @@
 
 /** What the incoming side needs. */
 export interface IncomingOptions {
+  /** Identity of this process: a batch that is meant for another is refused. */
+  readonly identity: ProcessIdentity
   readonly keys: readonly string[]
   readonly logger: Logger
   readonly onMessage: (sender: SignedSender, message: LinkMessage) => void
@@ -48,14 +50,16 @@
 function readSender (incoming: IncomingMessage): SignedSender | undefined {
   const identity = incoming.headers[LINK_HEADERS.identity]
   const address = incoming.headers[LINK_HEADERS.address]
+  const addressee = incoming.headers[LINK_HEADERS.addressee]
   if (typeof identity !== 'string' || typeof address !== 'string') return undefined
-  return { identity, address }
+  return typeof addressee === 'string' ? { identity, address, addressee } : { identity, address }
 }
 
 /**
  * Makes the HTTP server of a link; it does not listen yet.
  *
- * Answers: 204 taken in, 400 no JSON-RPC batch, 401 wrong or no signature, 404 another route, 413 too large.
+ * Answers: 204 taken in, 400 no JSON-RPC batch, 401 wrong or no signature, 404 another route, 413 too large,
+ * 421 meant for another process.
  */
 export function createIncomingServer (options: IncomingOptions): Server {
   const methods = createMethods(options)
@@ -87,6 +91,8 @@
     body: Buffer, sender: SignedSender, signature: string, incoming: IncomingMessage, outgoing: ServerResponse
   ): void {
     if (!verifyBatch(options.keys, signature, sender, body)) return refuse(incoming, outgoing, 401)
+    const { addressee = options.identity } = sender
+    if (addressee !== options.identity) return refuse(incoming, outgoing, MISDIRECTED_STATUS)
     const batch = parseBatch(body)
     if (batch === undefined) return refuse(incoming, outgoing, 400)
     methods.receive(batch, sender).then(() => {}, reportFailure)
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -15,7 +15,10 @@
   readonly metrics: Metrics
   /** Receives every message that came whole, authenticated and well-formed. */
   readonly onMessage: (from: ProcessIdentity, fromAddress: string, message: LinkMessage) => void
-  /** Told of a message that provably never left: the connection was refused before a byte was written. */
+  /**
+   * Told of a message that provably was not taken in: the connection was refused before a byte was written, or the
+   * process that listens there is not the one that it was meant for.
+   */
   readonly onUndelivered?: (to: ProcessIdentity, message: LinkMessage) => void
 }
 
@@ -32,7 +35,10 @@
 export interface Link {
   /** `IP:PORT` at which others reach this process. */
   readonly address: string
-  /** Sends to a peer whose address is known, from `setPeer` or from its own messages; else the message is dropped. */
+  /**
+   * Sends to a peer whose address is known, from `setPeer` or from its own messages; else the message is dropped.
+   * A process with another identity at that address refuses it.
+   */
   send: (to: ProcessIdentity, message: LinkMessage) => void
   /** Sends to whichever process listens at the address. */
   sendToAddress: (address: string, message: LinkMessage) => void
--- a/packages/link/src/outgoing-peer.ts
+++ b/packages/link/src/outgoing-peer.ts
@@ -13,12 +13,15 @@
 const MAXIMUM_BATCH_MESSAGES = 500
 const REQUEST_TIMEOUT_MILLISECONDS = 2_000
 
+/** Status by which a process refuses a batch that is meant for another, such as the one that ran there before it. */
+export const MISDIRECTED_STATUS = 421
 /** Path at which links listen. */
 export const LINK_PATH = '/link'
 /** Headers by which a batch names and proves its sender. */
 export const LINK_HEADERS = {
   identity: 'x-baobabpost-identity',
   address: 'x-baobabpost-address',
+  addressee: 'x-baobabpost-to',
   signature: 'x-baobabpost-signature'
 } as const
 
@@ -27,15 +30,19 @@
   readonly identity: ProcessIdentity
   readonly ownAddress: string
   readonly peerAddress: string
+  /** Identity that the messages are meant for; undefined for whichever process listens there. */
+  readonly addressee: ProcessIdentity | undefined
   readonly key: string
   readonly logger: Logger
   /** Told of each batch that is sent, with its bytes. */
   readonly onSent: (messages: number, bytes: number) => void
+  /** Told of messages that provably were not taken in. */
   readonly onUndelivered: (messages: readonly LinkMessage[]) => void
 }
 
 /** The outgoing side of a link to one address. */
 export interface OutgoingPeer {
+  readonly addressee: ProcessIdentity | undefined
   send: (message: LinkMessage) => void
   /** Resolves once nothing waits or is under way. */
   drained: () => Promise<void>
@@ -76,7 +83,9 @@
 
   function post (batch: readonly LinkMessage[]): void {
     const body = JSON.stringify(batch.map(message => createJSONRPCNotification(message.method, message.parameters)))
-    const sender = { identity: options.identity, address: options.ownAddress }
+    const { addressee } = options
+    const named = addressee === undefined ? {} : { addressee }
+    const sender = { identity: options.identity, address: options.ownAddress, ...named }
     let connected = false
     let settled = false
     requests += 1
@@ -94,6 +103,7 @@
         'content-length': Buffer.byteLength(body),
         [LINK_HEADERS.identity]: sender.identity,
         [LINK_HEADERS.address]: sender.address,
+        ...(addressee === undefined ? {} : { [LINK_HEADERS.addressee]: addressee }),
         [LINK_HEADERS.signature]: signBatch(options.key, sender, body)
       }
     })
@@ -107,6 +117,7 @@
       if (response.statusCode !== 204) {
         options.logger.warn('link batch refused', { peer: options.peerAddress, status: response.statusCode })
       }
+      if (response.statusCode === MISDIRECTED_STATUS) options.onUndelivered(batch)
       response.on('close', settle)
     })
     outgoing.on('error', (failure: NodeJS.ErrnoException) => {
@@ -132,6 +143,7 @@
   }
 
   return {
+    addressee: options.addressee,
     send,
     drained: () => new Promise(resolve => {
       if (waiting.length === 0 && requests === 0) resolve()
--- a/packages/link/src/signature.ts
+++ b/packages/link/src/signature.ts
@@ -1,10 +1,12 @@
-/** Authentication of link batches: an HMAC over sender and body, under a key that all processes of a fleet share. */
+/** Authentication of link batches: an HMAC over sender, addressee and body, under a key that a whole fleet shares. */
 import { createHmac, timingSafeEqual } from 'node:crypto'
 
 /** What a signature covers besides the body. */
 export interface SignedSender {
   readonly identity: string
   readonly address: string
+  /** Identity that the batch is meant for; none for whichever process listens there. */
+  readonly addressee?: string
 }
 
 function hmac (key: string, sender: SignedSender, body: string | Buffer): Buffer {
@@ -13,6 +15,8 @@
     .update('\n')
     .update(sender.address)
     .update('\n')
+    .update(sender.addressee ?? '')
+    .update('\n')
     .update(body)
     .digest()
 }
--- a/packages/link/tests/link.test.ts
+++ b/packages/link/tests/link.test.ts
@@ -105,4 +105,31 @@
     await until(() => undelivered.length === 1)
     expect(undelivered).toEqual([acknowledge])
   })
+
+  test('what is meant for one run is not taken in by the next run at the same address', async () => {
+    const { link, undelivered } = await createListening([KEY])
+    const first = await createListening([KEY])
+    link.setPeer(first.identity, first.link.address)
+    link.send(first.identity, acknowledge)
+    await until(() => first.received.length === 1)
+    await first.link.close()
+    const received: LinkMessage[] = []
+    const second = await createLink({
+      identity: createEntryIdentity('entry'),
+      listenAddress: first.link.address,
+      keys: [KEY],
+      logger: silentLogger,
+      metrics: silentMetrics,
+      onMessage: (_from, _address, message) => { received.push(message) }
+    })
+    open.push(second)
+    // What goes over the connection that the first run closed may be lost without a word, so it is sent again.
+    await until(() => {
+      if (undelivered.length === 0) link.send(first.identity, acknowledge)
+      return undelivered.length > 0
+    })
+    link.sendToAddress(second.address, acknowledge)
+    await until(() => received.length > 0)
+    expect(received).toEqual([acknowledge])
+  })
 })
