Take a refused connection as proof that a dispatch did not run

Cause: in a rolling replacement two tasks of a job ended outcome-unknown (agent-lost): their dispatch met a closed port after the agent's planned stop, and the proof that the link gives was not used. Change: the entry takes back what it sent in this one copy only; what was sent twice proves nothing.

--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -7,7 +7,6 @@
   'tasks.finished.count': { type: 'counter', about: 'Tasks whose outcome reached this entry' },
   'tasks.refused.count': { type: 'counter', about: 'Tasks that this agent refused to start' },
   'submissions.accepted.count': { type: 'counter', about: 'Submissions accepted by this owner' },
-  'submissions.joined.count': { type: 'counter', about: 'Resubmissions that joined a known submission' },
   'submissions.answered.count': { type: 'counter', about: 'Submissions answered whole' },
   'requests.answered.count': { type: 'counter', about: 'Single requests answered' },
   'requests.retried.count': { type: 'counter', about: 'Repeated or hedged sends of single requests' },
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -1,5 +1,5 @@
 /** Single calls at the entry where they arrive: each attempt travels as a submission of one task without an owner. */
-import type { AgentIdentity } from '@baobabpost/common'
+import type { AgentIdentity, Metrics } from '@baobabpost/common'
 import type { AdmissionQueue, WaitingTask } from '@baobabpost/admission'
 import type { ResolvedRequest } from '@baobabpost/configuration'
 import type { DispatchGroup, JsonRecord, Outbox, SubmissionReport, TaskOutcome } from '@baobabpost/messages'
@@ -20,6 +20,10 @@
   readonly answer: (result: RequestResult, now: number) => void
 }
 
+interface BegunCall extends CallOperation {
+  attempts: number
+}
+
 interface Attempt {
   readonly call: CallOperation
   readonly attempt: string
@@ -35,6 +39,9 @@
   readonly outbox: Outbox
   /** Learned run time of a template in milliseconds, if any. */
   readonly expectedMilliseconds: (template: string) => number | undefined
+  readonly metrics: Metrics
+  /** Told of an attempt that is sent again to its agent. */
+  readonly onResent: (attempt: string) => void
 }
 
 /** Single calls of one entry. */
@@ -58,7 +65,7 @@
 /** Makes the calls of an entry. */
 export function createCalls (options: CallsOptions): Calls {
   const { requests, queue, outbox } = options
-  const calls = new Map<string, CallOperation>()
+  const calls = new Map<string, BegunCall>()
   const attempts = new Map<string, Attempt>()
 
   function perform (actions: readonly RequestAction[], now: number): void {
@@ -79,6 +86,8 @@
   function enqueue (request: string, attempt: string, excludedAgents: readonly string[], now: number): void {
     const call = calls.get(request)
     if (call === undefined) return
+    if (call.attempts > 0) options.metrics.count('requests.retried.count')
+    call.attempts += 1
     attempts.set(attempt, { call, attempt, agent: undefined, sentAt: now, resendMilliseconds: RESEND_MILLISECONDS })
     const { resolved } = call
     const task: WaitingTask = {
@@ -144,7 +153,7 @@
 
   return {
     begin (call, now) {
-      calls.set(call.request, call)
+      calls.set(call.request, { ...call, attempts: 0 })
       const { resolved, request, idempotent, answerBefore } = call
       const expected = options.expectedMilliseconds(resolved.template) ?? resolved.expectedMilliseconds
       perform(requests.begin({
@@ -193,6 +202,7 @@
         if (attempt.agent === undefined || now - attempt.sentAt < attempt.resendMilliseconds) continue
         attempt.sentAt = now
         attempt.resendMilliseconds *= 2
+        options.onResent(attempt.attempt)
         outbox.send(attempt.agent, { method: 'dispatch', parameters: { groups: [groupOf(attempt)], backlog: 0 } })
       }
     },
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -1,7 +1,9 @@
 /** Moves tasks from the waiting queue to agents, and what agents report back to where it belongs. */
-import { partitionOf, type AgentIdentity, type SubmissionKey } from '@baobabpost/common'
+import { partitionOf, type AgentIdentity, type Metrics, type SubmissionKey } from '@baobabpost/common'
 import type { AdmissionQueue, Lane, WaitingTask } from '@baobabpost/admission'
-import type { DispatchGroup, Outbox, Report, SubmissionReport, TaskOutcome } from '@baobabpost/messages'
+import type {
+  Dispatch, DispatchGroup, Outbox, Report, SubmissionReport, TaskOutcome, TaskReport
+} from '@baobabpost/messages'
 import type { Outcomes } from '@baobabpost/outcomes'
 import type { Ownership } from '@baobabpost/ownership'
 import type { Placement, PlacementResult } from '@baobabpost/placement'
@@ -19,6 +21,7 @@
   readonly outcomes: Outcomes
   readonly calls: Calls
   readonly outbox: Outbox
+  readonly metrics: Metrics
 }
 
 /** Moves tasks to agents and reports back. */
@@ -27,6 +30,10 @@
   pump: (now: number) => boolean
   /** Sends tasks again to the agent that has them. */
   resend: (agent: AgentIdentity, submission: SubmissionKey, indexes: readonly number[], now: number) => void
+  /** Notes that a task was sent to its agent again. */
+  noteResent: (submission: string, index: number) => void
+  /** Takes in that a dispatch provably never reached the agent: its tasks did not run and may go elsewhere. */
+  undelivered: (agent: AgentIdentity, dispatch: Dispatch, now: number) => void
   /** Takes in a report and acknowledges it. */
   report: (agent: AgentIdentity, report: Report, now: number) => void
   /** The agent is gone: its tasks no longer count. */
@@ -148,6 +155,7 @@
   ): void {
     const found = inFlight.remove(submission, index)
     if (found === undefined) return
+    if (result !== 'refused') options.metrics.count('tasks.finished.count')
     options.placement().finished(found.agent, found.task, result, runMilliseconds, now)
   }
 
@@ -166,6 +174,24 @@
     return result.acknowledge
   }
 
+  function noteResent (submission: string, index: number): void {
+    const found = inFlight.find(submission, index)
+    if (found !== undefined) found.resent = true
+  }
+
+  /** Reports as not run what was sent to the agent in this one copy only. */
+  function provenUndelivered (agent: AgentIdentity, group: DispatchGroup): SubmissionReport {
+    const { submission } = group.header
+    const tasks: TaskReport[] = []
+    for (const { index, attempt } of group.tasks) {
+      const found = inFlight.find(submission, index)
+      if (found === undefined || found.agent !== agent || found.resent) continue
+      const named = attempt === undefined ? {} : { attempt }
+      tasks.push({ index, ...named, outcome: { status: 'not-run', reason: 'no-worker' }, runMilliseconds: 0 })
+    }
+    return group.ownership === undefined ? { submission, tasks } : { submission, ownership: group.ownership, tasks }
+  }
+
   return {
     pump (now) {
       const selections: Selections = new Map()
@@ -183,9 +209,19 @@
       if (epoch === undefined) return
       const group = outcomes.groupFor(submission, indexes, agent, epoch, ownership.leaseEnd(now))
       if (group === undefined) return
+      for (const { index } of group.tasks) noteResent(submission, index)
       outbox.send(agent, { method: 'dispatch', parameters: { groups: [group], backlog: 0 } })
     },
 
+    noteResent,
+
+    undelivered (agent, dispatch, now) {
+      for (const group of dispatch.groups) {
+        const report = provenUndelivered(agent, group)
+        if (report.tasks.length > 0) reportSubmission(agent, report, now)
+      }
+    },
+
     report (agent, report, now) {
       options.placement().setWindow(agent, report.window)
       let takenIn = true
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -3,7 +3,7 @@
  * appends and answers go out through ports. No clock, socket or timer is used here, so the same code runs in a process
  * and in a seeded run.
  */
-import { PARTITION_COUNT, type EntryIdentity, type ProcessIdentity } from '@baobabpost/common'
+import { PARTITION_COUNT, type AgentIdentity, type EntryIdentity, type ProcessIdentity } from '@baobabpost/common'
 import type { CallRequest, EntryHeartbeatAnswer, LinkMessage } from '@baobabpost/messages'
 import type { LogBatch, LogStanding, RegisterChange } from '@baobabpost/platform-log'
 import type { RequestResult } from '@baobabpost/requests'
@@ -36,6 +36,8 @@
   readonly slices: EntrySlices
   start: (now: number) => void
   receive: (from: ProcessIdentity, message: LinkMessage, now: number) => void
+  /** A message provably never reached the process that it was sent to. */
+  undelivered: (to: ProcessIdentity, message: LinkMessage, now: number) => void
   /** A read of the platform's log succeeded. */
   logRead: (batch: LogBatch, now: number) => void
   beginOperation: (request: OperationRequest, now: number) => number
@@ -143,15 +145,18 @@
     // A log that is down at the start: what peers know makes this entry ready.
     if (state === 'starting' && fold.position() > 0) state = 'ready'
     if (state === 'stopping') handoverRemaining = ownership.stop(now).remaining
-    measure()
+    measure(now)
   }
 
-  function measure (): void {
+  function measure (now: number): void {
     metrics.gauge('queue.length.tasks', queue.length())
     metrics.gauge('agents.active.count', membership.usableAgents().length)
     metrics.gauge('agents.ejected.count', placement.ejectedCount())
     metrics.gauge('partitions.owned.count', ownership.ownedCount())
     metrics.gauge('configuration.version.offset', fold.position())
+    const { end, behindSince } = options.logStanding()
+    metrics.gauge('log.behind.records', Math.max(0, end - fold.position()))
+    metrics.gauge('log.outage.milliseconds', behindSince === undefined ? 0 : Math.max(0, now - behindSince))
   }
 
   function collectingCount (): number {
@@ -201,6 +206,9 @@
     slices,
     start (now) { fleet.follow(membership.start(now), now) },
     receive,
+    undelivered (to, message, now) {
+      if (message.method === 'dispatch') dispatcher.undelivered(to as AgentIdentity, message.parameters, now)
+    },
     logRead,
     beginOperation: operations.begin,
     abandonOperation: operations.abandon,
--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -3,7 +3,7 @@
 import { createConfiguration, createPublisher, type Configuration, type Publisher } from '@baobabpost/configuration'
 import { createMembership, type Membership } from '@baobabpost/membership'
 import type { Outbox } from '@baobabpost/messages'
-import { createOutcomes, type Outcomes } from '@baobabpost/outcomes'
+import { createOutcomes, type FinishedSubmission, type Outcomes } from '@baobabpost/outcomes'
 import { createOwnership, type Ownership, type PartitionState } from '@baobabpost/ownership'
 import { createRegisterFold, type RegisterFold } from '@baobabpost/platform-log'
 import { createRequests, type RequestPolicy, type Requests } from '@baobabpost/requests'
@@ -65,7 +65,7 @@
 
 /** Makes all slices of an entry. */
 export function createEntrySlices (options: EntryCoreOptions): EntrySlices {
-  const { settings, invariants, logger, random } = options
+  const { settings, invariants, logger, metrics, random } = options
   const { identity, keyWindowMilliseconds, clockSkewMilliseconds, failureDomain, policy } = settings
   const outbox: Outbox = { send: options.send, append: changes => { options.append(changes) } }
   const { fold, configuration, publisher } = createRecordSlices(options)
@@ -93,8 +93,10 @@
     placement.current().expectedMilliseconds(template)
   const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
   const requests = createRequests({ random, ...requestPolicyOf(configuration, policy) })
-  const calls = createCalls({ requests, queue, outbox, expectedMilliseconds })
-  const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds })
+  const calls = createCalls({
+    requests, queue, outbox, expectedMilliseconds, metrics, onResent: attempt => { dispatcher.noteResent(attempt, 0) }
+  })
+  const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds, logger, metrics })
 
   const outcomes: Outcomes = createOutcomes({
     ports: {
@@ -107,7 +109,8 @@
       withdraw: (agent, selections) => { outbox.send(agent, { method: 'withdraw', parameters: { selections } }) },
       resend: (agent, submission, indexes, now) => { dispatcher.resend(agent, submission, indexes, now) },
       answer: (waiter, result) => { operations.answered(waiter, result) },
-      reroute: (waiters, _submission, now) => { operations.rerouted(waiters, now) }
+      reroute: (waiters, _submission, now) => { operations.rerouted(waiters, now) },
+      finished: (finished, now) => { accountFinished(finished, now) }
     },
     invariants,
     keyWindowMilliseconds,
@@ -128,7 +131,7 @@
     clockSkewMilliseconds
   })
   const dispatcher: Dispatcher = createDispatcher({
-    queue, placement: placement.current, ownership, outcomes, calls, outbox
+    queue, placement: placement.current, ownership, outcomes, calls, outbox, metrics
   })
   const operations: Operations = createOperations({
     identity,
@@ -146,6 +149,17 @@
     presentEntries: () => membership.liveEntries().map(entry => entry.identity)
   })
 
+  /** Accounts for a finished submission in log, metrics and the service-level objectives. */
+  function accountFinished (finished: FinishedSubmission, now: number): void {
+    const { submission, customer, service, state, responseMilliseconds, cause } = finished
+    logger.info('submission finished', { submission, customer, kind: cause, state, responseMilliseconds })
+    metrics.count('submissions.answered.count', 1, state)
+    metrics.timing('response.milliseconds', responseMilliseconds)
+    if (service === undefined) return
+    const errorKind = cause === 'failed' ? 'upstream-failed' : cause
+    burn.record({ service, customer, responseMilliseconds, ...(errorKind === undefined ? {} : { errorKind }) }, now)
+  }
+
   function partitionChanged (partition: number, state: PartitionState, now: number): void {
     outcomes.partitionChanged(partition, state, now)
     if (state.kind !== 'ours') dispatcher.partitionLost(partition, now)
--- a/packages/entry/src/in-flight.ts
+++ b/packages/entry/src/in-flight.ts
@@ -6,11 +6,14 @@
 export interface InFlightTask {
   readonly task: WaitingTask
   readonly agent: AgentIdentity
+  /** Whether it was sent more than once, so that one undelivered copy proves nothing. */
+  resent: boolean
 }
 
 /** The table of dispatched tasks of one entry. */
 export interface InFlight {
   add: (task: WaitingTask, agent: AgentIdentity) => void
+  find: (submission: string, index: number) => InFlightTask | undefined
   /** Takes a task out; undefined where it is not there. */
   remove: (submission: string, index: number) => InFlightTask | undefined
   /** Takes out all tasks that fit; for rare events, as it looks at all. */
@@ -36,6 +39,7 @@
   }
 
   return {
+    find: (submission, index) => submissions.get(submission)?.get(index),
     add (task, agent) {
       let tasks = submissions.get(task.submission)
       if (tasks === undefined) {
@@ -43,7 +47,7 @@
         submissions.set(task.submission, tasks)
       }
       if (!tasks.has(task.index)) count += 1
-      tasks.set(task.index, { task, agent })
+      tasks.set(task.index, { task, agent, resent: false })
     },
     remove,
     removeWhere (fits) {
--- a/packages/entry/src/job-queue.ts
+++ b/packages/entry/src/job-queue.ts
@@ -1,5 +1,6 @@
 /** Joins jobs to configuration and to the waiting queue. */
 import type { AdmissionQueue, WaitingTask } from '@baobabpost/admission'
+import type { Logger, Metrics } from '@baobabpost/common'
 import type { Configuration } from '@baobabpost/configuration'
 import type { JobRequest } from '@baobabpost/messages'
 import type { JobResolution, QueueDecision, WaitingTasks } from '@baobabpost/outcomes'
@@ -14,6 +15,8 @@
   readonly queue: AdmissionQueue
   /** Learned run time of a template in milliseconds, if any. */
   readonly expectedMilliseconds: (template: string) => number | undefined
+  readonly logger: Logger
+  readonly metrics: Metrics
 }
 
 /** The ports of the submissions towards configuration and queue. */
@@ -25,7 +28,7 @@
 
 /** Makes the joint of jobs, configuration and queue. */
 export function createJobQueue (options: JobQueueOptions): JobQueue {
-  const { configuration, queue } = options
+  const { configuration, queue, logger, metrics } = options
 
   function waitingTasks (tasks: WaitingTasks, now: number): WaitingTask[] {
     const { submission, customer, template, job } = tasks
@@ -66,7 +69,17 @@
         }
       }
     },
-    offer: (tasks, now) => queue.offer(waitingTasks(tasks, now), now),
+    offer (tasks, now) {
+      const { submission, customer } = tasks
+      const decision = queue.offer(waitingTasks(tasks, now), now)
+      if (decision.kind === 'admitted') {
+        metrics.count('submissions.accepted.count')
+        logger.info('submission accepted', { submission, customer, tasks: tasks.indexes.length })
+      } else {
+        logger.warn('submission refused', { submission, customer, kind: 'not-run', reason: decision.reason })
+      }
+      return decision
+    },
     restore: (tasks, now) => { queue.restore(waitingTasks(tasks, now)) }
   }
 }
--- a/packages/entry/src/running-entry.ts
+++ b/packages/entry/src/running-entry.ts
@@ -91,6 +91,11 @@
       if (closed) return
       core.receive(from, message, now())
       planFlush()
+    },
+    onUndelivered: (to, message) => {
+      if (closed) return
+      core.undelivered(to, message, now())
+      planFlush()
     }
   })
   const log: PlatformLogClient = createPlatformLogClient({
@@ -176,7 +181,10 @@
 
   core.start(now())
   log.start()
+  let tickDueAt = now() + TICK_MILLISECONDS
   const ticker = setInterval(() => {
+    metrics.timing('loop.lag.milliseconds', Math.max(0, now() - tickDueAt))
+    tickDueAt = now() + TICK_MILLISECONDS
     core.tick(now())
     planFlush()
   }, TICK_MILLISECONDS)
--- a/packages/outcomes/src/job-lifecycle.ts
+++ b/packages/outcomes/src/job-lifecycle.ts
@@ -1,9 +1,9 @@
 /** What happens to tasks once a job is known: waiting, dispatch, outcome, and the whole answer at the end. */
 import type { AgentIdentity, Invariants, SubmissionKey } from '@baobabpost/common'
-import type { JobRequest, NotRunReason, OperationResult, TaskOutcome } from '@baobabpost/messages'
+import type { JobRequest, NotRunReason, OperationResult, SubmissionAnswer, TaskOutcome } from '@baobabpost/messages'
 import { type HeldTasks, type Job, TaskState } from './job.js'
 import type { JobStore } from './job-store.js'
-import type { OutcomesPorts, WaitingTasks } from './outcomes.js'
+import type { FinishedSubmission, OutcomesPorts, WaitingTasks } from './outcomes.js'
 import { answerResult, runningAnswer, wholeAnswer } from './results.js'
 import type { Timeline } from './timeline.js'
 
@@ -65,6 +65,14 @@
   return { status: 'not-run', reason }
 }
 
+/** The gravest reason for which an answer is not complete. */
+function findCause (whole: SubmissionAnswer): FinishedSubmission['cause'] {
+  const statuses = new Set(whole.tasks?.map(task => task.status))
+  if (statuses.has('outcome-unknown')) return 'outcome-unknown'
+  if (statuses.has('not-run')) return 'not-run'
+  return statuses.has('failed') ? 'failed' : undefined
+}
+
 /**
  * Makes the life of jobs.
  *
@@ -89,6 +97,7 @@
     invariants.check(whole.finishedCount === job.header.taskCount, 'answer-is-whole',
       () => `${job.submission}: ${whole.finishedCount} of ${job.header.taskCount} outcomes`)
     job.answer = whole
+    tellFinished(job, whole, now)
     job.request = undefined
     job.resolved = undefined
     job.excludedAgents.clear()
@@ -97,6 +106,19 @@
     release(job, now)
   }
 
+  function tellFinished (job: Job, whole: SubmissionAnswer, now: number): void {
+    const { customer, template } = job.header
+    ports.finished?.({
+      submission: job.submission,
+      customer,
+      template,
+      service: job.resolved?.service,
+      state: whole.state,
+      responseMilliseconds: now - (job.steps.steps()[0]?.at ?? now),
+      cause: findCause(whole)
+    }, now)
+  }
+
   function release (job: Job, now: number): void {
     const { answer: whole } = job
     if (whole === undefined || job.waiters.size === 0) return
--- a/packages/outcomes/src/outcomes.ts
+++ b/packages/outcomes/src/outcomes.ts
@@ -6,8 +6,8 @@
  */
 import type { AgentIdentity, Invariants, SubmissionKey } from '@baobabpost/common'
 import type {
-  DispatchGroup, JobRequest, JsonRecord, OperationResult, SubmissionHandover, SubmissionRecord, SubmissionReport,
-  TaskOutcome, TaskSelection
+  DispatchGroup, JobRequest, JsonRecord, OperationResult, SubmissionAnswer, SubmissionHandover, SubmissionRecord,
+  SubmissionReport, TaskOutcome, TaskSelection
 } from '@baobabpost/messages'
 import type { PartitionState } from '@baobabpost/ownership'
 
@@ -68,6 +68,20 @@
   | { readonly kind: 'resolved', readonly job: ResolvedJob }
   | { readonly kind: 'refused', readonly result: OperationResult }
 
+/** A submission all of whose tasks have their outcome. */
+export interface FinishedSubmission {
+  readonly submission: SubmissionKey
+  readonly customer: string
+  readonly template: string
+  /** Service, unless the job was taken over and its body never came. */
+  readonly service: string | undefined
+  readonly state: SubmissionAnswer['state']
+  /** Time since this entry first knew of the submission. */
+  readonly responseMilliseconds: number
+  /** What kept it from being complete, the gravest first: an unknown outcome, a task that did not run, a failure. */
+  readonly cause: 'outcome-unknown' | 'not-run' | 'failed' | undefined
+}
+
 /** What the submissions need from the rest of the entry. */
 export interface OutcomesPorts {
   readonly partitionState: (partition: number) => PartitionState
@@ -89,6 +103,8 @@
   readonly answer: (waiter: string, result: OperationResult, now: number) => void
   /** The partition moved away: these waiters have to ask its next owner. They are forgotten. */
   readonly reroute: (waiters: readonly string[], submission: SubmissionKey, now: number) => void
+  /** Told once of each submission whose last task got its outcome here. */
+  readonly finished?: (finished: FinishedSubmission, now: number) => void
 }
 
 /** Settings of the submissions at their owner. */
