Count jobs in the burn report, and send every metric of the list

Cause: only single calls reached the burn report, so an objective of a service that runs jobs never burned, and no upstream was named; eight metrics of the list were never sent (tasks.finished, submissions.accepted, joined and answered, requests.retried, log.behind, log.outage, loop.lag), though OPERATING builds alarms on them. Change: answer-accounts.ts counts calls with the upstream of their last attempt and jobs with their worst fault; a job that its caller cancelled and an answer that says running do not count. The metrics are sent at entry and agent.

--- a/packages/agent/src/agent-run.ts
+++ b/packages/agent/src/agent-run.ts
@@ -108,8 +108,12 @@
   })
   const { execution, upstream } = createWiredExecution(options, identity, link, planFlush)
 
+  let tickedAt = Date.now()
   function tick (): void {
-    execution.tick(Date.now())
+    const now = Date.now()
+    metrics.timing('loop.lag.milliseconds', Math.max(0, now - tickedAt - TICK_MILLISECONDS))
+    tickedAt = now
+    execution.tick(now)
     planFlush()
     options.onTick()
   }
--- a/packages/docs-lists/tests/docs-lists.test.ts
+++ b/packages/docs-lists/tests/docs-lists.test.ts
@@ -1,6 +1,7 @@
 import { readdirSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import { describe, expect, test } from 'vitest'
+import { METRICS } from '@baobabpost/common'
 import { NOT_RUN_REASONS, UNKNOWN_REASONS } from '@baobabpost/messages'
 import { DOCS_LISTS, openRepository, renderSamplePage, replaceList, SAMPLE_PAGE } from '@baobabpost/docs-lists'
 
@@ -27,6 +28,13 @@
   })
 })
 
+test('every metric of the list is sent by some process', () => {
+  const sources = readdirSync(`${root}packages`, { recursive: true, encoding: 'utf8' })
+    .filter(path => /^[a-z-]+\/src\/.*\.ts$/.test(path) && path !== 'common/src/metrics.ts')
+    .map(path => repository.read(`packages/${path}`)).join('\n')
+  for (const name of Object.keys(METRICS)) expect(sources, name).toContain(`'${name}'`)
+})
+
 describe('links between pages', () => {
   test('lead to files that are there', () => {
     const files = new Set(readdirSync(root, { recursive: false, encoding: 'utf8' }))
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -1,5 +1,5 @@
 /** Single calls at the entry where they arrive: each attempt travels as a submission of one task without an owner. */
-import type { AgentIdentity } from '@baobabpost/common'
+import type { AgentIdentity, Metrics } from '@baobabpost/common'
 import type { AdmissionQueue, WaitingTask } from '@baobabpost/admission'
 import type { ResolvedRequest } from '@baobabpost/configuration'
 import type { DispatchGroup, JsonRecord, Outbox, SubmissionReport, TaskOutcome } from '@baobabpost/messages'
@@ -16,8 +16,8 @@
   readonly idempotent: boolean
   /** Unix time in milliseconds by which the caller wants the answer. */
   readonly answerBefore: number
-  /** Called once with the result and the time. */
-  readonly answer: (result: RequestResult, now: number) => void
+  /** Called once with the result, the time, and the agent that had the last attempt to end. */
+  readonly answer: (result: RequestResult, now: number, agent: AgentIdentity | undefined) => void
 }
 
 interface Attempt {
@@ -33,6 +33,7 @@
   readonly requests: Requests
   readonly queue: AdmissionQueue
   readonly outbox: Outbox
+  readonly metrics: Metrics
   /** Learned run time of a template in milliseconds, if any. */
   readonly expectedMilliseconds: (template: string) => number | undefined
 }
@@ -60,6 +61,8 @@
   const { requests, queue, outbox } = options
   const calls = new Map<string, CallOperation>()
   const attempts = new Map<string, Attempt>()
+  /** Calls that were tried, with the agent of the last attempt that ended. */
+  const lastAgents = new Map<string, AgentIdentity | undefined>()
 
   function perform (actions: readonly RequestAction[], now: number): void {
     for (const action of actions) {
@@ -79,6 +82,8 @@
   function enqueue (request: string, attempt: string, excludedAgents: readonly string[], now: number): void {
     const call = calls.get(request)
     if (call === undefined) return
+    if (lastAgents.has(request)) options.metrics.count('requests.retried.count')
+    else lastAgents.set(request, undefined)
     attempts.set(attempt, { call, attempt, agent: undefined, sentAt: now, resendMilliseconds: RESEND_MILLISECONDS })
     const { resolved } = call
     const task: WaitingTask = {
@@ -115,11 +120,17 @@
     const call = calls.get(request)
     if (call === undefined) return
     calls.delete(request)
-    call.answer(result, now)
+    const agent = lastAgents.get(request)
+    lastAgents.delete(request)
+    call.answer(result, now, agent)
   }
 
   function settle (name: string, outcome: TaskOutcome, now: number, retryAfterMilliseconds?: number): void {
-    if (!attempts.delete(name)) return
+    const attempt = attempts.get(name)
+    if (attempt === undefined) return
+    attempts.delete(name)
+    const { request } = attempt.call
+    if (calls.has(request)) lastAgents.set(request, attempt.agent)
     perform(requests.finished(name, outcome, now, retryAfterMilliseconds), now)
   }
 
@@ -159,7 +170,9 @@
     },
 
     abandon (request, now) {
-      if (calls.delete(request)) perform(requests.abandon(request, now), now)
+      if (!calls.delete(request)) return
+      lastAgents.delete(request)
+      perform(requests.abandon(request, now), now)
     },
 
     owns: submission => attempts.has(submission),
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -1,5 +1,5 @@
 /** Moves tasks from the waiting queue to agents, and what agents report back to where it belongs. */
-import { partitionOf, type AgentIdentity, type SubmissionKey } from '@baobabpost/common'
+import { partitionOf, type AgentIdentity, type Metrics, type SubmissionKey } from '@baobabpost/common'
 import type { AdmissionQueue, Lane, WaitingTask } from '@baobabpost/admission'
 import type { DispatchGroup, Outbox, Report, SubmissionReport, TaskOutcome } from '@baobabpost/messages'
 import type { Outcomes } from '@baobabpost/outcomes'
@@ -19,6 +19,7 @@
   readonly outcomes: Outcomes
   readonly calls: Calls
   readonly outbox: Outbox
+  readonly metrics: Metrics
 }
 
 /** Moves tasks to agents and reports back. */
@@ -156,6 +157,7 @@
       for (const task of report.tasks) {
         settle(report.submission, task.index, placementResult(task.outcome), task.runMilliseconds, now)
       }
+      options.metrics.count('tasks.finished.count', report.tasks.length)
       calls.report(report, now)
       return true
     }
@@ -163,6 +165,8 @@
     for (const settled of result.settled) {
       settle(settled.submission, settled.index, placementResult(settled.outcome), settled.runMilliseconds, now)
     }
+    const finished = result.settled.filter(settled => settled.effect === 'finished').length
+    if (finished > 0) options.metrics.count('tasks.finished.count', finished)
     return result.acknowledge
   }
 
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -7,6 +7,7 @@
 import type { CallRequest, EntryHeartbeatAnswer, LinkMessage } from '@baobabpost/messages'
 import type { LogBatch, LogStanding, RegisterChange } from '@baobabpost/platform-log'
 import type { RequestResult } from '@baobabpost/requests'
+import { createAnswerAccounts } from './answer-accounts.js'
 import type { EntryCoreOptions, EntryCoreSettings } from './entry-options.js'
 import { createEntrySlices, requestPolicyOf, type EntrySlices } from './entry-slices.js'
 import { createFleetFollower } from './fleet-follower.js'
@@ -70,8 +71,11 @@
   const { outcomes, operations, queue, placement, calls, dispatcher, burn } = slices
   const fleet = createFleetFollower({ slices, setPeer: options.setPeer, forgetPeer: options.forgetPeer, logger })
   const receive = createMessageRouter({ slices, fleet, receiveHeartbeatAnswer, logger })
+  const accounts = createAnswerAccounts({ burn, configuration, metrics })
   let state: EntryState = 'starting'
   let callCount = 0
+  /** Time of the latest event. */
+  let latest = options.startedAt
   let handoverRemaining = 0
 
   function applyChanges (changes: readonly RegisterChange[], now: number): void {
@@ -130,6 +134,7 @@
   }
 
   function tick (now: number): void {
+    latest = now
     fleet.follow(membership.tick(now), now)
     ownership.tick(now)
     outcomes.tick(now)
@@ -143,10 +148,13 @@
     // A log that is down at the start: what peers know makes this entry ready.
     if (state === 'starting' && fold.position() > 0) state = 'ready'
     if (state === 'stopping') handoverRemaining = ownership.stop(now).remaining
-    measure()
+    measure(now)
   }
 
-  function measure (): void {
+  function measure (now: number): void {
+    const { end, behindSince } = options.logStanding()
+    metrics.gauge('log.behind.records', Math.max(0, end - fold.position()))
+    metrics.gauge('log.outage.milliseconds', behindSince === undefined ? 0 : Math.max(0, now - behindSince))
     metrics.gauge('queue.length.tasks', queue.length())
     metrics.gauge('agents.active.count', membership.usableAgents().length)
     metrics.gauge('agents.ejected.count', placement.ejectedCount())
@@ -163,6 +171,17 @@
     return count
   }
 
+  /** Counts the answer of a submitted job; queries and cancellations ask about work that is counted already. */
+  function beginOperation (given: OperationRequest, arrivedAt: number): number {
+    const { operation, answer } = given
+    if (operation.kind !== 'submit') return operations.begin(given, arrivedAt)
+    const answerCounted: OperationRequest['answer'] = result => {
+      accounts.job({ request: operation.request, result, arrivedAt }, Math.max(arrivedAt, latest))
+      answer(result)
+    }
+    return operations.begin({ ...given, answer: answerCounted }, arrivedAt)
+  }
+
   function beginCall (call: CallOperationRequest, now: number): string {
     callCount += 1
     const request = `${identity}/${callCount}`
@@ -178,16 +197,8 @@
       input: call.request.input,
       idempotent: call.request.idempotent ?? callType === 'idempotent',
       answerBefore: now + (call.request.deadlineMilliseconds ?? DEFAULT_CALL_MILLISECONDS),
-      answer: (result, answeredAt) => {
-        const responseMilliseconds = answeredAt - now
-        metrics.count('requests.answered.count')
-        metrics.timing('response.milliseconds', responseMilliseconds)
-        burn.record({
-          service,
-          customer,
-          responseMilliseconds,
-          ...(result.kind === 'problem' ? { errorKind: result.problem.kind } : {})
-        }, answeredAt)
+      answer: (result, answeredAt, agent) => {
+        accounts.call({ service, customer, result, arrivedAt: now, agent }, answeredAt)
         call.answer(result)
       }
     }, now)
@@ -200,14 +211,18 @@
     startedAt: options.startedAt,
     slices,
     start (now) { fleet.follow(membership.start(now), now) },
-    receive,
+    receive (from, message, now) {
+      latest = now
+      receive(from, message, now)
+    },
     logRead,
-    beginOperation: operations.begin,
+    beginOperation,
     abandonOperation: operations.abandon,
     beginCall,
     abandonCall: calls.abandon,
     tick,
     flush (now) {
+      latest = now
       outcomes.flush(now)
       return dispatcher.pump(now)
     },
--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -93,7 +93,7 @@
     placement.current().expectedMilliseconds(template)
   const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
   const requests = createRequests({ random, ...requestPolicyOf(configuration, policy) })
-  const calls = createCalls({ requests, queue, outbox, expectedMilliseconds })
+  const calls = createCalls({ requests, queue, outbox, metrics: options.metrics, expectedMilliseconds })
   const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds })
 
   const outcomes: Outcomes = createOutcomes({
@@ -105,6 +105,9 @@
       removeWaiting: (submission, indexes) => { queue.withdraw(submission, indexes) },
       withdraw: (agent, selections) => { outbox.send(agent, { method: 'withdraw', parameters: { selections } }) },
       resend: (agent, submission, indexes, now) => { dispatcher.resend(agent, submission, indexes, now) },
+      noted: step => {
+        options.metrics.count(step === 'accepted' ? 'submissions.accepted.count' : 'submissions.joined.count')
+      },
       answer: (waiter, result) => { operations.answered(waiter, result) },
       reroute: (waiters, _submission, now) => { operations.rerouted(waiters, now) }
     },
@@ -127,7 +130,7 @@
     clockSkewMilliseconds
   })
   const dispatcher: Dispatcher = createDispatcher({
-    queue, placement: placement.current, ownership, outcomes, calls, outbox
+    queue, placement: placement.current, ownership, outcomes, calls, outbox, metrics: options.metrics
   })
   const operations: Operations = createOperations({
     identity,
--- a/packages/entry/src/running-entry.ts
+++ b/packages/entry/src/running-entry.ts
@@ -176,7 +176,10 @@
 
   core.start(now())
   log.start()
+  let tickedAt = now()
   const ticker = setInterval(() => {
+    metrics.timing('loop.lag.milliseconds', Math.max(0, now() - tickedAt - TICK_MILLISECONDS))
+    tickedAt = now()
     core.tick(now())
     planFlush()
   }, TICK_MILLISECONDS)
--- a/packages/outcomes/src/arrivals.ts
+++ b/packages/outcomes/src/arrivals.ts
@@ -93,6 +93,7 @@
     }
     if (arrival.kind === 'submit') {
       job.steps.add('joined', job.header.taskCount, now)
+      options.ports.noted?.('joined')
       lifecycle.adopt(job, arrival.operation.request, now)
     }
     if (arrival.kind === 'cancel') lifecycle.cancel(job, now)
@@ -161,6 +162,7 @@
     }
     store.add(job)
     job.steps.add('accepted', job.header.taskCount, now)
+    options.ports.noted?.('accepted')
     options.watch(job, now)
     lifecycle.wait(job, operation.waiter, operation.waitUntil, now)
   }
--- a/packages/outcomes/src/outcomes.ts
+++ b/packages/outcomes/src/outcomes.ts
@@ -83,6 +83,8 @@
   readonly withdraw: (agent: AgentIdentity, selections: readonly TaskSelection[], now: number) => void
   /** Asks for tasks to be sent again to the agent that they were dispatched to. */
   readonly resend: (agent: AgentIdentity, submission: SubmissionKey, indexes: readonly number[], now: number) => void
+  /** A submission was accepted, or a resubmission joined it. */
+  readonly noted?: (step: 'accepted' | 'joined') => void
   /** Tells a waiter its result; the waiter is forgotten. */
   readonly answer: (waiter: string, result: OperationResult, now: number) => void
   /** The partition moved away: these waiters have to ask its next owner. They are forgotten. */
