--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -16,12 +16,8 @@
   readonly idempotent: boolean
   /** Unix time in milliseconds by which the caller wants the answer. */
   readonly answerBefore: number
-  /** Called once with the result and the time. */
-  readonly answer: (result: RequestResult, now: number) => void
-}
-
-interface BegunCall extends CallOperation {
-  attempts: number
+  /** Called once with the result, the time, and the agent that had the last attempt to end. */
+  readonly answer: (result: RequestResult, now: number, agent: AgentIdentity | undefined) => void
 }
 
 interface Attempt {
@@ -37,9 +33,9 @@
   readonly requests: Requests
   readonly queue: AdmissionQueue
   readonly outbox: Outbox
+  readonly metrics: Metrics
   /** Learned run time of a template in milliseconds, if any. */
   readonly expectedMilliseconds: (template: string) => number | undefined
-  readonly metrics: Metrics
   /** Told of an attempt that is sent again to its agent. */
   readonly onResent: (attempt: string) => void
 }
@@ -65,8 +61,10 @@
 /** Makes the calls of an entry. */
 export function createCalls (options: CallsOptions): Calls {
   const { requests, queue, outbox } = options
-  const calls = new Map<string, BegunCall>()
+  const calls = new Map<string, CallOperation>()
   const attempts = new Map<string, Attempt>()
+  /** Calls that were tried, with the agent of the last attempt that ended. */
+  const lastAgents = new Map<string, AgentIdentity | undefined>()
 
   function perform (actions: readonly RequestAction[], now: number): void {
     for (const action of actions) {
@@ -86,8 +84,8 @@
   function enqueue (request: string, attempt: string, excludedAgents: readonly string[], now: number): void {
     const call = calls.get(request)
     if (call === undefined) return
-    if (call.attempts > 0) options.metrics.count('requests.retried.count')
-    call.attempts += 1
+    if (lastAgents.has(request)) options.metrics.count('requests.retried.count')
+    else lastAgents.set(request, undefined)
     attempts.set(attempt, { call, attempt, agent: undefined, sentAt: now, resendMilliseconds: RESEND_MILLISECONDS })
     const { resolved } = call
     const task: WaitingTask = {
@@ -124,11 +122,17 @@
     const call = calls.get(request)
     if (call === undefined) return
     calls.delete(request)
-    call.answer(result, now)
+    const agent = lastAgents.get(request)
+    lastAgents.delete(request)
+    call.answer(result, now, agent)
   }
 
   function settle (name: string, outcome: TaskOutcome, now: number, retryAfterMilliseconds?: number): void {
-    if (!attempts.delete(name)) return
+    const attempt = attempts.get(name)
+    if (attempt === undefined) return
+    attempts.delete(name)
+    const { request } = attempt.call
+    if (calls.has(request)) lastAgents.set(request, attempt.agent)
     perform(requests.finished(name, outcome, now, retryAfterMilliseconds), now)
   }
 
@@ -153,7 +157,7 @@
 
   return {
     begin (call, now) {
-      calls.set(call.request, { ...call, attempts: 0 })
+      calls.set(call.request, call)
       const { resolved, request, idempotent, answerBefore } = call
       const expected = options.expectedMilliseconds(resolved.template) ?? resolved.expectedMilliseconds
       perform(requests.begin({
@@ -168,7 +172,9 @@
     },
 
     abandon (request, now) {
-      if (calls.delete(request)) perform(requests.abandon(request, now), now)
+      if (!calls.delete(request)) return
+      lastAgents.delete(request)
+      perform(requests.abandon(request, now), now)
     },
 
     owns: submission => attempts.has(submission),
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -155,7 +155,6 @@
   ): void {
     const found = inFlight.remove(submission, index)
     if (found === undefined) return
-    if (result !== 'refused') options.metrics.count('tasks.finished.count')
     options.placement().finished(found.agent, found.task, result, runMilliseconds, now)
   }
 
@@ -164,6 +163,7 @@
       for (const task of report.tasks) {
         settle(report.submission, task.index, placementResult(task.outcome), task.runMilliseconds, now)
       }
+      options.metrics.count('tasks.finished.count', report.tasks.length)
       calls.report(report, now)
       return true
     }
@@ -171,6 +171,8 @@
     for (const settled of result.settled) {
       settle(settled.submission, settled.index, placementResult(settled.outcome), settled.runMilliseconds, now)
     }
+    const finished = result.settled.filter(settled => settled.effect === 'finished').length
+    if (finished > 0) options.metrics.count('tasks.finished.count', finished)
     return result.acknowledge
   }
 
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -7,6 +7,7 @@
 import type { CallRequest, EntryHeartbeatAnswer, LinkMessage } from '@baobabpost/messages'
 import type { LogBatch, LogStanding, RegisterChange } from '@baobabpost/platform-log'
 import type { RequestResult } from '@baobabpost/requests'
+import { createAnswerAccounts } from './answer-accounts.js'
 import type { EntryCoreOptions, EntryCoreSettings } from './entry-options.js'
 import { createEntrySlices, requestPolicyOf, type EntrySlices } from './entry-slices.js'
 import { createFleetFollower } from './fleet-follower.js'
@@ -72,8 +73,11 @@
   const { outcomes, operations, queue, placement, calls, dispatcher, burn } = slices
   const fleet = createFleetFollower({ slices, setPeer: options.setPeer, forgetPeer: options.forgetPeer, logger })
   const receive = createMessageRouter({ slices, fleet, receiveHeartbeatAnswer, logger })
+  const accounts = createAnswerAccounts({ burn, configuration, metrics })
   let state: EntryState = 'starting'
   let callCount = 0
+  /** Time of the latest event. */
+  let latest = options.startedAt
   let handoverRemaining = 0
 
   function applyChanges (changes: readonly RegisterChange[], now: number): void {
@@ -132,6 +136,7 @@
   }
 
   function tick (now: number): void {
+    latest = now
     fleet.follow(membership.tick(now), now)
     ownership.tick(now)
     outcomes.tick(now)
@@ -168,6 +173,17 @@
     return count
   }
 
+  /** Counts the answer of a submitted job; queries and cancellations ask about work that is counted already. */
+  function beginOperation (given: OperationRequest, arrivedAt: number): number {
+    const { operation, answer } = given
+    if (operation.kind !== 'submit') return operations.begin(given, arrivedAt)
+    const answerCounted: OperationRequest['answer'] = result => {
+      accounts.job({ request: operation.request, result, arrivedAt }, Math.max(arrivedAt, latest))
+      answer(result)
+    }
+    return operations.begin({ ...given, answer: answerCounted }, arrivedAt)
+  }
+
   function beginCall (call: CallOperationRequest, now: number): string {
     callCount += 1
     const request = `${identity}/${callCount}`
@@ -183,16 +199,8 @@
       input: call.request.input,
       idempotent: call.request.idempotent ?? callType === 'idempotent',
       answerBefore: now + (call.request.deadlineMilliseconds ?? DEFAULT_CALL_MILLISECONDS),
-      answer: (result, answeredAt) => {
-        const responseMilliseconds = answeredAt - now
-        metrics.count('requests.answered.count')
-        metrics.timing('response.milliseconds', responseMilliseconds)
-        burn.record({
-          service,
-          customer,
-          responseMilliseconds,
-          ...(result.kind === 'problem' ? { errorKind: result.problem.kind } : {})
-        }, answeredAt)
+      answer: (result, answeredAt, agent) => {
+        accounts.call({ service, customer, result, arrivedAt: now, agent }, answeredAt)
         call.answer(result)
       }
     }, now)
@@ -205,17 +213,22 @@
     startedAt: options.startedAt,
     slices,
     start (now) { fleet.follow(membership.start(now), now) },
-    receive,
+    receive (from, message, now) {
+      latest = now
+      receive(from, message, now)
+    },
     undelivered (to, message, now) {
+      latest = now
       if (message.method === 'dispatch') dispatcher.undelivered(to as AgentIdentity, message.parameters, now)
     },
     logRead,
-    beginOperation: operations.begin,
+    beginOperation,
     abandonOperation: operations.abandon,
     beginCall,
     abandonCall: calls.abandon,
     tick,
     flush (now) {
+      latest = now
       outcomes.flush(now)
       return dispatcher.pump(now)
     },
--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -96,7 +96,7 @@
   const calls = createCalls({
     requests, queue, outbox, expectedMilliseconds, metrics, onResent: attempt => { dispatcher.noteResent(attempt, 0) }
   })
-  const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds, logger, metrics })
+  const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds, logger })
 
   const outcomes: Outcomes = createOutcomes({
     ports: {
@@ -108,9 +108,12 @@
       removeWaiting: (submission, indexes) => { queue.withdraw(submission, indexes) },
       withdraw: (agent, selections) => { outbox.send(agent, { method: 'withdraw', parameters: { selections } }) },
       resend: (agent, submission, indexes, now) => { dispatcher.resend(agent, submission, indexes, now) },
+      noted: step => {
+        metrics.count(step === 'accepted' ? 'submissions.accepted.count' : 'submissions.joined.count')
+      },
       answer: (waiter, result) => { operations.answered(waiter, result) },
       reroute: (waiters, _submission, now) => { operations.rerouted(waiters, now) },
-      finished: (finished, now) => { accountFinished(finished, now) }
+      finished: finished => { logFinished(finished) }
     },
     invariants,
     keyWindowMilliseconds,
@@ -149,15 +152,9 @@
     presentEntries: () => membership.liveEntries().map(entry => entry.identity)
   })
 
-  /** Accounts for a finished submission in log, metrics and the service-level objectives. */
-  function accountFinished (finished: FinishedSubmission, now: number): void {
-    const { submission, customer, service, state, responseMilliseconds, cause } = finished
+  function logFinished (finished: FinishedSubmission): void {
+    const { submission, customer, state, responseMilliseconds, cause } = finished
     logger.info('submission finished', { submission, customer, kind: cause, state, responseMilliseconds })
-    metrics.count('submissions.answered.count', 1, state)
-    metrics.timing('response.milliseconds', responseMilliseconds)
-    if (service === undefined) return
-    const errorKind = cause === 'failed' ? 'upstream-failed' : cause
-    burn.record({ service, customer, responseMilliseconds, ...(errorKind === undefined ? {} : { errorKind }) }, now)
   }
 
   function partitionChanged (partition: number, state: PartitionState, now: number): void {
--- a/packages/entry/src/job-queue.ts
+++ b/packages/entry/src/job-queue.ts
@@ -1,6 +1,6 @@
 /** Joins jobs to configuration and to the waiting queue. */
 import type { AdmissionQueue, WaitingTask } from '@baobabpost/admission'
-import type { Logger, Metrics } from '@baobabpost/common'
+import type { Logger } from '@baobabpost/common'
 import type { Configuration } from '@baobabpost/configuration'
 import type { JobRequest } from '@baobabpost/messages'
 import type { JobResolution, QueueDecision, WaitingTasks } from '@baobabpost/outcomes'
@@ -16,7 +16,6 @@
   /** Learned run time of a template in milliseconds, if any. */
   readonly expectedMilliseconds: (template: string) => number | undefined
   readonly logger: Logger
-  readonly metrics: Metrics
 }
 
 /** The ports of the submissions towards configuration and queue. */
@@ -28,7 +27,7 @@
 
 /** Makes the joint of jobs, configuration and queue. */
 export function createJobQueue (options: JobQueueOptions): JobQueue {
-  const { configuration, queue, logger, metrics } = options
+  const { configuration, queue, logger } = options
 
   function waitingTasks (tasks: WaitingTasks, now: number): WaitingTask[] {
     const { submission, customer, template, job } = tasks
@@ -73,7 +72,6 @@
       const { submission, customer } = tasks
       const decision = queue.offer(waitingTasks(tasks, now), now)
       if (decision.kind === 'admitted') {
-        metrics.count('submissions.accepted.count')
         logger.info('submission accepted', { submission, customer, tasks: tasks.indexes.length })
       } else {
         logger.warn('submission refused', { submission, customer, kind: 'not-run', reason: decision.reason })
--- a/packages/outcomes/src/job-lifecycle.ts
+++ b/packages/outcomes/src/job-lifecycle.ts
@@ -112,7 +112,6 @@
       submission: job.submission,
       customer,
       template,
-      service: job.resolved?.service,
       state: whole.state,
       responseMilliseconds: now - (job.steps.steps()[0]?.at ?? now),
       cause: findCause(whole)
