--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -114,11 +114,11 @@
     return others.length === 0 && outcomes.counts().unfinished === 0
   }
 
-  /** The live entry that is first by name repeats what the log would soon drop. */
+  /** Repeats what the log would soon drop; the entry that is first by name goes first. */
   function restate (now: number): void {
-    const [first] = membership.liveEntries()
-    if (first?.identity !== identity) return
-    const due = fold.restatementsDue(now, MAXIMUM_RESTATEMENTS)
+    const rank = membership.liveEntries().findIndex(entry => entry.identity === identity)
+    if (rank === -1) return
+    const due = fold.restatementsDue(now, MAXIMUM_RESTATEMENTS, rank)
     if (due.length > 0) options.append(due)
   }
 
--- a/packages/platform-log/src/create-register-fold.ts
+++ b/packages/platform-log/src/create-register-fold.ts
@@ -24,6 +24,9 @@
 const SETTLED_RESTATEMENT_SHARE = 1 / 3
 /** A reader that doesn't know the whole history leaves the first go to those that do. */
 const UNSETTLED_RESTATEMENT_SHARE = 1 / 2
+/** Part of the retention by which each further process waits for the one before it to restate. */
+const RANK_SHARE = 1 / 12
+const MAXIMUM_RANK = 3
 /** Most writes of a register that isn't settled that are kept to be judged again. */
 const MAXIMUM_KEPT_WRITES = 1_000
 
@@ -225,14 +228,15 @@
     return { registers, position: kind === undefined ? since : registers.at(-1)?.version ?? since }
   }
 
-  function restatementsDue (now: number, limit: number): readonly RegisterRestatement[] {
+  function restatementsDue (now: number, limit: number, rank = 0): readonly RegisterRestatement[] {
     const due: RegisterRestatement[] = []
     if (recovering || !reachedEndOnce) return due
     const asOf = position()
+    const wait = Math.min(rank, MAXIMUM_RANK) * RANK_SHARE
     for (const [register, held] of table.entries()) {
       if (due.length === limit) break
       const share = held.settled ? SETTLED_RESTATEMENT_SHARE : UNSETTLED_RESTATEMENT_SHARE
-      if (now - held.basedAt < retentionMilliseconds * share) continue
+      if (now - held.basedAt < retentionMilliseconds * (share + wait)) continue
       if (now - held.restatedAt < RESTATEMENT_PATIENCE_MILLISECONDS || held.version > asOf) continue
       held.restatedAt = now
       due.push({ kind: 'restatement', register, version: held.version, value: held.value, asOf })
--- a/packages/platform-log/src/register-fold.ts
+++ b/packages/platform-log/src/register-fold.ts
@@ -68,6 +68,10 @@
   logPosition: () => number
   /** Offset that the next read should start from. */
   readFrom: () => number
-  /** Restatements of registers that were made or last restated more than a third of the retention ago. */
-  restatementsDue: (now: number, limit: number) => readonly RegisterRestatement[]
+  /**
+   * Restatements of registers that were made or last restated more than a third of the retention ago. `rank` is the
+   * place of this process among those that restate; each further one waits a twelfth of the retention longer, so that
+   * it restates only what those before it could not.
+   */
+  restatementsDue: (now: number, limit: number, rank?: number) => readonly RegisterRestatement[]
 }
--- a/packages/platform-log/tests/register-fold.test.ts
+++ b/packages/platform-log/tests/register-fold.test.ts
@@ -138,6 +138,28 @@
   expect(fold.restatementsDue(RETENTION_MILLISECONDS / 3, 10).map(({ version }) => version)).toEqual([4])
 })
 
+test('an agent that was registered twice and removed is gone for a reader that missed the first registration', () => {
+  const register = `agent/${AGENT}`
+  const log = [
+    entryOf(1, [write(register, 0, agentRegistration(AGENT))]),
+    entryOf(2, [write(register, 0, agentRegistration(AGENT))]),
+    entryOf(3, [write(register, 1, null)])
+  ]
+  for (const first of [1, 2, 3]) {
+    const { fold } = createFoldFixture()
+    fold.apply(batchOf(log, 1, first), 0)
+    expect(fold.read(register)).toBeUndefined()
+  }
+})
+
+test('a process of a later rank restates only what those before it left', () => {
+  const { fold } = createFoldFixture()
+  fold.apply(batchOf([entryOf(1, [write('team/a', 0, team('a'))])], 1), 0)
+  const due = (share: number, rank: number): number =>
+    fold.restatementsDue(RETENTION_MILLISECONDS * share, 10, rank).length
+  expect([due(0.4, 1), due(0.45, 1), due(0.55, 9), due(0.6, 9)]).toEqual([0, 1, 0, 1])
+})
+
 describe('adoption from a peer', () => {
   const log = [
     entryOf(1, [write('team/a', 0, team('a')), write(`agent/${AGENT}`, 0, agentRegistration(AGENT))]),
