Fit the tests to the fold's adopt without a time

Cause: the lead took the time out of adopt again; the type check of the tests failed. Change: the calls in tests; the comment on clean says what membership writes and ownership relies on. Measured: tsc -p tsconfig.tests.json clean; vitest run on the four packages passes.

--- a/packages/configuration/tests/configuration.test.ts
+++ b/packages/configuration/tests/configuration.test.ts
@@ -196,7 +196,7 @@
   const [peer, fresh] = [fleet.join(), fleet.join()]
   publish(peer, { register: 'team/dakar', value: team(1), replaces: 0 })
   peer.read()
-  fresh.configuration.changed(fresh.fold.adopt(peer.fold.changesSince(0, 100), 0), 0)
+  fresh.configuration.changed(fresh.fold.adopt(peer.fold.changesSince(0, 100)), 0)
   const standing: LogStanding = {
     position: 0, end: 3, endReadStartedAt: undefined, behindSince: 500, pendingAppends: 0
   }
--- a/packages/membership/tests/fleet-fixture.ts
+++ b/packages/membership/tests/fleet-fixture.ts
@@ -107,7 +107,7 @@
     if (message.method === 'announce') events.push(...membership.announce(message.parameters, now))
     if (message.method === 'entryHeartbeat') events.push(...membership.entryHeartbeat(message.parameters, now))
     if (message.method !== 'entryHeartbeatAnswer') return
-    events.push(...membership.changed(fold.adopt(message.parameters, now), now))
+    events.push(...membership.changed(fold.adopt(message.parameters), now))
     events.push(...membership.entryHeartbeatAnswer(from as EntryIdentity, message.parameters, now))
   }
 
--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -110,7 +110,7 @@
   state: Schema.Literals(['joined', 'departed']),
   /** Time of the last change of state, Unix milliseconds. */
   changedAt: Milliseconds,
-  /** Whether the agent handed over all it knew before it departed. */
+  /** Whether the agent itself said, before it departed, that it starts nothing more. */
   clean: Schema.Boolean
 })
 export type AgentRegistration = typeof AgentRegistration.Type
--- a/packages/platform-log/tests/register-fold.property.test.ts
+++ b/packages/platform-log/tests/register-fold.property.test.ts
@@ -123,7 +123,7 @@
       peer.fold.apply(batchOf(log.slice(0, peerAt), 1), START)
       const reader = createFoldFixture()
       reader.fold.apply(batchOf(log.slice(0, readAt), 1), START)
-      const changes = reader.fold.adopt(peer.fold.changesSince(reader.fold.position(), 1_000), 0)
+      const changes = reader.fold.adopt(peer.fold.changesSince(reader.fold.position(), 1_000))
       for (const change of changes) expect(change.version).toBeGreaterThan(change.previousVersion)
       reader.fold.apply(batchOf(log, reader.fold.readFrom()), START)
       expect(stateOf(reader.fold)).toEqual(stateOf(author.fold))
