Judge overdue tasks against the other agents, and failures by what they tell

Change: the overdue share is tested against that of the others; uninformative failures raise suspicion only and end no probe; priors of failure shares are even; a test bounds ejections in a healthy fleet.

--- a/packages/bench/tests/decisions.test.ts
+++ b/packages/bench/tests/decisions.test.ts
@@ -76,6 +76,12 @@
     expect(events.filter(({ kind, reason }) => kind === 'ejected' && reason === 'failing')).toEqual([])
   })
 
+  it.each(SEEDS)('ejects nobody by mistake more often than once in ten seconds in a healthy fleet (seed %i)', seed => {
+    const options = runOf({ seed })
+    const ejections = runDecisions(options).events.filter(({ kind }) => kind === 'ejected')
+    expect(ejections.length).toBeLessThanOrEqual(options.milliseconds / 10_000)
+  })
+
   it.each([0.1, 10])('changes urgent responses by little when declarations are off by %f', declaredFactor => {
     const right = summaryOf({}).urgent.overFastestIdeal.percentile99
     const wrong = summaryOf({ declaredFactor }).urgent.overFastestIdeal.percentile99
--- a/packages/placement/src/agent-health.ts
+++ b/packages/placement/src/agent-health.ts
@@ -7,6 +7,9 @@
 
 const FAILING_SHARE_OF_BAD_WORKER = 0.9
 const LEAST_FAILURE_SHARE = 0.02
+// Failures that half of the peers share, or that no peer could show, raise suspicion but eject no one.
+const TELLING_PEER_SHARE = 0.5
+const SUSPICION_EVIDENCE = 1
 const SLOW_SHARE_OF_BAD_WORKER = 0.9
 const FAILURE_EVIDENCE_LIMIT = 9
 const SLOW_EVIDENCE_LIMIT = 11
@@ -48,13 +51,20 @@
   }
 }
 
+/** Whether a failure tells of the worker, as most peers don't fail the template. */
+export function isTelling (peerShare: number): boolean {
+  return peerShare < TELLING_PEER_SHARE
+}
+
 /** Adds the evidence of a task that succeeded or failed, where peers fail the given share of its template. */
 export function noteOutcome (health: AgentHealth, failed: boolean, peerShare: number): void {
   const healthy = Math.min(Math.max(peerShare, LEAST_FAILURE_SHARE), FAILING_SHARE_OF_BAD_WORKER)
   const evidence = failed
     ? Math.log(FAILING_SHARE_OF_BAD_WORKER / healthy)
     : Math.log((1 - FAILING_SHARE_OF_BAD_WORKER) / (1 - healthy))
-  health.failureEvidence = Math.max(0, health.failureEvidence + evidence)
+  const sum = Math.max(0, health.failureEvidence + evidence)
+  const telling = !failed || isTelling(peerShare)
+  health.failureEvidence = telling ? sum : Math.max(health.failureEvidence, Math.min(sum, SUSPICION_EVIDENCE))
   if (!failed) health.proven = true
 }
 
--- a/packages/placement/src/failure-record.ts
+++ b/packages/placement/src/failure-record.ts
@@ -8,8 +8,8 @@
 
 const COUNT_DECAY = 0.98
 const SHARE_WITHOUT_PEERS = 0.5
-const PRIOR_RUNS = 2
-const PRIOR_FAILURES = 0.1
+const PRIOR_RUNS = 1
+const PRIOR_FAILURES = 0.25
 const FIRST_PAUSE_MILLISECONDS = 1_000
 const LONGEST_PAUSE_MILLISECONDS = 30_000
 
--- a/packages/placement/src/overdue.ts
+++ b/packages/placement/src/overdue.ts
@@ -10,7 +10,7 @@
 
 const GRACE_MILLISECONDS = 50
 const OVERDUE_SHARE_OF_BAD_WORKER = 0.75
-const EVIDENCE_LIMIT = 9
+const EVIDENCE_LIMIT = 7
 const HANGING_RATIO = 20
 const LEAST_HANGING_MILLISECONDS = 1_500
 const MOST_OVERDUE_SHARE_OF_OTHERS = 0.5
@@ -20,8 +20,8 @@
   readonly outstanding: number
   readonly overdue: number
   readonly overdueProbes: number
-  /** Logarithm of the likelihood ratio between a bad worker and usual long runs. */
-  readonly evidence: number
+  /** Share of overdue tasks that usual long runs explain, a mean over the tasks. */
+  readonly usualShare: number
   /** Whether a task ended at the usual speed lately, so that overdue ones are more likely waiting than slow. */
   readonly progressing: boolean
   /** Whether all tasks are outstanding so long that no run of the template is expected to take it. */
@@ -46,7 +46,7 @@
   const slots = state.agent.slots
   let overdue = 0
   let overdueProbes = 0
-  let evidence = 0
+  let usualShares = 0
   let hanging = state.outstanding.size > 0
   let position = 0
   for (const task of state.outstanding.values()) {
@@ -56,17 +56,24 @@
     const elapsed = now - task.dispatchedAt - state.recentWaitMilliseconds - GRACE_MILLISECONDS
     position += 1
     hanging &&= elapsed > Math.max(expected * HANGING_RATIO * turns, LEAST_HANGING_MILLISECONDS)
-    const usual = Math.min(model.slowTimeShare(task.template), OVERDUE_SHARE_OF_BAD_WORKER)
-    if (elapsed > expected * SLOW_RATIO * turns) {
-      overdue += 1
-      if (task.probe) overdueProbes += 1
-      evidence += Math.log(OVERDUE_SHARE_OF_BAD_WORKER / usual)
-    } else {
-      evidence += Math.log((1 - OVERDUE_SHARE_OF_BAD_WORKER) / (1 - usual))
-    }
+    usualShares += model.slowTimeShare(task.template)
+    if (elapsed <= expected * SLOW_RATIO * turns) continue
+    overdue += 1
+    if (task.probe) overdueProbes += 1
   }
   const progressing = now - state.lastNormalEndAt <= meanMilliseconds * factor * SLOW_RATIO
-  return { outstanding: state.outstanding.size, overdue, overdueProbes, evidence, progressing, hanging }
+  const outstanding = state.outstanding.size
+  const usualShare = outstanding === 0 ? 0 : usualShares / outstanding
+  return { outstanding, overdue, overdueProbes, usualShare, progressing, hanging }
+}
+
+/** Logarithm of the likelihood ratio between a bad worker and one that is no worse than usual or than the others. */
+function evidenceOf (own: OverdueCount, others: OtherAgents): number {
+  const othersShare = others.outstanding === 0 ? 0 : others.overdue / others.outstanding
+  const healthy = Math.min(Math.max(own.usualShare, othersShare), OVERDUE_SHARE_OF_BAD_WORKER)
+  const inTime = own.outstanding - own.overdue
+  return own.overdue * Math.log(OVERDUE_SHARE_OF_BAD_WORKER / healthy) +
+    inTime * Math.log((1 - OVERDUE_SHARE_OF_BAD_WORKER) / (1 - healthy))
 }
 
 /** The reason to eject an agent with these tasks, if any. */
@@ -75,5 +82,5 @@
   if (own.progressing) return undefined
   if (own.hanging) return 'hanging'
   if (own.overdueProbes > 0) return 'slow'
-  return own.evidence >= EVIDENCE_LIMIT ? 'slow' : undefined
+  return evidenceOf(own, others) >= EVIDENCE_LIMIT ? 'slow' : undefined
 }
--- a/packages/placement/src/tracked-placement.ts
+++ b/packages/placement/src/tracked-placement.ts
@@ -1,7 +1,7 @@
 /** What all placements share: the accounts of windows, learned run times, and the ejection of bad workers. */
 import type { WaitingTask } from '@baobabpost/admission'
 import type { AgentIdentity } from '@baobabpost/common'
-import { eject, ejectionReason, type EjectionReason, noteOutcome, noteProbeSuccess, noteSpeed, startProbing } from './agent-health.js'
+import { eject, ejectionReason, type EjectionReason, isTelling, noteOutcome, noteProbeSuccess, noteSpeed, startProbing } from './agent-health.js'
 import { addOutstanding, type AgentState, createAgentState, noteWait, removeOutstanding, roomOf } from './agent-state.js'
 import { createFailureRecord } from './failure-record.js'
 import { overdueReason, overdueTasks } from './overdue.js'
@@ -86,8 +86,8 @@
     if (result === 'succeeded') noteWait(state, now - outstanding.dispatchedAt - runMilliseconds)
     const slow = result === 'succeeded' && this.#learnSpeed(state, task.template, runMilliseconds)
     if (result === 'succeeded' && !slow) state.lastNormalEndAt = now
-    this.#learnOutcome(state, task.template, result !== 'succeeded', now)
-    this.#judge(state, outstanding.probe, result === 'succeeded', slow, now)
+    const telling = this.#learnOutcome(state, task.template, result !== 'succeeded', now)
+    if (telling) this.#judge(state, outstanding.probe, result === 'succeeded', slow, now)
   }
 
   override expectedMilliseconds (template: string): number | undefined {
@@ -150,11 +150,13 @@
     return slow
   }
 
-  #learnOutcome (state: AgentState, template: string, failed: boolean, now: number): void {
+  /** Learns from an outcome; returns whether it tells anything of the worker. */
+  #learnOutcome (state: AgentState, template: string, failed: boolean, now: number): boolean {
     const { identity } = state.agent
     const peerShare = this.failures.peerShare(template, identity)
     this.failures.observe(template, identity, failed, now)
     noteOutcome(state.health, failed, peerShare)
+    return !failed || isTelling(peerShare)
   }
 
   #judge (state: AgentState, probe: boolean, succeeded: boolean, slow: boolean, now: number): void {
