Send urgent tasks ahead after a short stall too

Cause: with real processes at 90 % urgent calls waited for seconds though agents kept slots free: more than four waiting urgent tasks counted as overload, so that one stall of the loop locked them behind windows full of jobs which the agents held back for the reserve. The harness with injected time has no stalls and did not show it. Change: the bound is a quarter of the service's slots; a test of it.

--- a/packages/placement/src/late-binding.ts
+++ b/packages/placement/src/late-binding.ts
@@ -12,7 +12,7 @@
 const FAR_MILLISECONDS = 3
 const FULL_LOAD_MILLISECONDS = 2
 const URGENT_WAIT_WEIGHT = 4
-const MOST_URGENT_WAITING = 4
+const URGENT_WAITING_PER_SLOT = 0.25
 const MAXIMUM_CANDIDATES = 64
 const NOTABLY_SLOWER = 1.2
 
@@ -63,9 +63,13 @@
   }
 
   /** An urgent task may also go ahead of the tasks that wait at an agent. */
-  protected override roomFor (state: AgentState, task: WaitingTask, waiting: number): number {
+  protected override roomFor (
+    service: ServiceState, state: AgentState, task: WaitingTask, waiting: number
+  ): number {
     const room = roomOf(state)
-    if (!task.urgent || room > 0 || waiting > MOST_URGENT_WAITING) return room
+    if (!task.urgent || room > 0) return room
+    const mostWaiting = URGENT_WAITING_PER_SLOT * state.agent.slots * service.agents.length
+    if (waiting > mostWaiting) return room
     return roomAhead(state)
   }
 
--- a/packages/placement/src/tracked-placement.ts
+++ b/packages/placement/src/tracked-placement.ts
@@ -107,7 +107,7 @@
   }
 
   /** Number of further tasks like this that the agent may get now. */
-  protected roomFor (state: AgentState, _task: WaitingTask, _waiting: number): number {
+  protected roomFor (_service: ServiceState, state: AgentState, _task: WaitingTask, _waiting: number): number {
     return roomOf(state)
   }
 
@@ -115,7 +115,7 @@
   protected mayTake (
     service: ServiceState, state: AgentState, task: WaitingTask, now: number, waiting: number
   ): boolean {
-    if (this.roomFor(state, task, waiting) <= 0) return false
+    if (this.roomFor(service, state, task, waiting) <= 0) return false
     const { identity } = state.agent
     const excluded = task.excludedAgents
     // Where all agents are excluded, any is better than none.
--- a/packages/placement/tests/placement.test.ts
+++ b/packages/placement/tests/placement.test.ts
@@ -241,6 +241,13 @@
     expect(choose(fleet)).toBeUndefined()
   })
 
+  it('sends urgent tasks ahead also when a short stall let several of them wait', () => {
+    const fleet = fleetOf('late-binding', 3, { window: 4 })
+    fill(fleet)
+    expect(choose(fleet, { urgent: true }, 6)).toBeDefined()
+    expect(choose(fleet, { urgent: true }, 100)).toBeUndefined()
+  })
+
   it('moves the expectation by little when declarations are off by ten', () => {
     const picks = [0.1, 1, 10].map(factor => {
       const fleet = fleetOf('late-binding', 4)
