--- a/packages/admission/tests/admission-queue.test.ts
+++ b/packages/admission/tests/admission-queue.test.ts
@@ -141,6 +141,17 @@
     expect(queue.offer(jobOf('fine', 1_000, { startBefore: NOW + 11_000 }), NOW).kind).toBe('admitted')
   })
 
+  it('takes work again after a time in which nothing was served, once nothing waits any more', () => {
+    const queue = createAdmissionQueue()
+    queue.offer(jobOf('stuck', 10), NOW)
+    let now = NOW
+    for (; now < NOW + 30_000; now += 300) queue.offer(jobOf(`probe-${now}`, 1), now)
+    expect(queue.offer(jobOf('refused', 1), now)).toMatchObject({ kind: 'refused', reason: 'deadline' })
+    queue.expire(now + 60_000)
+    const later = { startBefore: now + 120_000, waitingSince: now + 60_000 }
+    expect(queue.offer(jobOf('again', 10, later), now + 60_000).kind).toBe('admitted')
+  })
+
   it('corrects the rate by what was served, so that declarations off by ten refuse nothing that fits', () => {
     const queue = createAdmissionQueue()
     queue.setCapacity({ service: 'desk', slots: 10 })
--- a/packages/ownership/src/partition-moves.ts
+++ b/packages/ownership/src/partition-moves.ts
@@ -90,6 +90,9 @@
   return {
     setLiveEntries (entries, now) {
       if (entries.length === live.length && entries.every(entry => live.includes(entry))) return
+      for (const entry of live) {
+        if (!entries.includes(entry)) absentSince.set(entry, now)
+      }
       live = [...entries]
       unchangedSince = now
       computePreferred()
--- a/packages/ownership/tests/ownership.test.ts
+++ b/packages/ownership/tests/ownership.test.ts
@@ -312,6 +312,21 @@
     expect(first.sent.filter(({ message }) => message.method === 'handover')).toHaveLength(0)
   })
 
+  it('what a handover leaves uncertain is kept by partition', () => {
+    const { log, entries: [first, , third], now } = joinThird()
+    log.claim(first, now + 600)
+    log.readToEnd(third, now + 610)
+    const { message } = first.sent.find(({ message }) => message.method === 'handover')!
+    if (message.method !== 'handover') throw new Error('no handover')
+    const [doubtful, certain] = first.exported as [number, number]
+    const partitions = message.parameters.partitions.map(handed => ({
+      ...handed, uncertainBefore: handed.partition === doubtful ? now : 0
+    }))
+    third.ownership.handover(first.identity, { ...message.parameters, partitions }, now + 620)
+    expect(ours(third, doubtful).uncertainBefore).toBe(now)
+    expect(ours(third, certain).uncertainBefore).toBe(0)
+  })
+
   it('a handover that comes before the next owner has read the log is kept for it', () => {
     const { log, entries: [first, , third], now } = joinThird()
     log.claim(first, now + 600)
--- a/packages/trials/src/ledger.ts
+++ b/packages/trials/src/ledger.ts
@@ -105,7 +105,7 @@
         check(starts === 0, 'what was told as not run did not run',
           () => `${key}/${index} (${task.reason}) had started`, now)
         account.toldNotRunAt.set(index, now)
-        return
+        break
       case 'outcome-unknown':
     }
   }
@@ -119,7 +119,11 @@
       }
       submissionCount += 1
       submissions.set(key, {
-        taskCount, starts: new Uint8Array(taskCount), toldNotRunAt: new Map(), lastSubmittedAt: now, toldSucceeded: new Set()
+        taskCount,
+        starts: new Uint8Array(taskCount),
+        toldNotRunAt: new Map(),
+        lastSubmittedAt: now,
+        toldSucceeded: new Set()
       })
     },
     called (call, idempotent) {
--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -51,7 +51,15 @@
 }
 
 /** Things that are to happen at a time. */
-function createPlan (world: World): { after: (milliseconds: number, action: () => void) => void, run: () => void, runAll: () => void } {
+interface Plan {
+  readonly after: (milliseconds: number, action: () => void) => void
+  /** Does what is due. */
+  readonly run: () => void
+  /** Does everything at once. */
+  readonly runAll: () => void
+}
+
+function createPlan (world: World): Plan {
   let planned: { readonly at: number, readonly action: () => void }[] = []
   function take (condition: (at: number) => boolean): void {
     const due = planned.filter(({ at }) => condition(at))
