--- a/packages/configuration/src/create-publisher.ts
+++ b/packages/configuration/src/create-publisher.ts
@@ -1,9 +1,9 @@
 /** Publishes configuration: checked first, appended once, answered by what the log says. */
 import { canonicalJson } from '@baobabpost/common'
 import { createProblem, NEVER_WRITTEN, type LogRecord } from '@baobabpost/messages'
-import { valueFault, type RegisterFold } from '@baobabpost/platform-log'
+import type { RegisterFold } from '@baobabpost/platform-log'
 import type { Configuration } from './configuration.js'
-import { isConfiguration } from './create-configuration.js'
+import { publicationFault } from './publication-fault.js'
 import type { Publication, Publisher, PublishResult } from './publisher.js'
 
 /** Time after which a publication that the log did not show is answered with `outcome-unknown`. */
@@ -72,10 +72,9 @@
   }
 
   function judge (publication: Publication): PublishResult | undefined {
-    const { register, value, replaces } = publication
-    if (!isConfiguration(register)) return problem(register, 'malformed-request', `'${register}' is not configuration`)
-    const fault = valueFault(register, value)
-    if (fault !== undefined) return problem(register, 'malformed-request', `The value of '${register}': ${fault}`)
+    const { register, replaces } = publication
+    const fault = publicationFault(publication)
+    if (fault !== undefined) return problem(register, 'malformed-request', fault)
     const version = versionOf(register)
     if (version === replaces) return undefined
     const held = heldBefore(publication)
--- /dev/null
+++ b/packages/configuration/src/publication-fault.ts
@@ -0,0 +1,19 @@
+/** Checks a publication before it is accepted; readers of the log bear members that they don't know, this does not. */
+import { REGISTER_SCHEMAS } from '@baobabpost/messages'
+import { registerKind, valueFault } from '@baobabpost/platform-log'
+import { Result, Schema } from 'effect'
+import { isConfiguration } from './create-configuration.js'
+import type { Publication } from './publisher.js'
+
+/** Finds the fault of a publication, or undefined where there is none. */
+export function publicationFault ({ register, value }: Publication): string | undefined {
+  const kind = registerKind(register)
+  if (kind === undefined || !isConfiguration(register)) return `'${register}' is not configuration`
+  const fault = valueFault(register, value)
+  if (fault !== undefined) return `The value of '${register}': ${fault}`
+  if (value === null) return undefined
+  const schema = REGISTER_SCHEMAS[kind] as Schema.Codec<unknown>
+  const decoded = Schema.decodeUnknownResult(schema, { onExcessProperty: 'error' })(value)
+  if (Result.isSuccess(decoded)) return undefined
+  return `The value of '${register}': ${decoded.failure.message.split('\n').join(' ')}`
+}
