Let a former owner that lives tell the next one what it knows

Change: an owner that lost a partition by a claim sends what it knows, and the next owner takes it from the one just before while it still asks the agents, if it covers the whole takeover (ownership).

--- a/packages/ownership/src/partition-table.ts
+++ b/packages/ownership/src/partition-table.ts
@@ -14,7 +14,7 @@
   uncertainBefore: number
 }
 
-/** A partition that this entry gave away whole. */
+/** A partition that this entry knew whole when it lost it. */
 export interface GivenPartition {
   readonly partition: number
   readonly to: EntryIdentity
@@ -28,6 +28,8 @@
   readonly epoch: number
   /** Owner that handed it over itself. */
   readonly handedOverBy: EntryIdentity | undefined
+  /** Owner just before; if it lives, it tells what it knows once it reads that it lost the partition. */
+  readonly formerOwner: EntryIdentity | undefined
 }
 
 /** What one change of a register means. */
@@ -94,7 +96,7 @@
   }
 
   function givenBy (partition: number, value: PartitionOwner | undefined, epoch: number): GivenPartition | undefined {
-    if (value?.handedOverBy !== identity || value.owner === identity || !isWhole(partition)) return undefined
+    if (value === undefined || value.owner === identity || !isWhole(partition)) return undefined
     const current = state(partition)
     const uncertainBefore = current.kind === 'ours' ? current.uncertainBefore : 0
     return { partition, to: value.owner, epoch, uncertainBefore }
@@ -117,6 +119,7 @@
       const next = Result.isSuccess(decoded) ? decoded.success : undefined
       const wasOurs = view.owner === identity
       const given = givenBy(partition, next, version)
+      const formerOwner = view.owner
       const neverOwned = previousVersion === NEVER_WRITTEN && view.version === NEVER_WRITTEN
       leave(partition, view)
       view.owner = next?.owner
@@ -125,7 +128,7 @@
       owned += 1
       if (neverOwned && next.handedOverBy === undefined) return { partition, wasOurs, given, won: undefined }
       const handedOverBy = next.handedOverBy === identity ? undefined : next.handedOverBy
-      return { partition, wasOurs, given, won: { partition, epoch: version, handedOverBy } }
+      return { partition, wasOurs, given, won: { partition, epoch: version, handedOverBy, formerOwner } }
     },
     state,
     version: partition => views[partition]?.version ?? NEVER_WRITTEN,
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -27,6 +27,7 @@
   readonly partitions: readonly number[]
   /** Owner that gives the partitions away itself, if it does. */
   readonly handedOverBy: EntryIdentity | undefined
+  readonly formerOwner: EntryIdentity | undefined
   readonly joined: readonly AgentIdentity[]
   readonly departed: readonly DepartedAgent[]
   readonly startedAt: number
@@ -43,6 +44,7 @@
 export interface Takeover {
   readonly epoch: number
   readonly handedOverBy: EntryIdentity | undefined
+  readonly formerOwner: EntryIdentity | undefined
   /** Partitions of the takeover that this entry still owns. */
   readonly partitions: ReadonlySet<number>
   removePartition: (partition: number) => void
@@ -127,6 +129,7 @@
   return {
     epoch: options.epoch,
     handedOverBy: options.handedOverBy,
+    formerOwner: options.formerOwner,
     partitions,
     removePartition: partition => { partitions.delete(partition) },
     awaits: agent => pending.has(agent),
--- a/packages/ownership/src/takeovers.ts
+++ b/packages/ownership/src/takeovers.ts
@@ -49,12 +49,13 @@
     for (const partition of takeover.partitions) ports.partitionChanged(partition, table.state(partition), now)
   }
 
-  function beginOne (epoch: number, handedOverBy: EntryIdentity | undefined, partitions: number[], now: number): void {
+  function beginOne ({ epoch, handedOverBy, formerOwner }: WonPartition, partitions: number[], now: number): void {
     options.fences.watch(epoch, now)
     const takeover = createTakeover({
       epoch,
       partitions,
       handedOverBy,
+      formerOwner,
       joined: options.roster.joined(),
       departed: options.roster.departedSince(now - options.departureWindowMilliseconds),
       startedAt: now,
@@ -78,14 +79,25 @@
   }
 
   function takeHandover (takeover: Takeover, now: number): void {
-    const from = takeover.handedOverBy
+    const from = takeover.handedOverBy ?? takeover.formerOwner
     if (from === undefined) return
     const whole = exchange.takeWhole(takeover.epoch, from)
     if (whole === undefined) return
-    if (takeover.phase() === 'collecting' && !takeover.isImported()) importWhole(takeover, whole, now)
+    if (takeover.phase() === 'collecting' && !takeover.isImported() && covers(whole, takeover)) {
+      importWhole(takeover, whole, now)
+    }
     ports.outbox.send(from, { method: 'handoverTaken', parameters: { partitions: whole.partitions } })
   }
 
+  /** Whether the former owner knew every partition of the takeover whole. */
+  function covers (whole: WholeHandover, takeover: Takeover): boolean {
+    const handed = new Set(whole.partitions.map(({ partition }) => partition))
+    for (const partition of takeover.partitions) {
+      if (!handed.has(partition)) return false
+    }
+    return true
+  }
+
   function ask (takeover: Takeover, now: number): void {
     const agents = takeover.due(now)
     if (agents.length === 0) return
@@ -122,14 +134,14 @@
     begin (won, now) {
       const groups = new Map<string, WonPartition[]>()
       for (const win of won) {
-        const key = `${win.epoch}/${win.handedOverBy ?? ''}`
+        const key = `${win.epoch}/${win.handedOverBy ?? ''}/${win.formerOwner ?? ''}`
         const group = groups.get(key)
         if (group === undefined) groups.set(key, [win])
         else group.push(win)
       }
       for (const group of groups.values()) {
         const [first] = group
-        if (first !== undefined) beginOne(first.epoch, first.handedOverBy, group.map(win => win.partition), now)
+        if (first !== undefined) beginOne(first, group.map(win => win.partition), now)
       }
     },
     departed (departure, now) {
--- a/packages/ownership/tests/ownership.test.ts
+++ b/packages/ownership/tests/ownership.test.ts
@@ -208,6 +208,35 @@
   })
 })
 
+describe('a former owner that lives', () => {
+  it('tells what it knows once it reads the claim, and the next owner serves from that', () => {
+    const { log, first, second } = createFleet()
+    const partition = takeOver(log, first, second, LATER + 5_000)
+    expect(ours(second, partition).phase).toBe('collecting')
+    log.readToEnd(first, LATER + 5_700)
+    const { to, message } = first.sent.find(({ message }) => message.method === 'handover')!
+    if (message.method !== 'handover') throw new Error('no handover')
+    expect(to).toBe(second.identity)
+    second.ownership.handover(first.identity, message.parameters, LATER + 5_710)
+    expect(second.imported.map(({ partition }) => partition)).toContain(partition)
+    expect(ours(second, partition)).toMatchObject({ phase: 'serving', unaccounted: 0 })
+  })
+
+  it('is not believed where it knows only a part, or where it is not the owner just before', () => {
+    const { log, first, second } = createFleet()
+    const partition = takeOver(log, first, second, LATER + 5_000)
+    log.readToEnd(first, LATER + 5_700)
+    const { message } = first.sent.find(({ message }) => message.method === 'handover')!
+    if (message.method !== 'handover') throw new Error('no handover')
+    const stranger = log.createEntry(3)
+    second.ownership.handover(stranger.identity, message.parameters, LATER + 5_710)
+    const partitions = message.parameters.partitions.slice(1)
+    second.ownership.handover(first.identity, { ...message.parameters, partitions }, LATER + 5_710)
+    expect(second.imported).toHaveLength(0)
+    expect(ours(second, partition).phase).toBe('collecting')
+  })
+})
+
 describe('owner lease', () => {
   it('holds for its time after a read to the end of the log, counted from the start of the read', () => {
     const log = new RegisterLog()
