--- a/packages/trials/src/ledger.ts
+++ b/packages/trials/src/ledger.ts
@@ -119,7 +119,11 @@
       }
       submissionCount += 1
       submissions.set(key, {
-        taskCount, starts: new Uint8Array(taskCount), toldNotRunAt: new Map(), lastSubmittedAt: now, toldSucceeded: new Set()
+        taskCount,
+        starts: new Uint8Array(taskCount),
+        toldNotRunAt: new Map(),
+        lastSubmittedAt: now,
+        toldSucceeded: new Set()
       })
     },
     called (call, idempotent) {
