Stop an agent only once every entry knows that it leaves

Cause: in a rolling replacement under load a dispatch was under way on a kept-alive connection when the agent closed; its tasks ended outcome-unknown (agent-lost). Change: a planned stop is drained only when every entry that is still there acknowledged an announcement of the leaving, and lingers for what is under way then.

--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -11,6 +11,8 @@
 const SHORTEST_STOP_MILLISECONDS = 600
 const REJOIN_PAUSE_MILLISECONDS = 500
 const POLL_MILLISECONDS = 20
+/** Time for which a dispatch may be under way after its entry learned that the agent leaves. */
+const LINGER_MILLISECONDS = 300
 
 async function pause (milliseconds: number): Promise<void> {
   await new Promise<void>(resolve => { setTimeout(resolve, milliseconds) })
@@ -26,13 +28,19 @@
   })
 }
 
-/** Waits until all is handed over or the time is up; tells whether all was. */
+/**
+ * Waits until all is handed over or the time is up; tells whether all was. What was under way when the last entry
+ * learned of the stop may still come, so that it must stay handed over for a while.
+ */
 async function waitUntilDrained (execution: Execution, shortest: number, longest: number): Promise<boolean> {
   const startedAt = Date.now()
+  let drainedSince: number | undefined
   for (;;) {
-    const waited = Date.now() - startedAt
-    if (execution.drained() && waited >= shortest) return true
-    if (waited >= longest) return execution.drained()
+    const now = Date.now()
+    drainedSince = execution.drained() ? drainedSince ?? now : undefined
+    const isSettled = drainedSince !== undefined && now - drainedSince >= LINGER_MILLISECONDS
+    if (isSettled && now - startedAt >= shortest) return true
+    if (now - startedAt >= longest) return execution.drained()
     await pause(POLL_MILLISECONDS)
   }
 }
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -23,6 +23,8 @@
 const CALL_WINDOW_MILLISECONDS = 60_000
 const DEFAULT_KEY_WINDOW_MILLISECONDS = 600_000
 const DEFAULT_LEASE_MILLISECONDS = 3_000
+/** Time after which an entry that nobody names any more is not waited for at a planned stop. */
+const SILENT_ENTRY_MILLISECONDS = 3_000
 const DEFAULT_HEARTBEAT_MILLISECONDS = 500
 const DEFAULT_RESEND_MILLISECONDS = 500
 const DEFAULT_CLOCK_SKEW_MILLISECONDS = 2_000
@@ -213,6 +215,8 @@
 export function createExecution (options: ExecutionOptions): Execution {
   let state: ExecutionState = 'active'
   let lastSweepAt = 0
+  /** Heartbeats with higher numbers say that this agent leaves. */
+  let leavingAfter = Infinity
   const parts = createParts(options, () => state)
   const { memory, lease, entries, registers, answers, reporter, runner, announcer, collector } = parts
   const intake = createIntake(parts, options.maximumQueuedTasks ?? DEFAULT_MAXIMUM_QUEUED_TASKS)
@@ -226,13 +230,23 @@
     options.logger.warn('the fleet has replaced this agent; it starts nothing more')
   }
 
+  /** Whether every entry that is still there knows that this agent leaves, so that no dispatch is under way for long. */
+  function isKnownToLeave (): boolean {
+    for (const entry of entries.all().values()) {
+      const isSilent = entries.lastNamedAt() - entry.namedAt > SILENT_ENTRY_MILLISECONDS
+      if (!entry.knowsLeaving && !isSilent) return false
+    }
+    return true
+  }
+
   function forget (task: TaskState): void {
     reporter.abandon(task)
     answers.forgotten(task)
   }
 
   function announced (from: EntryIdentity, answer: Announced, now: number): void {
-    entries.heard(from, now)
+    const entry = entries.heard(from, now)
+    if (state === 'leaving' && answer.sequence > leavingAfter) entry.knowsLeaving = true
     entries.named(answer.entries, now)
     registers.apply(answer.registers, answer.configurationPosition)
     if (answer.standing === 'departed') depart(now)
@@ -303,11 +317,13 @@
     leave (now) {
       if (state !== 'active') return
       state = 'leaving'
+      leavingAfter = lease.lastSequence()
       runner.giveBack('leaving', now, () => true)
       announcer.announceSoon()
       options.logger.info('leaving: nothing new starts', { running: runner.runningCount() })
     },
-    drained: () => runner.runningCount() === 0 && runner.queuedCount() === 0 && reporter.undelivered() === 0,
+    drained: () => runner.runningCount() === 0 && runner.queuedCount() === 0 && reporter.undelivered() === 0 &&
+      (state !== 'leaving' || isKnownToLeave()),
     snapshot: () => ({
       state,
       runningTasks: runner.runningCount(),
--- a/packages/execution/src/execution.ts
+++ b/packages/execution/src/execution.ts
@@ -119,7 +119,7 @@
   flush: (now: number) => void
   /** Begins a planned stop: nothing new starts, what waits is given back. */
   leave: (now: number) => void
-  /** Whether nothing runs and every outcome was acknowledged. */
+  /** Whether nothing runs, every outcome was acknowledged and, at a planned stop, every entry knows of it. */
   drained: () => boolean
   snapshot: () => ExecutionSnapshot
 }
--- a/packages/execution/src/heartbeat-lease.ts
+++ b/packages/execution/src/heartbeat-lease.ts
@@ -4,6 +4,8 @@
 export interface HeartbeatLease {
   /** Numbers a heartbeat that is sent now. */
   nextSequence: (now: number) => number
+  /** Number of the newest heartbeat. */
+  lastSequence: () => number
   /** An entry acknowledged a heartbeat. Numbers that are unknown or too old prolong nothing. */
   acknowledge: (sequence: number) => void
   /** Ends the lease for good. */
@@ -30,6 +32,7 @@
       sentAt.set(sequence, now)
       return sequence
     },
+    lastSequence: () => sequence,
     acknowledge (acknowledged) {
       const sent = sentAt.get(acknowledged)
       if (revoked || sent === undefined) return
--- a/packages/execution/src/task-state.ts
+++ b/packages/execution/src/task-state.ts
@@ -87,6 +87,8 @@
   toldWindow: number
   /** Unix time of the last announcement to it. */
   announcedAt: number
+  /** Whether it acknowledged an announcement that this agent leaves: it dispatches nothing more. */
+  knowsLeaving: boolean
 }
 
 /** Makes the state of a task that the agent has just met. */
@@ -145,6 +147,7 @@
     backlogAt: 0,
     window: 0,
     toldWindow: 0,
-    announcedAt: 0
+    announcedAt: 0,
+    knowsLeaving: false
   }
 }
