--- a/packages/trials/tests/broken-fence.test.ts
+++ b/packages/trials/tests/broken-fence.test.ts
@@ -24,7 +24,8 @@
   })
 
   it('agents that forget what they started make the randomised run red', () => {
-    const result = runSoak({ seed: 11, maximumSteps: 60_000, agentChanges: { keyWindowMilliseconds: 50, clockSkewMilliseconds: 0 } })
+    const agentChanges = { keyWindowMilliseconds: 50, clockSkewMilliseconds: 0 }
+    const result = runSoak({ seed: 11, maximumSteps: 60_000, agentChanges })
     expect(promisesBroken(result.violations)).toContain('no task starts twice')
   })
 })
