--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -3,7 +3,7 @@
 import { createConfiguration, createPublisher, type Configuration, type Publisher } from '@baobabpost/configuration'
 import { createMembership, type Membership } from '@baobabpost/membership'
 import type { Outbox } from '@baobabpost/messages'
-import { createOutcomes, type Outcomes } from '@baobabpost/outcomes'
+import { createOutcomes, type FinishedSubmission, type Outcomes } from '@baobabpost/outcomes'
 import { createOwnership, type Ownership, type PartitionState } from '@baobabpost/ownership'
 import { createRegisterFold, type RegisterFold } from '@baobabpost/platform-log'
 import { createRequests, type RequestPolicy, type Requests } from '@baobabpost/requests'
@@ -65,7 +65,7 @@
 
 /** Makes all slices of an entry. */
 export function createEntrySlices (options: EntryCoreOptions): EntrySlices {
-  const { settings, invariants, logger, random } = options
+  const { settings, invariants, logger, metrics, random } = options
   const { identity, keyWindowMilliseconds, clockSkewMilliseconds, failureDomain, policy } = settings
   const outbox: Outbox = { send: options.send, append: changes => { options.append(changes) } }
   const { fold, configuration, publisher } = createRecordSlices(options)
@@ -93,8 +93,10 @@
     placement.current().expectedMilliseconds(template)
   const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
   const requests = createRequests({ random, ...requestPolicyOf(configuration, policy) })
-  const calls = createCalls({ requests, queue, outbox, expectedMilliseconds })
-  const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds })
+  const calls = createCalls({
+    requests, queue, outbox, expectedMilliseconds, metrics, onResent: attempt => { dispatcher.noteResent(attempt, 0) }
+  })
+  const jobQueue = createJobQueue({ configuration, queue, expectedMilliseconds, logger })
 
   const outcomes: Outcomes = createOutcomes({
     ports: {
@@ -106,8 +108,12 @@
       removeWaiting: (submission, indexes) => { queue.withdraw(submission, indexes) },
       withdraw: (agent, selections) => { outbox.send(agent, { method: 'withdraw', parameters: { selections } }) },
       resend: (agent, submission, indexes, now) => { dispatcher.resend(agent, submission, indexes, now) },
+      noted: step => {
+        metrics.count(step === 'accepted' ? 'submissions.accepted.count' : 'submissions.joined.count')
+      },
       answer: (waiter, result) => { operations.answered(waiter, result) },
-      reroute: (waiters, _submission, now) => { operations.rerouted(waiters, now) }
+      reroute: (waiters, _submission, now) => { operations.rerouted(waiters, now) },
+      finished: finished => { logFinished(finished) }
     },
     invariants,
     keyWindowMilliseconds,
@@ -128,7 +134,7 @@
     clockSkewMilliseconds
   })
   const dispatcher: Dispatcher = createDispatcher({
-    queue, placement: placement.current, ownership, outcomes, calls, outbox
+    queue, placement: placement.current, ownership, outcomes, calls, outbox, metrics
   })
   const operations: Operations = createOperations({
     identity,
@@ -146,6 +152,11 @@
     presentEntries: () => membership.liveEntries().map(entry => entry.identity)
   })
 
+  function logFinished (finished: FinishedSubmission): void {
+    const { submission, customer, state, responseMilliseconds, cause } = finished
+    logger.info('submission finished', { submission, customer, kind: cause, state, responseMilliseconds })
+  }
+
   function partitionChanged (partition: number, state: PartitionState, now: number): void {
     outcomes.partitionChanged(partition, state, now)
     if (state.kind !== 'ours') dispatcher.partitionLost(partition, now)
--- a/packages/outcomes/src/outcomes.ts
+++ b/packages/outcomes/src/outcomes.ts
@@ -6,8 +6,8 @@
  */
 import type { AgentIdentity, Invariants, SubmissionKey } from '@baobabpost/common'
 import type {
-  DispatchGroup, JobRequest, JsonRecord, OperationResult, SubmissionHandover, SubmissionRecord, SubmissionReport,
-  TaskOutcome, TaskSelection
+  DispatchGroup, JobRequest, JsonRecord, OperationResult, SubmissionAnswer, SubmissionHandover, SubmissionRecord,
+  SubmissionReport, TaskOutcome, TaskSelection
 } from '@baobabpost/messages'
 import type { PartitionState } from '@baobabpost/ownership'
 
@@ -68,6 +68,18 @@
   | { readonly kind: 'resolved', readonly job: ResolvedJob }
   | { readonly kind: 'refused', readonly result: OperationResult }
 
+/** A submission all of whose tasks have their outcome. */
+export interface FinishedSubmission {
+  readonly submission: SubmissionKey
+  readonly customer: string
+  readonly template: string
+  readonly state: SubmissionAnswer['state']
+  /** Time since this entry first knew of the submission. */
+  readonly responseMilliseconds: number
+  /** What kept it from being complete, the gravest first: an unknown outcome, a task that did not run, a failure. */
+  readonly cause: 'outcome-unknown' | 'not-run' | 'failed' | undefined
+}
+
 /** What the submissions need from the rest of the entry. */
 export interface OutcomesPorts {
   readonly partitionState: (partition: number) => PartitionState
@@ -85,10 +97,14 @@
   readonly withdraw: (agent: AgentIdentity, selections: readonly TaskSelection[], now: number) => void
   /** Asks for tasks to be sent again to the agent that they were dispatched to. */
   readonly resend: (agent: AgentIdentity, submission: SubmissionKey, indexes: readonly number[], now: number) => void
+  /** A submission was accepted, or a resubmission joined it. */
+  readonly noted?: (step: 'accepted' | 'joined') => void
   /** Tells a waiter its result; the waiter is forgotten. */
   readonly answer: (waiter: string, result: OperationResult, now: number) => void
   /** The partition moved away: these waiters have to ask its next owner. They are forgotten. */
   readonly reroute: (waiters: readonly string[], submission: SubmissionKey, now: number) => void
+  /** Told once of each submission whose last task got its outcome here. */
+  readonly finished?: (finished: FinishedSubmission, now: number) => void
 }
 
 /** Settings of the submissions at their owner. */
