Follow a changed prefetch of the policy

Cause: a policy that changed its prefetch alone was not followed by the placement. Change: the placement is made anew when name or prefetch change.

--- a/packages/entry/src/current-placement.ts
+++ b/packages/entry/src/current-placement.ts
@@ -40,10 +40,12 @@
 export function createCurrentPlacement (options: CurrentPlacementOptions): CurrentPlacement {
   const { configuration, fold, logger, random, failureDomain } = options
   const ejections = new Map<AgentIdentity, string>()
+  let prefetchInUse = 0
   let placement = create()
 
   function create (): Placement {
     const { placement: name, prefetchTasks } = configuration.policy(options.policy)
+    prefetchInUse = prefetchTasks
     return createPlacement(name, { failureDomain, random, prefetchTasks })
   }
 
@@ -76,9 +78,9 @@
     },
     followDrains,
     followPolicy () {
-      const { placement: name } = configuration.policy(options.policy)
-      if (name === placement.name) return
-      logger.info('placement changed', { placement: name })
+      const { placement: name, prefetchTasks } = configuration.policy(options.policy)
+      if (name === placement.name && prefetchTasks === prefetchInUse) return
+      logger.info('placement changed', { placement: name, prefetchTasks })
       placement = create()
       ejections.clear()
       followDrains()
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -230,7 +230,7 @@
     options.logger.warn('the fleet has replaced this agent; it starts nothing more')
   }
 
-  /** Whether every entry that is still there knows that this agent leaves, so that no dispatch is under way for long. */
+  /** Whether every entry that is still there knows that this agent leaves, so that no dispatch stays under way. */
   function isKnownToLeave (): boolean {
     for (const entry of entries.all().values()) {
       const isSilent = entries.lastNamedAt() - entry.namedAt > SILENT_ENTRY_MILLISECONDS
