Don't give away a partition that was won and lost in one read of the log

An entry that had been frozen read in one batch that it won a partition and lost it again; its takeover had not begun, so the table took the partition for whole and certain, and it handed an empty record over as all there was, with nothing uncertain. Traced message by message. Ruled out: an agent's record (the agent had departed), the fence, the verdict lease. Change: a partition that was won is collecting and uncertain until its takeover begins.

--- a/packages/ownership/src/partition-table.ts
+++ b/packages/ownership/src/partition-table.ts
@@ -10,6 +10,8 @@
   version: number
   /** Takeover that is not settled. */
   takeover: Takeover | undefined
+  /** Whether it was won and its takeover has not begun yet: nothing is known of it. */
+  isTakeoverDue: boolean
   /** What a settled takeover left. */
   uncertainBefore: number
 }
@@ -69,7 +71,7 @@
 export function createPartitionTable (identity: EntryIdentity): PartitionTable {
   let owned = 0
   const views: PartitionView[] = Array.from({ length: PARTITION_COUNT }, () => ({
-    owner: undefined, version: NEVER_WRITTEN, takeover: undefined, uncertainBefore: 0
+    owner: undefined, version: NEVER_WRITTEN, takeover: undefined, isTakeoverDue: false, uncertainBefore: 0
   }))
 
   function state (partition: number): PartitionState {
@@ -77,6 +79,9 @@
     if (view?.owner === undefined) return { kind: 'none' }
     const { owner, version: epoch, takeover } = view
     if (owner !== identity) return { kind: 'elsewhere', owner, epoch }
+    if (view.isTakeoverDue) {
+      return { kind: 'ours', epoch, phase: 'collecting', unaccounted: 0, uncertainBefore: Infinity }
+    }
     return {
       kind: 'ours',
       epoch,
@@ -88,7 +93,7 @@
 
   function isWhole (partition: number): boolean {
     const view = views[partition]
-    if (view?.owner !== identity) return false
+    if (view?.owner !== identity || view.isTakeoverDue) return false
     const { takeover } = view
     if (takeover === undefined) return true
     return takeover.phase() === 'serving' && takeover.unaccounted() === 0 &&
@@ -107,6 +112,7 @@
     owned -= 1
     view.takeover?.removePartition(partition)
     view.takeover = undefined
+    view.isTakeoverDue = false
     view.uncertainBefore = 0
   }
 
@@ -127,6 +133,7 @@
       if (next?.owner !== identity) return { partition, wasOurs, given, won: undefined }
       owned += 1
       if (neverOwned && next.handedOverBy === undefined) return { partition, wasOurs, given, won: undefined }
+      view.isTakeoverDue = true
       const handedOverBy = next.handedOverBy === identity ? undefined : next.handedOverBy
       return { partition, wasOurs, given, won: { partition, epoch: version, handedOverBy, formerOwner } }
     },
@@ -136,12 +143,14 @@
     isWhole,
     servingEpoch (partition) {
       const view = views[partition]
-      if (view?.owner !== identity || view.takeover?.phase() === 'collecting') return undefined
+      if (view?.owner !== identity || view.isTakeoverDue || view.takeover?.phase() === 'collecting') return undefined
       return view.version
     },
     setTakeover (partition, takeover) {
       const view = views[partition]
-      if (view !== undefined) view.takeover = takeover
+      if (view === undefined) return
+      view.takeover = takeover
+      view.isTakeoverDue = false
     },
     settle (takeover) {
       for (const partition of takeover.partitions) {
