Let an agent record cancellations of tasks that were never sent anywhere

Ruled out: double dispatch (each task started once). The cancellation was known to the dead owner alone. Change: cancelled tasks that wait count as dispatched to an agent and are withdrawn there, with the submission's header and epoch, so that a next owner collects the record; callers are told once the agent keeps it. A former owner's withdrawal is fenced. The next owner of a lost one gets the body with each forward for 5 s. The queue knows the slots of each service. The test 'ends what waits at once' became stricter: nobody is told before an agent keeps the record.

--- a/packages/entry/src/current-placement.ts
+++ b/packages/entry/src/current-placement.ts
@@ -5,6 +5,7 @@
 import { createPlacement, type Placement, type PlacementEvent } from '@baobabpost/placement'
 import type { RegisterFold } from '@baobabpost/platform-log'
 import { isDrained } from './drains.js'
+import type { ServiceCapacities } from './service-capacities.js'
 
 /** What the current placement needs. */
 export interface CurrentPlacementOptions {
@@ -16,6 +17,7 @@
   readonly random: Random
   readonly logger: Logger
   readonly usableAgents: () => readonly AgentView[]
+  readonly capacities: ServiceCapacities
   /** Whether keyed work may go to the agent. */
   readonly isJoined: (agent: AgentIdentity) => boolean
 }
@@ -38,7 +40,7 @@
 
 /** Makes the holder of the placement in use. */
 export function createCurrentPlacement (options: CurrentPlacementOptions): CurrentPlacement {
-  const { configuration, fold, logger, random, failureDomain } = options
+  const { configuration, fold, logger, random, failureDomain, capacities } = options
   const ejections = new Map<AgentIdentity, string>()
   let prefetchInUse = 0
   let placement = create()
@@ -52,9 +54,11 @@
   function use (agent: AgentView): void {
     const { identity, service, slots, window } = agent
     if (isDrained(fold, identity) || !options.isJoined(identity)) {
+      capacities.remove(identity)
       placement.removeAgent(identity)
       return
     }
+    capacities.set(agent)
     placement.setAgent({ identity, service, failureDomain: agent.failureDomain, slots })
     placement.setWindow(identity, window)
   }
@@ -74,6 +78,7 @@
     use,
     stopUsing (agent) {
       ejections.delete(agent)
+      capacities.remove(agent)
       placement.removeAgent(agent)
     },
     followDrains,
--- a/packages/entry/src/entry-slices.ts
+++ b/packages/entry/src/entry-slices.ts
@@ -16,6 +16,7 @@
 import { createJobQueue } from './job-queue.js'
 import { createOperations, type Operations } from './operations.js'
 import { createQuotas, type Quotas } from './quotas.js'
+import { createServiceCapacities } from './service-capacities.js'
 
 /** The slices of one entry. */
 export interface EntrySlices {
@@ -79,7 +80,9 @@
     outbox,
     sendToSeeds: options.sendToSeeds
   })
+  const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
   const placement: CurrentPlacement = createCurrentPlacement({
+    capacities: createServiceCapacities(queue),
     configuration,
     fold,
     policy,
@@ -91,7 +94,6 @@
   })
   const expectedMilliseconds = (template: string): number | undefined =>
     placement.current().expectedMilliseconds(template)
-  const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
   const requests = createRequests({ random, ...requestPolicyOf(configuration, policy) })
   const calls = createCalls({
     requests, queue, outbox, expectedMilliseconds, metrics, onResent: attempt => { dispatcher.noteResent(attempt, 0) }
@@ -106,6 +108,7 @@
       offer: jobQueue.offer,
       restore: jobQueue.restore,
       removeWaiting: (submission, indexes) => { queue.withdraw(submission, indexes) },
+      recordingAgent: () => membership.usableAgents().find(agent => ownership.isJoined(agent.identity))?.identity,
       withdraw: (agent, selections) => { outbox.send(agent, { method: 'withdraw', parameters: { selections } }) },
       resend: (agent, submission, indexes, now) => { dispatcher.resend(agent, submission, indexes, now) },
       noted: step => {
--- a/packages/entry/src/operations.ts
+++ b/packages/entry/src/operations.ts
@@ -11,6 +11,8 @@
 import type { PartitionState } from '@baobabpost/ownership'
 
 const FORWARD_REPEAT_MILLISECONDS = 1_000
+/** Time for which each forward to the next owner brings the body. */
+const BODY_REPEAT_MILLISECONDS = 5_000
 /** Time past the caller's wait that the owner's answer may take. */
 const ANSWER_GRACE_MILLISECONDS = 500
 const RETRY_AFTER_MILLISECONDS = 1_000
@@ -32,6 +34,10 @@
   readonly partition: number
   /** Owner that it was given to; undefined while there is none. */
   owner: EntryIdentity | undefined
+  /** Whether another owner had it before. */
+  hadOwner: boolean
+  /** Unix time in milliseconds until which a forward brings the body. */
+  bodyUntil: number
   sentAt: number
 }
 
@@ -87,14 +93,25 @@
       operation.owner = undefined
     } else if (state.kind === 'ours') {
       operation.owner = identity
+      operation.hadOwner = true
       giveToOutcomes(localWaiter(operation.id), operation, now)
     } else {
-      const isNewOwner = operation.owner !== state.owner
-      operation.owner = state.owner
-      sendForward(operation, isNewOwner ? operation.operation : repetitionOf(operation.operation))
+      if (operation.owner !== state.owner) noteOwner(operation, state.owner, now)
+      const brings = now < operation.bodyUntil ? operation.operation : repetitionOf(operation.operation)
+      sendForward(operation, brings)
     }
   }
 
+  /**
+   * A first owner that lost the body says so, as it knows nothing of the submission. An owner that took the
+   * submission over from agents knows it and waits for the body, so that the body is repeated to it for a while.
+   */
+  function noteOwner (operation: PendingOperation, owner: EntryIdentity, now: number): void {
+    operation.bodyUntil = operation.hadOwner ? now + BODY_REPEAT_MILLISECONDS : now + 1
+    operation.hadOwner = true
+    operation.owner = owner
+  }
+
   /** A repetition to the same owner leaves the body out. */
   function repetitionOf (operation: ForwardedOperation): ForwardedOperation {
     return operation.kind === 'submit' ? { kind: 'query' } : operation
@@ -166,7 +183,9 @@
       const id = nextId
       nextId += 1
       const partition = partitionOf(request.submission)
-      const operation: PendingOperation = { ...request, id, partition, owner: undefined, sentAt: now }
+      const operation: PendingOperation = {
+        ...request, id, partition, owner: undefined, hadOwner: false, bodyUntil: 0, sentAt: now
+      }
       operations.set(id, operation)
       route(operation, now)
       return id
--- a/packages/entry/tests/operations.test.ts
+++ b/packages/entry/tests/operations.test.ts
@@ -76,6 +76,13 @@
     expect(forwards().at(-1)?.operation).toEqual(submitOperation)
   })
 
+  test('the next owner gets the body again while its first forward may be lost, and then no more', () => {
+    begin()
+    state = ownedBy(nextOwner, 2)
+    for (const now of [50, 1_100, 2_200, 6_000]) operations.tick(now)
+    expect(forwards().map(message => message.operation.kind)).toEqual(['submit', 'submit', 'submit', 'submit', 'query'])
+  })
+
   test('a submission waits while its partition has no owner, and goes to this entry once it is the owner', () => {
     state = { kind: 'none' }
     begin()
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -182,8 +182,13 @@
       runner.startNext(now)
     },
     withdraw (from: EntryState, { selections }: Withdraw, now: number): void {
-      for (const { submission: key, indexes } of selections) {
-        const submission = memory.open(key, undefined, NO_PARTITION, from.identity, now)
+      for (const { submission: key, indexes, origin } of selections) {
+        const standing = origin === undefined ? 'current' : epochs.note(origin.ownership, from.identity)
+        // A former owner gets no word by which it could tell its callers what the next owner decides.
+        if (standing === 'stale') continue
+        const partition = origin?.ownership.partition ?? NO_PARTITION
+        if (standing === 'raised') fencePartition(partition, now)
+        const submission = memory.open(key, origin?.header, partition, from.identity, now)
         for (const index of indexes) withdrawTask(submission, index, now)
       }
     },
--- a/packages/execution/tests/agent-under-test.ts
+++ b/packages/execution/tests/agent-under-test.ts
@@ -3,7 +3,9 @@
   createAgentIdentity, createEntryIdentity, createInvariants, silentLogger, silentMetrics, type EntryIdentity
 } from '@baobabpost/common'
 import { createExecution, type Execution, type ExecutionOptions, type TaskRequest } from '@baobabpost/execution'
-import type { Announce, Collected, DispatchGroup, LinkMessage, Report, TaskOutcome } from '@baobabpost/messages'
+import type {
+  Announce, Collected, DispatchGroup, LinkMessage, PartitionEpoch, Report, TaskOutcome
+} from '@baobabpost/messages'
 
 export const FIRST_ENTRY = createEntryIdentity('entry-1')
 export const SECOND_ENTRY = createEntryIdentity('entry-2')
@@ -168,6 +170,14 @@
   return { method: 'withdraw', parameters: { selections: [{ submission, indexes }] } }
 }
 
+/** A withdrawal that names who withdraws, so that a next owner can collect the record of it. */
+export function recordMessage (
+  submission: string, indexes: readonly number[], taskCount: number, ownership: PartitionEpoch
+): LinkMessage {
+  const header = { submission, digest: 'digest', taskCount, customer: 'medina', template: 'reserve-tool' }
+  return { method: 'withdraw', parameters: { selections: [{ submission, indexes, origin: { header, ownership } }] } }
+}
+
 export function collectMessage (partition: number, epoch: number): LinkMessage {
   return { method: 'collect', parameters: { partitions: [{ partition, epoch }] } }
 }
--- a/packages/execution/tests/fence.test.ts
+++ b/packages/execution/tests/fence.test.ts
@@ -3,6 +3,7 @@
 import type { NotRunReason } from '@baobabpost/messages'
 import {
   announcedMessage, BEGIN, collectMessage, createAgentUnderTest, createCall, createGroup, dispatchMessage, FIRST_ENTRY,
+  recordMessage,
   SECOND_ENTRY, type AgentUnderTest
 } from './agent-under-test.js'
 
@@ -209,6 +210,20 @@
     expect(agent.violations).toEqual([])
   })
 
+  test('a new owner learns of a cancellation whose tasks were never sent anywhere, and a former owner records none', () => {
+    const agent = createAgentUnderTest()
+    agent.grantLease()
+    agent.receive(FIRST_ENTRY, recordMessage('job', [0, 1], 2, { partition: 7, epoch: 1 }))
+    agent.receive(SECOND_ENTRY, collectMessage(7, 5))
+    agent.receive(FIRST_ENTRY, recordMessage('other', [0], 1, { partition: 7, epoch: 1 }))
+    agent.flush()
+    const withdrawn = { state: 'finished', outcome: { status: 'not-run', reason: 'withdrawn' } }
+    expect(agent.collected(SECOND_ENTRY).flatMap(({ submissions }) => submissions)).toMatchObject([
+      { header: { submission: 'job' }, partition: 7, tasks: [{ index: 0, ...withdrawn }, { index: 1, ...withdrawn }] }
+    ])
+    expect(agent.outcomes.get('other/0')).toBeUndefined()
+  })
+
   test('the former owner gets no word of what it lost, and a stale collect fences nothing', () => {
     const agent = createAgentUnderTest({ slots: 1 })
     agent.grantLease()
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -65,7 +65,15 @@
 export type Dispatch = typeof Dispatch.Type
 
 /** Names tasks of one submission. */
-export const TaskSelection = Schema.Struct({ submission: Schema.String, indexes: Schema.Array(Whole) })
+export const TaskSelection = Schema.Struct({
+  submission: Schema.String,
+  indexes: Schema.Array(Whole),
+  /**
+   * Who withdraws, so that an agent that does not know the tasks keeps a record of the withdrawal that a next owner
+   * can collect. Absent for single calls.
+   */
+  origin: Schema.optionalKey(Schema.Struct({ header: SubmissionHeader, ownership: PartitionEpoch }))
+})
 export type TaskSelection = typeof TaskSelection.Type
 
 /** Entry to agent: never start these tasks; report each as not run, or as what became of it. */
--- a/packages/outcomes/src/create-outcomes.ts
+++ b/packages/outcomes/src/create-outcomes.ts
@@ -34,6 +34,7 @@
     invariants,
     store,
     timeline,
+    watch,
     retryAfterMilliseconds,
     adoptionWindowMilliseconds: options.adoptionWindowMilliseconds ?? DEFAULT_ADOPTION_WINDOW_MILLISECONDS
   })
--- a/packages/outcomes/src/job-lifecycle.ts
+++ b/packages/outcomes/src/job-lifecycle.ts
@@ -1,11 +1,14 @@
 /** What happens to tasks once a job is known: waiting, dispatch, outcome, and the whole answer at the end. */
-import type { AgentIdentity, Invariants, SubmissionKey } from '@baobabpost/common'
-import type { JobRequest, NotRunReason, OperationResult, SubmissionAnswer, TaskOutcome } from '@baobabpost/messages'
+import type { Invariants, SubmissionKey } from '@baobabpost/common'
+import type {
+  JobRequest, NotRunReason, OperationResult, SubmissionAnswer, TaskOutcome
+} from '@baobabpost/messages'
 import { type HeldTasks, type Job, TaskState } from './job.js'
 import type { JobStore } from './job-store.js'
 import type { FinishedSubmission, OutcomesPorts, WaitingTasks } from './outcomes.js'
 import { answerResult, runningAnswer, wholeAnswer } from './results.js'
 import type { Timeline } from './timeline.js'
+import { createWithdrawals } from './withdrawals.js'
 
 const FIRST_HOLD_BACK_MILLISECONDS = 20
 const LAST_HOLD_BACK_MILLISECONDS = 1_000
@@ -27,6 +30,8 @@
   readonly invariants: Invariants
   readonly store: JobStore
   readonly timeline: Timeline<DueItem>
+  /** Begins to watch what agents hold of a job. */
+  readonly watch: (job: Job, now: number) => void
   readonly adoptionWindowMilliseconds: number
   readonly retryAfterMilliseconds: number
 }
@@ -81,7 +86,7 @@
  */
 export function createJobLifecycle (options: JobLifecycleOptions): JobLifecycle {
   const { ports, invariants, store, timeline } = options
-  const withdrawals = new Map<AgentIdentity, Map<SubmissionKey, number[]>>()
+  const withdrawals = createWithdrawals(options)
 
   function answer (waiter: string, result: OperationResult, now: number): void {
     ports.answer(waiter, result, now)
@@ -197,15 +202,6 @@
     }
   }
 
-  function withdraw (job: Job, held: HeldTasks): void {
-    let selections = withdrawals.get(held.agent)
-    if (selections === undefined) {
-      selections = new Map()
-      withdrawals.set(held.agent, selections)
-    }
-    selections.set(job.submission, job.indexesAt(held.agentNumber))
-  }
-
   return {
     wait (job, waiter, waitUntil, now) {
       job.waiters.set(waiter, waitUntil)
@@ -269,14 +265,15 @@
       job.cancelled = true
       job.steps.add('cancelled', job.header.taskCount - job.count(TaskState.finished), now)
       if (job.count(TaskState.waiting) > 0) ports.removeWaiting(job.submission)
-      for (const held of job.held.values()) withdraw(job, held)
       const unstarted = [...job.indexesIn(TaskState.waiting), ...job.indexesIn(TaskState.bodiless)]
-      judgeNotRun(job, unstarted, 'cancelled', now)
+      const isRecorded = withdrawals.record(job, unstarted, now)
+      for (const held of job.held.values()) withdrawals.add(job, held)
+      if (!isRecorded) judgeNotRun(job, unstarted, 'cancelled', now)
     },
 
     repeat (job, held, now) {
       if (job.cancelled) {
-        withdraw(job, held)
+        withdrawals.add(job, held)
         return
       }
       if (job.request === undefined) return
@@ -287,14 +284,6 @@
 
     waitingTasks,
 
-    flushWithdrawals (now) {
-      if (withdrawals.size === 0) return
-      const agents = [...withdrawals]
-      withdrawals.clear()
-      for (const [agent, selections] of agents) {
-        const wanted = Array.from(selections, ([submission, indexes]) => ({ submission, indexes }))
-        ports.withdraw(agent, wanted, now)
-      }
-    }
+    flushWithdrawals: withdrawals.flush
   }
 }
--- a/packages/outcomes/src/outcomes.ts
+++ b/packages/outcomes/src/outcomes.ts
@@ -95,6 +95,8 @@
   readonly removeWaiting: (submission: SubmissionKey, indexes?: ReadonlySet<number>) => void
   /** Asks agents never to start tasks; called at most once an agent and `flush`. */
   readonly withdraw: (agent: AgentIdentity, selections: readonly TaskSelection[], now: number) => void
+  /** An agent that keyed work may go to, to keep the record of a cancellation; undefined where there is none. */
+  readonly recordingAgent?: () => AgentIdentity | undefined
   /** Asks for tasks to be sent again to the agent that they were dispatched to. */
   readonly resend: (agent: AgentIdentity, submission: SubmissionKey, indexes: readonly number[], now: number) => void
   /** A submission was accepted, or a resubmission joined it. */
--- a/packages/outcomes/tests/outcomes.test.ts
+++ b/packages/outcomes/tests/outcomes.test.ts
@@ -207,7 +207,7 @@
 })
 
 describe('cancellation', () => {
-  it('ends what waits at once and asks each agent once for what it holds', () => {
+  it('asks each agent once, for what it holds and for a record of what never went anywhere', () => {
     const [first, second] = [keyAt(), keyAt()]
     owner.submit(first, jobOf(4), 'first')
     owner.submit(second, jobOf(2), 'second')
@@ -218,16 +218,25 @@
     owner.cancel(second, 'cancel-second')
     owner.outcomes.flush(NOW)
     expect(owner.queued.size).toBe(0)
-    expect(owner.withdrawn).toEqual([
+    const asked = owner.withdrawn.map(({ agent, selections }) => ({
+      agent, selections: selections.map(({ submission, indexes }) => ({ submission, indexes }))
+    }))
+    expect(asked).toEqual([
       {
         agent: agentIdentity(1),
-        selections: [{ submission: first, indexes: [0, 1] }, { submission: second, indexes: [0] }]
+        selections: [{ submission: first, indexes: [0, 1, 3] }, { submission: second, indexes: [0, 1] }]
       },
       { agent: agentIdentity(2), selections: [{ submission: first, indexes: [2] }] }
     ])
+    const origins = owner.withdrawn.flatMap(({ selections }) => selections.map(({ origin }) => origin))
+    expect(origins.map(origin => origin?.header.submission)).toEqual([first, second, first])
+    expect(origins.map(origin => origin?.ownership.epoch)).toEqual([EPOCH, EPOCH, EPOCH])
     owner.report(first, 1, [
       { index: 0, outcome: SUCCEEDED }, { index: 1, outcome: { status: 'not-run', reason: 'withdrawn' } }
     ])
+    // Nobody is told that task 3 did not run before an agent keeps the record of it.
+    expect(owner.answers.get('cancel-first')).toBeUndefined()
+    owner.report(first, 1, [{ index: 3, outcome: { status: 'not-run', reason: 'withdrawn' } }])
     owner.report(first, 2, [{ index: 2, outcome: { status: 'not-run', reason: 'withdrawn' } }])
     const cancelled = { status: 'not-run', reason: 'cancelled' }
     expect(owner.answer('cancel-first').tasks).toEqual([SUCCEEDED, cancelled, cancelled, cancelled])
--- a/packages/trials/src/ledger.ts
+++ b/packages/trials/src/ledger.ts
@@ -3,12 +3,18 @@
 import type { OperationResult, SubmissionAnswer, TaskOutcome } from '@baobabpost/messages'
 import type { RequestResult } from '@baobabpost/requests'
 
+/** When, and why, a task was told as not run. */
+interface ToldNotRun {
+  readonly at: number
+  readonly reason: string
+}
+
 /** What was asked and what came of it. */
 interface SubmissionAccount {
   readonly taskCount: number
   readonly starts: Uint8Array
-  /** Time at which a task was told as not run, by index. */
-  readonly toldNotRunAt: Map<number, number>
+  /** What was told of tasks that did not run, by index. */
+  readonly toldNotRunAt: Map<number, ToldNotRun>
   lastSubmittedAt: number
   /** Tasks that were told as succeeded. */
   readonly toldSucceeded: Set<number>
@@ -64,9 +70,9 @@
   function startTask (account: SubmissionAccount, key: string, index: number, now: number): void {
     account.starts[index]! += 1
     check(account.starts[index] === 1, 'no task starts twice', () => `${key}/${index}`, now)
-    const toldAt = account.toldNotRunAt.get(index)
-    check(toldAt === undefined || account.lastSubmittedAt > toldAt, 'what was told as not run did not run',
-      () => `${key}/${index} started after it was told as not run at ${toldAt}`, now)
+    const told = account.toldNotRunAt.get(index)
+    check(told === undefined || account.lastSubmittedAt > told.at, 'what was told as not run did not run',
+      () => `${key}/${index} started after it was told as not run (${told?.reason}) at ${told?.at}`, now)
   }
 
   function startCall (account: CallAccount, call: string, now: number): void {
@@ -104,7 +110,7 @@
       case 'not-run':
         check(starts === 0, 'what was told as not run did not run',
           () => `${key}/${index} (${task.reason}) had started`, now)
-        account.toldNotRunAt.set(index, now)
+        account.toldNotRunAt.set(index, { at: now, reason: task.reason })
         break
       case 'outcome-unknown':
     }
