--- /dev/null
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -0,0 +1,34 @@
+/** Limits and weights of an entry's decisions. */
+
+/** Share of its objective for which a job may wait at the entry for room; later refusals help nobody. */
+export const WAITING_SHARE = 0.22
+/** Wait for the answer to a start or a stop. */
+export const CALL_TIMEOUT_MILLISECONDS = 150
+/** Wait of a watch at an agent that runs something for this entry: a third of the entry lease. */
+export const BUSY_WATCH_MILLISECONDS = 200
+/** Wait of a watch at an agent that runs nothing for this entry. */
+export const IDLE_WATCH_MILLISECONDS = 1_000
+/** Time beyond its wait after which a watch is given up. */
+export const WATCH_TIMEOUT_MILLISECONDS = 150
+/** Pause between watches of an agent that does not answer. */
+export const WATCH_RETRY_MILLISECONDS = 100
+/** Cost of another failure domain, as milliseconds of response: bytes between them are dear. */
+export const FAR_MILLISECONDS = 6
+/** Cost of one more agent for a job, as milliseconds of response: each gets the specification once. */
+export const SPREAD_MILLISECONDS = 4
+/** Times its expected run time after which a task is overdue … */
+export const OVERDUE_FACTOR = 2.5
+/** … with this much more, in milliseconds. */
+export const OVERDUE_MILLISECONDS = 250
+/** Failure share from which on an upstream is ejected, if its peers do better. */
+export const EJECTION_SHARE = 0.4
+/** Largest share of the upstreams of a service that may be ejected at once. */
+export const MAXIMUM_EJECTED_SHARE = 0.34
+/** Interval at which an ejected upstream gets a task. */
+export const PROBE_MILLISECONDS = 500
+/** Pause before a task is sent again to an agent that is still stopping another run of it. */
+export const BUSY_PAUSE_MILLISECONDS = 30
+/** Shortest time that callers are asked to stay away after a refusal. */
+export const RETRY_AFTER_MILLISECONDS = 1_000
+/** Gap between two ticks from which on the process must have stood still. */
+export const STALL_MILLISECONDS = 300
--- /dev/null
+++ b/packages/fleet-calls/src/create-directory.ts
@@ -0,0 +1,122 @@
+/** Who is in the fleet: learnt from addresses given at start and from what processes announce to entries. */
+import type { Logger } from '@baobabpost/common'
+import type { CallClient } from './call-client.js'
+import type { Announce, AnnounceAnswer, Member } from './entry-messages.js'
+
+/** Interval at which a process announces itself to entries that have not been in touch. */
+const ANNOUNCE_MILLISECONDS = 500
+/** Interval at which an entry announces itself to the others. */
+const REPEAT_MILLISECONDS = 2_000
+/** Wait for the answer to an announcement. */
+const ANNOUNCE_TIMEOUT_MILLISECONDS = 400
+/** Time after which a member that has not announced itself is no longer told to others. */
+const MEMBER_AGE_MILLISECONDS = 20_000
+
+/** Who is in the fleet. */
+export interface Directory {
+  /** Answers a process that announces itself. */
+  announced: (announce: Announce) => AnnounceAnswer
+  /** Notes a member that is known from elsewhere. */
+  found: (member: Member) => void
+  /** Addresses of the entries that are known, other than this process. */
+  entryAddresses: () => string[]
+  close: () => void
+}
+
+/** What a directory is made from. */
+export interface DirectoryOptions {
+  readonly self: Member
+  /** Addresses at which entries may be found. */
+  readonly seeds: readonly string[]
+  readonly client: CallClient
+  readonly logger: Logger
+  /** Steady clock in milliseconds. */
+  readonly now: () => number
+  /** Told of each member when it is first known or has moved. */
+  readonly onMember: (member: Member) => void
+  /** Whether a member has been in touch lately by other calls, so that it is alive and need not be told again. */
+  readonly inTouch: (member: string) => boolean
+}
+
+interface KnownMember {
+  member: Member
+  heardAt: number
+}
+
+/**
+ * Makes a directory and begins to announce this process.
+ *
+ * @example
+ * const directory = createDirectory({ self, seeds: ['10.1.0.13:7720'], client, logger, now, onMember, inTouch })
+ */
+export function createDirectory (options: DirectoryOptions): Directory {
+  const { self, client, now } = options
+  const members = new Map<string, KnownMember>()
+  const toldAt = new Map<string, number>()
+  const pending = new Set<string>()
+
+  function found (member: Member): void {
+    if (member.name === self.name) return
+    const known = members.get(member.name)
+    if (known !== undefined && known.member.address === member.address) return
+    members.set(member.name, { member, heardAt: now() })
+    options.logger.info('member found', { member: member.name, role: member.role, address: member.address })
+    options.onMember(member)
+  }
+
+  function announced ({ member }: Announce): AnnounceAnswer {
+    found(member)
+    const known = members.get(member.name)
+    if (known !== undefined) known.heardAt = now()
+    const told: Member[] = [self]
+    for (const other of members.values()) {
+      if (now() - other.heardAt > MEMBER_AGE_MILLISECONDS && !options.inTouch(other.member.name)) continue
+      if (other.member.role === 'entry' || member.role === 'entry') told.push(other.member)
+    }
+    return { members: told }
+  }
+
+  function entryAddresses (): string[] {
+    const addresses = new Set(options.seeds)
+    for (const { member } of members.values()) {
+      if (member.role === 'entry') addresses.add(member.address)
+    }
+    addresses.delete(self.address)
+    return [...addresses]
+  }
+
+  function nameAt (address: string): string | undefined {
+    for (const { member } of members.values()) {
+      if (member.role === 'entry' && member.address === address) return member.name
+    }
+    return undefined
+  }
+
+  async function tell (address: string): Promise<void> {
+    pending.add(address)
+    try {
+      const answer = await client.call(address, 'announce', { member: self }, ANNOUNCE_TIMEOUT_MILLISECONDS)
+      for (const member of answer.members) found(member)
+    } catch (failure) {
+      options.logger.debug('announcement got no answer', { address, reason: String(failure) })
+    } finally {
+      pending.delete(address)
+      toldAt.set(address, now())
+    }
+  }
+
+  function announce (): void {
+    for (const address of entryAddresses()) {
+      if (pending.has(address)) continue
+      const name = nameAt(address)
+      if (name !== undefined && self.role === 'agent' && options.inTouch(name)) continue
+      const interval = self.role === 'entry' && name !== undefined ? REPEAT_MILLISECONDS : ANNOUNCE_MILLISECONDS
+      if (now() - (toldAt.get(address) ?? -Infinity) < interval) continue
+      tell(address).catch(() => {})
+    }
+  }
+
+  const timer = setInterval(announce, ANNOUNCE_MILLISECONDS / 2)
+  announce()
+  return { announced, found, entryAddresses, close: () => { clearInterval(timer) } }
+}
--- /dev/null
+++ b/packages/fleet-calls/src/index.ts
@@ -0,0 +1,10 @@
+/** Calls between entries and agents: their schemas, and JSON-RPC over kept-alive HTTP with a timeout for each call. */
+export * from './agent-messages.js'
+export * from './call-client.js'
+export * from './call-error.js'
+export * from './call-server.js'
+export * from './calls.js'
+export * from './create-directory.js'
+export * from './entry-messages.js'
+export * from './lease-lengths.js'
+export * from './size.js'
--- /dev/null
+++ b/packages/runs/src/agent-program.ts
@@ -0,0 +1,179 @@
+/** Runs an agent's decisions: the loop of listings, the timers, and the watches that wait. */
+import type { Server } from 'node:http'
+import type { Logger } from '@baobabpost/common'
+import { createCallServer, type Start, type StartAnswer, type Watch, type WatchAnswer } from '@baobabpost/fleet-calls'
+import { createRunBook, type RunBook } from './create-run-book.js'
+import type { EntrySession } from './entry-session.js'
+import {
+  LIST_TIMEOUT_MILLISECONDS, LIST_WAIT_MILLISECONDS, ORDER_TIMEOUT_MILLISECONDS, RETRY_MILLISECONDS
+} from './run-limits.js'
+import type { ListAnswer, Upstream, UpstreamReport } from './upstream.js'
+
+/** Interval at which leases and waits are looked at; small against the leases. */
+const TICK_MILLISECONDS = 20
+/** Longest wait of a watch. */
+const MAXIMUM_WATCH_MILLISECONDS = 2_000
+
+/** Watches that wait longer end when their entry sends work. */
+const LONG_WATCH_MILLISECONDS = 250
+
+/** A running agent. */
+export interface AgentProgram {
+  /** Answers entries; does not listen yet. */
+  readonly server: Server
+  reportArrived: (report: UpstreamReport) => void
+  departed: (id: string) => void
+  /** Accepts nothing new, and resolves when nothing runs any more or after the timeout. */
+  stop: (timeoutMilliseconds: number) => Promise<void>
+  /** Runs that run, wait, or may yet start. */
+  runCount: () => number
+  /** Milliseconds since an entry last watched, by name of the entry. */
+  watchedAgo: (entry: string) => number
+}
+
+/** What an agent runs on. */
+export interface AgentProgramOptions {
+  readonly upstream: Upstream
+  readonly incarnation: string
+  readonly fence: number
+  readonly logger: Logger
+  /** Steady clock in milliseconds. */
+  readonly now: () => number
+}
+
+/** The watches that wait, one for each entry. */
+interface WaitingWatch {
+  readonly session: EntrySession
+  /** Whether it waits longer than a watch of an entry that has work here. */
+  readonly long: boolean
+  answer: () => void
+}
+
+/**
+ * Starts an agent.
+ *
+ * @example
+ * const agent = startAgentProgram({ upstream, incarnation, fence: Date.now(), logger, now: () => performance.now() })
+ * agent.server.listen(7720, '10.1.0.14')
+ */
+export function startAgentProgram (options: AgentProgramOptions): AgentProgram {
+  const { upstream, now } = options
+  const waiting = new Set<WaitingWatch>()
+  const watchedAt = new Map<string, number>()
+  let lookWanted = false
+  const life = { stopped: false }
+
+  const book: RunBook = createRunBook({
+    incarnation: options.incarnation,
+    fence: options.fence,
+    logger: options.logger,
+    sendStart: (record, order) => {
+      upstream.start(order, ORDER_TIMEOUT_MILLISECONDS)
+        .then(answer => { book.startAnswered(record, answer, order.fence, now()) }, reportDefect)
+    },
+    sendStop: (record, order) => {
+      upstream.stop(order, ORDER_TIMEOUT_MILLISECONDS)
+        .then(answer => { book.stopAnswered(record, answer, order.fence, now()) }, reportDefect)
+    },
+    stopStranger: order => { upstream.stop(order, ORDER_TIMEOUT_MILLISECONDS).catch(reportDefect) },
+    look,
+    wake
+  })
+
+  function reportDefect (failure: unknown): void {
+    options.logger.error('agent failed', { reason: String(failure) })
+  }
+
+  function wake (session?: EntrySession): void {
+    for (const watch of waiting) {
+      if (session === undefined || watch.session === session) watch.answer()
+    }
+  }
+
+  /** Lists at once, beside the listing that waits for an end. */
+  function look (): void {
+    if (lookWanted) return
+    lookWanted = true
+    setImmediate(() => {
+      lookWanted = false
+      list(0).catch(reportDefect)
+    })
+  }
+
+  async function list (waitMilliseconds: number): Promise<ListAnswer> {
+    const askedAt = now()
+    const order = book.nextListing(waitMilliseconds, askedAt)
+    const answer = await upstream.list(order, waitMilliseconds + LIST_TIMEOUT_MILLISECONDS)
+    book.listAnswered(answer, order.fence, askedAt, now())
+    return answer
+  }
+
+  async function keepListing (): Promise<void> {
+    while (!life.stopped) {
+      const answer = await list(book.silentListings() > 0 ? 0 : LIST_WAIT_MILLISECONDS)
+      if (answer.outcome !== 'taken') await pause(RETRY_MILLISECONDS)
+    }
+  }
+
+  function watch (parameters: Watch): Promise<WatchAnswer> {
+    const session = book.beginWatch(parameters, now())
+    watchedAt.set(parameters.caller.entry, now())
+    if (book.hasNews(session, parameters) || parameters.waitMilliseconds === 0) {
+      return Promise.resolve(book.answerWatch(parameters, now()))
+    }
+    return new Promise(resolve => {
+      const entry: WaitingWatch = {
+        session,
+        long: parameters.waitMilliseconds > LONG_WATCH_MILLISECONDS,
+        answer: () => {
+          if (!waiting.delete(entry)) return
+          clearTimeout(timer)
+          // Ends of one listing travel in one answer.
+          setImmediate(() => { resolve(book.answerWatch(parameters, now())) })
+        }
+      }
+      const timer = setTimeout(entry.answer, Math.min(parameters.waitMilliseconds, MAXIMUM_WATCH_MILLISECONDS))
+      waiting.add(entry)
+    })
+  }
+
+  function start (parameters: Start): StartAnswer {
+    const answer = book.answerStart(parameters, now())
+    // The next watch renews the entry's lease, so one that began before there was work must not wait long.
+    for (const waitingWatch of waiting) {
+      if (waitingWatch.long && waitingWatch.session.entry === parameters.caller.entry) waitingWatch.answer()
+    }
+    return answer
+  }
+
+  const server = createCallServer({
+    watch,
+    start,
+    stop: parameters => book.answerStop(parameters, now())
+  }, options.logger)
+  const ticks = setInterval(() => { book.tick(now()) }, TICK_MILLISECONDS)
+  keepListing().catch(reportDefect)
+
+  async function stop (timeoutMilliseconds: number): Promise<void> {
+    const deadline = now() + timeoutMilliseconds
+    book.leave(now())
+    while (!book.isIdle(now()) && now() < deadline) await pause(TICK_MILLISECONDS)
+    life.stopped = true
+    clearInterval(ticks)
+    wake()
+    server.close()
+  }
+
+  return {
+    server,
+    reportArrived: report => { book.reportArrived(report, now()) },
+    departed: id => { book.departed(id, now()) },
+    stop,
+    runCount: () => book.runCount(),
+    watchedAgo: entry => now() - (watchedAt.get(entry) ?? -Infinity)
+  }
+}
+
+function pause (milliseconds: number): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, milliseconds) })
+}
--- /dev/null
+++ b/packages/runs/src/entry-calls.ts
@@ -0,0 +1,152 @@
+/** What entries ask of an agent: starts, stops, and what has changed. */
+import type {
+  Caller, Profile, Room, RunOrder, Start, StartAnswer, Stop, StopAnswer, Verdict, Watch, WatchAnswer
+} from '@baobabpost/fleet-calls'
+import { acknowledgeReports, addReport, createSession, renewSession, type EntrySession } from './entry-session.js'
+import { isAccepting, startWaiting, stopRun } from './orders.js'
+import { freeRoom, tombstoneKey, type RunBookPorts, type RunBookState } from './run-book-state.js'
+import { MAXIMUM_WAITING_RUNS, TOMBSTONE_MILLISECONDS } from './run-limits.js'
+import type { RunRecord } from './run-record.js'
+
+/** Finds or makes the session of a caller, and renews its lease; a new incarnation ends what the old one asked for. */
+export function openSession (state: RunBookState, ports: RunBookPorts, caller: Caller, now: number): EntrySession {
+  const known = state.sessions.get(caller.entry)
+  if (known?.incarnation === caller.incarnation) {
+    renewSession(known, caller)
+    return known
+  }
+  const session = createSession(caller)
+  state.sessions.set(caller.entry, session)
+  ports.logger.info('entry found', { entry: caller.entry, incarnation: caller.incarnation })
+  if (known !== undefined) stopRunsOf(state, ports, known, 'entry restarted', now)
+  return session
+}
+
+/** Stops all runs of an entry. */
+export function stopRunsOf (
+  state: RunBookState, ports: RunBookPorts, session: EntrySession, reason: string, now: number
+): void {
+  for (const record of [...state.runs.values()]) {
+    if (record.session === session) stopRun(state, ports, record, reason, now)
+  }
+}
+
+/** Profile of the upstream as entries see it. */
+export function describeProfile (state: RunBookState, now: number): Profile {
+  const { report } = state
+  return {
+    version: state.profileVersion,
+    service: report?.service ?? '',
+    failureDomain: report?.failureDomain ?? '',
+    capacity: report?.capacity ?? { processor: 0, memory: 0, accelerators: 0 },
+    labels: report?.labels ?? [],
+    accepting: isAccepting(state, now)
+  }
+}
+
+/** Processor that is expected to end free in a millisecond, from the expected times of what runs. */
+function releaseRate (state: RunBookState): number {
+  let rate = 0
+  for (const { state: runState, order } of state.runs.values()) {
+    if (runState === 'waiting') continue
+    rate += order.size.processor / Math.max(1, order.estimateMilliseconds * state.observations.slowness())
+  }
+  return rate
+}
+
+function round (value: number): number {
+  return Math.round(value * 1_000) / 1_000
+}
+
+function describeRoom (state: RunBookState): Room {
+  return {
+    free: freeRoom(state),
+    waiting: state.queue.waitingProcessor(),
+    releaseRate: round(releaseRate(state)),
+    slowness: round(state.observations.slowness()),
+    failureShare: round(state.observations.failureShare())
+  }
+}
+
+/** Head of each answer to an entry. */
+function describe (state: RunBookState, profileVersion: number, now: number): StopAnswer {
+  const head = { incarnation: state.incarnation, clock: now, room: describeRoom(state) }
+  return profileVersion === state.profileVersion ? head : { ...head, profile: describeProfile(state, now) }
+}
+
+function judge (
+  state: RunBookState, ports: RunBookPorts, start: Start, order: RunOrder, session: EntrySession, now: number
+): Verdict {
+  const known = state.runs.get(order.task)
+  if (known !== undefined) {
+    if (known.session === session && known.order.run === order.run) return 'accepted'
+    if (known.session !== session) stopRun(state, ports, known, 'asked for by another entry', now)
+    return 'busy'
+  }
+  if (session.reports.some(report => report.task === order.task && report.run === order.run)) return 'accepted'
+  if (state.tombstones.has(tombstoneKey(order.task, order.run))) return 'stopped'
+  if (now >= session.leaseUntil) return 'stale'
+  if (!isAccepting(state, now)) return 'not-accepting'
+  if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
+  const record: RunRecord = {
+    order,
+    session,
+    specification: start.specification,
+    priority: start.priority,
+    patientUntil: now + start.patienceMilliseconds,
+    state: 'waiting',
+    upstreamRun: order.run,
+    runNumberAttempts: 0,
+    orderedAt: 0,
+    confirmed: false,
+    goneFrom: undefined,
+    stopReason: ''
+  }
+  state.runs.set(order.task, record)
+  state.queue.add(record)
+  return 'accepted'
+}
+
+/** Answers an entry that asks for starts. */
+export function answerStart (state: RunBookState, ports: RunBookPorts, start: Start, now: number): StartAnswer {
+  const session = openSession(state, ports, start.caller, now)
+  const verdicts: Verdict[] = []
+  for (const order of start.orders) verdicts.push(judge(state, ports, start, order, session, now))
+  startWaiting(state, ports, now)
+  return { ...describe(state, state.profileVersion, now), verdicts }
+}
+
+/** Keeps a run that is not known here from starting, should its order still be under way. */
+function refuseLater (state: RunBookState, session: EntrySession, task: string, run: number, now: number): void {
+  state.tombstones.set(tombstoneKey(task, run), now + TOMBSTONE_MILLISECONDS)
+  if (session.reports.some(report => report.task === task && report.run === run)) return
+  addReport(session, { task, run, outcome: 'not-started', reason: 'its order had not arrived', milliseconds: 0 })
+}
+
+/** Answers an entry that asks for stops. */
+export function answerStop (state: RunBookState, ports: RunBookPorts, stop: Stop, now: number): StopAnswer {
+  const session = openSession(state, ports, stop.caller, now)
+  for (const { task, run } of stop.runs) {
+    const record = state.runs.get(task)
+    if (record !== undefined && record.session === session && record.order.run === run) {
+      if (stop.overdue) state.observations.failed()
+      stopRun(state, ports, record, stop.overdue ? 'overdue' : 'asked for by its entry', now)
+    } else {
+      refuseLater(state, session, task, run, now)
+    }
+  }
+  return describe(state, state.profileVersion, now)
+}
+
+/** Answers an entry that asks for what has changed. */
+export function answerWatch (state: RunBookState, ports: RunBookPorts, watch: Watch, now: number): WatchAnswer {
+  const session = openSession(state, ports, watch.caller, now)
+  return { ...describe(state, watch.profileVersion, now), reports: session.reports }
+}
+
+/** Takes in a watch: renews the lease and forgets what is acknowledged. Tells whether there is something to answer. */
+export function beginWatch (state: RunBookState, ports: RunBookPorts, watch: Watch, now: number): EntrySession {
+  const session = openSession(state, ports, watch.caller, now)
+  acknowledgeReports(session, watch.acknowledged)
+  return session
+}
--- /dev/null
+++ b/packages/runs/src/entry-session.ts
@@ -0,0 +1,53 @@
+/** What an agent keeps for one entry: its lease and the reports that it has not acknowledged. */
+import { ENTRY_LEASE_MILLISECONDS, type Caller, type RunOutcome, type RunReport } from '@baobabpost/fleet-calls'
+
+/** One incarnation of an entry as an agent knows it. */
+export interface EntrySession {
+  readonly entry: string
+  readonly incarnation: string
+  /** Agent's steady clock up to which the entry's runs may go on, in milliseconds. */
+  leaseUntil: number
+  reports: RunReport[]
+  lastSequence: number
+}
+
+/**
+ * Makes the session of an entry that calls for the first time.
+ *
+ * @example
+ * const session = createSession(caller)
+ */
+export function createSession (caller: Caller): EntrySession {
+  return { entry: caller.entry, incarnation: caller.incarnation, leaseUntil: 0, reports: [], lastSequence: 0 }
+}
+
+/**
+ * Renews an entry's lease from the newest agent time that it proves to have seen.
+ *
+ * @example
+ * renewSession(session, watch.caller)
+ */
+export function renewSession (session: EntrySession, caller: Caller): void {
+  session.leaseUntil = Math.max(session.leaseUntil, caller.heardAt + ENTRY_LEASE_MILLISECONDS)
+}
+
+/** The end of a run, before it has a sequence number. */
+export interface RunEnd {
+  readonly task: string
+  readonly run: number
+  readonly outcome: RunOutcome
+  readonly reason: string
+  readonly milliseconds: number
+}
+
+/** Adds a report for the entry. */
+export function addReport (session: EntrySession, end: RunEnd): void {
+  session.lastSequence += 1
+  session.reports.push({ sequence: session.lastSequence, ...end })
+}
+
+/** Forgets the reports that the entry has acknowledged. */
+export function acknowledgeReports (session: EntrySession, acknowledged: number): void {
+  if (session.reports[0] === undefined || session.reports[0].sequence > acknowledged) return
+  session.reports = session.reports.filter(report => report.sequence > acknowledged)
+}
--- /dev/null
+++ b/packages/runs/src/listings.ts
@@ -0,0 +1,117 @@
+/** What the upstream lists: ends, runs that go on, and what must not be there. */
+import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { MAXIMUM_SILENT_LISTINGS } from './run-limits.js'
+import { endRun, type RunBookPorts, type RunBookState } from './run-book-state.js'
+import { raiseFence, startWaiting, stopRun } from './orders.js'
+import type { RunRecord } from './run-record.js'
+import type { ListAnswer, ListedEnd, Listing } from './upstream.js'
+
+/** Forgets an upstream's life: all that ran there has ended with it. */
+export function forgetLife (state: RunBookState, ports: RunBookPorts, reason: string, now: number): void {
+  for (const record of [...state.runs.values()]) {
+    if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
+    else endRun(state, ports, record, 'lost', reason, now)
+  }
+  state.phase = 'unfenced'
+  // Orders to the life before may still arrive, also where the next life has seen no fence.
+  state.fence += 1
+  state.lastEnd = 0
+  state.clock.reset()
+  state.observations.reset()
+  ports.logger.warn('upstream life ended', { reason })
+}
+
+function takeEnd (state: RunBookState, ports: RunBookPorts, end: ListedEnd, now: number): void {
+  if (end.number <= state.lastEnd) return
+  state.lastEnd = end.number
+  const record = state.runs.get(end.task)
+  if (record === undefined || record.state === 'waiting' || record.upstreamRun !== end.run) return
+  const expected = record.order.estimateMilliseconds
+  if (end.kind === 'done') state.observations.done(now - record.orderedAt, expected)
+  if (end.kind === 'failed') state.observations.failed()
+  endRun(state, ports, record, end.kind, end.kind === 'stopped' ? record.stopReason : '', now)
+}
+
+/** Ends what is gone without an end: its order was never carried out, or the upstream forgot it. */
+function endMissing (
+  state: RunBookState, ports: RunBookPorts, listed: ReadonlyMap<string, number>, askedAt: number, now: number
+): void {
+  for (const record of [...state.runs.values()]) {
+    if (record.goneFrom === undefined || askedAt < record.goneFrom) continue
+    const present = listed.get(record.order.task) === record.upstreamRun
+    if (record.state === 'unsure') settleUnsure(state, ports, record, present, now)
+    else if (!present) endRun(state, ports, record, record.confirmed ? 'lost' : 'not-started', record.stopReason, now)
+  }
+}
+
+function settleUnsure (
+  state: RunBookState, ports: RunBookPorts, record: RunRecord, present: boolean, now: number
+): void {
+  if (!present) return stopRun(state, ports, record, 'order unanswered', now)
+  record.state = 'running'
+  record.confirmed = true
+  record.goneFrom = now
+}
+
+/** Stops what runs there and is not in the book. */
+function stopStrangers (state: RunBookState, ports: RunBookPorts, listing: Listing): number {
+  let strangers = 0
+  for (const { task, run } of listing.running) {
+    const record = state.runs.get(task)
+    if (record !== undefined && record.state !== 'waiting' && record.upstreamRun === run) continue
+    strangers += 1
+    ports.logger.warn('stopping a run that is not in the book', { task, run, phase: state.phase })
+    ports.stopStranger({ task, run, fence: state.fence, life: state.life })
+  }
+  return strangers
+}
+
+function takeListing (
+  state: RunBookState, ports: RunBookPorts, listing: Listing, askedAt: number, now: number
+): void {
+  const bornAt = state.life?.bornAt
+  if (listing.bornAt !== undefined && bornAt !== undefined && listing.bornAt !== bornAt) {
+    if (listing.bornAt < bornAt) return
+    state.life = { id: state.life?.id ?? '', bornAt: listing.bornAt }
+    forgetLife(state, ports, 'the upstream was started again', now)
+    return
+  }
+  state.listedAt = now
+  const strangers = stopStrangers(state, ports, listing)
+  if (state.phase !== 'serving') {
+    for (const end of listing.ended) state.lastEnd = Math.max(state.lastEnd, end.number)
+    state.phase = strangers === 0 ? 'serving' : 'clearing'
+    if (strangers === 0) ports.logger.info('upstream serves', { fence: state.fence })
+    return
+  }
+  for (const end of listing.ended) takeEnd(state, ports, end, now)
+  endMissing(state, ports, new Map(listing.running.map(({ task, run }) => [task, run])), askedAt, now)
+}
+
+/** Takes in the answer to an order to list that was sent at `askedAt`. */
+export function takeListAnswer (
+  state: RunBookState, ports: RunBookPorts, answer: ListAnswer, usedFence: number, askedAt: number, now: number
+): void {
+  if (answer.outcome === 'fenced') return raiseFence(state, ports, usedFence)
+  if (answer.outcome === 'unreachable') {
+    if (state.phase !== 'unfenced') forgetLife(state, ports, 'nothing listens at the upstream', now)
+    return
+  }
+  if (answer.listing === undefined) {
+    state.silentListings += 1
+    if (state.silentListings === MAXIMUM_SILENT_LISTINGS) {
+      ports.logger.warn('upstream does not answer', { listings: state.silentListings })
+    }
+    return endLapsed(state, ports, now)
+  }
+  state.silentListings = 0
+  takeListing(state, ports, answer.listing, askedAt, now)
+  startWaiting(state, ports, now)
+}
+
+/** Ends all runs of an upstream whose lease has surely run out. */
+function endLapsed (state: RunBookState, ports: RunBookPorts, now: number): void {
+  if (state.silentListings < MAXIMUM_SILENT_LISTINGS || state.phase === 'unfenced') return
+  if (now - state.renewedAt < RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS) return
+  forgetLife(state, ports, 'the run lease ended without an answer', now)
+}
--- /dev/null
+++ b/packages/runs/src/upstream.ts
@@ -0,0 +1,112 @@
+/** Contract of an upstream that runs tasks under leases: what an adapter translates to the words of a platform. */
+import type { Size } from '@baobabpost/fleet-calls'
+
+/** Names one life of an upstream. */
+export interface UpstreamLife {
+  readonly id: string
+  /** Unix milliseconds of its start; undefined where it does not say. */
+  readonly bornAt: number | undefined
+}
+
+/** What an upstream tells of itself in a heartbeat. */
+export interface UpstreamReport {
+  readonly life: UpstreamLife
+  /** Rises with each heartbeat of a life. */
+  readonly sequence: number
+  readonly service: string
+  readonly failureDomain: string
+  readonly capacity: Size
+  readonly labels: readonly string[]
+  readonly draining: boolean
+}
+
+/** An order to start a run. */
+export interface StartOrder {
+  readonly task: string
+  readonly run: number
+  readonly specification: string
+  /** Orders with a lower one than the upstream has seen do nothing. */
+  readonly fence: number
+  /** Time on the upstream's clock up to which everything there may run; undefined before its clock is known. */
+  readonly leaseUntil: number | undefined
+  readonly life: UpstreamLife | undefined
+}
+
+/** An order to stop a run, which also keeps it from starting later. */
+export interface StopOrder {
+  readonly task: string
+  readonly run: number
+  readonly fence: number
+  readonly life: UpstreamLife | undefined
+}
+
+/** An order to renew the lease, forget ends and list what there is. */
+export interface ListOrder {
+  readonly fence: number
+  /** Undefined renews nothing. */
+  readonly leaseUntil: number | undefined
+  /** Ends up to this number are forgotten. */
+  readonly acknowledgedEnd: number
+  /** Time to wait for an end, in milliseconds. */
+  readonly waitMilliseconds: number
+  readonly life: UpstreamLife | undefined
+}
+
+/**
+ * How an order was answered.
+ *
+ * - `taken`: carried out;
+ * - `fenced`, `old-run`, `late`, `no-room`, `unhealthy`, `invalid`: refused, nothing was done;
+ * - `other-life`: another life of the upstream answered, nothing was done;
+ * - `unreachable`: nothing listens there, nothing was done;
+ * - `unanswered`: it may have been carried out, or may be later.
+ */
+export type OrderOutcome =
+  | 'taken' | 'fenced' | 'old-run' | 'late' | 'no-room' | 'unhealthy' | 'invalid' | 'other-life' | 'unreachable'
+  | 'unanswered'
+
+/** Answer to an order. */
+export interface OrderAnswer {
+  readonly outcome: OrderOutcome
+  /** The upstream's clock when it answered, in milliseconds. */
+  readonly clock: number | undefined
+}
+
+/** How a run ended at an upstream. */
+export type EndKind = 'done' | 'failed' | 'stopped' | 'lapsed'
+
+/** A run that an upstream lists as running. */
+export interface ListedRun {
+  readonly task: string
+  readonly run: number
+  /** Progress, 0 to 100. */
+  readonly percent: number
+}
+
+/** An end that an upstream lists. */
+export interface ListedEnd {
+  /** Rises by 1 with each end of a life of the upstream. */
+  readonly number: number
+  readonly task: string
+  readonly run: number
+  readonly kind: EndKind
+}
+
+/** What an upstream lists. */
+export interface Listing {
+  readonly bornAt: number | undefined
+  readonly running: readonly ListedRun[]
+  readonly ended: readonly ListedEnd[]
+}
+
+/** Answer to an order to list; the listing is there if it was taken. */
+export interface ListAnswer extends OrderAnswer {
+  readonly listing?: Listing
+}
+
+/** An upstream. */
+export interface Upstream {
+  start: (order: StartOrder, timeoutMilliseconds: number) => Promise<OrderAnswer>
+  stop: (order: StopOrder, timeoutMilliseconds: number) => Promise<OrderAnswer>
+  list: (order: ListOrder, timeoutMilliseconds: number) => Promise<ListAnswer>
+}
