--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -16,13 +16,15 @@
 ): void {
   if (view.incarnation !== answer.incarnation) {
     ports.logger.info('agent found', { agent: view.name, incarnation: answer.incarnation })
-    loseRuns(state, ports, view, 'agent restarted', now)
     view.incarnation = answer.incarnation
+    view.incarnationSince = now
+    view.hasFormerRuns = true
     view.acknowledged = 0
     view.heardAt = 0
     view.profile = undefined
     view.unanswered = EMPTY_SIZE
   }
+  if (answer.cleared) loseFormerRuns(state, ports, view, now)
   view.refusedSince = undefined
   view.reachable = true
   if (answer.clock < view.heardAt) return
@@ -32,14 +34,21 @@
   if (answer.profile !== undefined) view.profile = answer.profile
 }
 
-/** Ends all runs that an earlier incarnation of an agent had. */
-function loseRuns (
-  state: DispatcherState, ports: DispatcherPorts, view: AgentView, reason: string, now: number
-): void {
+/** Ends all runs that earlier incarnations of an agent had. */
+function loseFormerRuns (state: DispatcherState, ports: DispatcherPorts, view: AgentView, now: number): void {
+  if (!view.hasFormerRuns) return
+  view.hasFormerRuns = false
   for (const entry of [...state.assigned.values()]) {
     const { assignment } = entry.task
-    if (assignment?.agent !== view.name || assignment.incarnation !== view.incarnation) continue
-    endAssignment(state, ports, entry, reason, now)
+    if (assignment?.agent !== view.name || assignment.incarnation === view.incarnation) continue
+    endAssignment(state, ports, entry, 'agent restarted', now)
+  }
+}
+
+/** Ends all runs of an agent. */
+function loseRuns (state: DispatcherState, ports: DispatcherPorts, view: AgentView, now: number): void {
+  for (const entry of [...state.assigned.values()]) {
+    if (entry.task.assignment?.agent === view.name) endAssignment(state, ports, entry, 'agent silent', now)
   }
 }
 
@@ -223,7 +232,9 @@
 /** Ends what ran at agents that have been silent for longer than every lease. */
 export function endSilent (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   for (const view of state.agents.values()) {
+    const formerEnd = view.incarnationSince + RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
+    if (now >= formerEnd) loseFormerRuns(state, ports, view, now)
     if (view.reachable || view.incarnation === '' || now < certainEnd(view)) continue
-    loseRuns(state, ports, view, 'agent silent', now)
+    loseRuns(state, ports, view, now)
   }
 }
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -6,6 +6,10 @@
   readonly name: string
   address: string
   incarnation: string
+  /** When that incarnation first answered: the one before was dead by then. */
+  incarnationSince: number
+  /** Whether runs of earlier incarnations may not have ended. */
+  hasFormerRuns: boolean
   profile: Profile | undefined
   room: Room
   /** Agent's clock in the newest answer. */
@@ -37,6 +41,8 @@
     name,
     address,
     incarnation: '',
+    incarnationSince: 0,
+    hasFormerRuns: false,
     profile: undefined,
     room: EMPTY_ROOM,
     heardAt: 0,
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -75,6 +75,8 @@
   incarnation: Schema.String,
   /** Agent's steady clock, in milliseconds. */
   clock: Schema.Number,
+  /** Whether nothing that an earlier incarnation of the agent started runs any more. */
+  cleared: Schema.Boolean,
   /** Left out if the entry has this version. */
   profile: Schema.optionalKey(Profile),
   room: Room
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -1,7 +1,6 @@
 /** Runs an agent's decisions: the loop of listings, the timers, and the watches that wait. */
-import type { Server } from 'node:http'
 import type { Logger } from '@baobabpost/common'
-import { createCallServer, type Start, type StartAnswer, type Watch, type WatchAnswer } from '@baobabpost/fleet-calls'
+import type { CallHandlers, Start, StartAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
 import { createRunBook, type RunBook } from './create-run-book.js'
 import type { EntrySession } from './entry-session.js'
 import {
@@ -19,8 +18,8 @@
 
 /** A running agent. */
 export interface AgentProgram {
-  /** Answers entries; does not listen yet. */
-  readonly server: Server
+  /** Answers the calls of entries. */
+  readonly handlers: CallHandlers
   reportArrived: (report: UpstreamReport) => void
   departed: (id: string) => void
   /** Accepts nothing new, and resolves when nothing runs any more or after the timeout. */
@@ -54,7 +53,7 @@
  *
  * @example
  * const agent = startAgentProgram({ upstream, incarnation, fence: Date.now(), logger, now: () => performance.now() })
- * agent.server.listen(7720, '10.1.0.14')
+ * createCallServer(agent.handlers, logger).listen(7720, '10.1.0.14')
  */
 export function startAgentProgram (options: AgentProgramOptions): AgentProgram {
   const { upstream, now } = options
@@ -146,11 +145,7 @@
     return answer
   }
 
-  const server = createCallServer({
-    watch,
-    start,
-    stop: parameters => book.answerStop(parameters, now())
-  }, options.logger)
+  const handlers: CallHandlers = { watch, start, stop: parameters => book.answerStop(parameters, now()) }
   const ticks = setInterval(() => { book.tick(now()) }, TICK_MILLISECONDS)
   keepListing().catch(reportDefect)
 
@@ -161,11 +156,10 @@
     life.stopped = true
     clearInterval(ticks)
     wake()
-    server.close()
   }
 
   return {
-    server,
+    handlers,
     reportArrived: report => { book.reportArrived(report, now()) },
     departed: id => { book.departed(id, now()) },
     stop,
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -70,7 +70,9 @@
 
 /** Head of each answer to an entry. */
 function describe (state: RunBookState, profileVersion: number, now: number): StopAnswer {
-  const head = { incarnation: state.incarnation, clock: now, room: describeRoom(state) }
+  const head = {
+    incarnation: state.incarnation, clock: now, cleared: state.cleared, room: describeRoom(state)
+  }
   return profileVersion === state.profileVersion ? head : { ...head, profile: describeProfile(state, now) }
 }
 
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -81,6 +81,7 @@
   if (state.phase !== 'serving') {
     for (const end of listing.ended) state.lastEnd = Math.max(state.lastEnd, end.number)
     state.phase = strangers === 0 ? 'serving' : 'clearing'
+    state.cleared ||= strangers === 0
     if (strangers === 0) ports.logger.info('upstream serves', { fence: state.fence })
     return
   }
--- a/packages/runs/src/run-book-state.ts
+++ b/packages/runs/src/run-book-state.ts
@@ -48,6 +48,8 @@
   report: UpstreamReport | undefined
   life: UpstreamLife | undefined
   phase: UpstreamPhase
+  /** Whether the upstream served in this incarnation of the agent. */
+  cleared: boolean
   fence: number
   /** Number of the last end that was taken in. */
   lastEnd: number
@@ -82,6 +84,7 @@
     report: undefined,
     life: undefined,
     phase: 'unfenced',
+    cleared: false,
     fence,
     lastEnd: 0,
     listedAt: 0,
