--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -87,7 +87,7 @@
       if (life.dead) return
       client.call(address, name, parameters, timeout).then(
         answer => { if (!life.dead) resolve(answer) },
-        (failure: unknown) => { if (!life.dead) reject(failure instanceof Error ? failure : new Error(String(failure))) }
+        (failure: Error) => { if (!life.dead) reject(failure) }
       )
     }),
     close: () => {}
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -193,7 +193,11 @@
       await pause(ORDER_MILLISECONDS)
       if (!faults.silent) return answer
     }
-    if (late) setTimeout(() => { if (bornAt === life) void carryOut() }, faults.lateMilliseconds)
+    const carryOutLate = async (): Promise<void> => {
+      await pause(faults.lateMilliseconds)
+      if (bornAt === life) await carryOut()
+    }
+    if (late) carryOutLate().catch((failure: unknown) => { throw failure })
     await pause(timeoutMilliseconds)
     return { outcome: 'unanswered', clock: undefined }
   }
