--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -136,7 +136,12 @@
 
 /** Sends the tasks of a job that can only be late, as far as upstreams have room to spare. */
 function sendLate (
-  state: DispatcherState, ports: DispatcherPorts, job: Job, due: readonly JobTask[], agents: readonly AgentView[], now: number
+  state: DispatcherState,
+  ports: DispatcherPorts,
+  job: Job,
+  due: readonly JobTask[],
+  agents: readonly AgentView[],
+  now: number
 ): void {
   const plan = new Map<JobTask, PlacementChoice>()
   for (const task of due) {
@@ -210,7 +215,9 @@
 export function assignWaiting (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   if (state.waiting.length === 0) return
   const ordered = [...state.waiting].sort((left, right) =>
-    Number(left.late) - Number(right.late) || left.request.priority - right.request.priority || left.request.arrivedAt - right.request.arrivedAt)
+    Number(left.late) - Number(right.late) ||
+    left.request.priority - right.request.priority ||
+    left.request.arrivedAt - right.request.arrivedAt)
   state.waiting = []
   const remaining = ordered.filter(job => !assignJob(state, ports, job, now))
   state.waiting = [...remaining, ...state.waiting]
