Refuse a late copy of an order that was refused or has ended

On a link that loses packets the second copy was answered 'no room', the task went elsewhere, and then the first copy arrived and was taken. The same after the run had ended and was acknowledged. Ruled out: fencing and the run lease; both runs had valid ones.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -127,6 +127,10 @@
     case 'lost':
       entry.task.ran = true
       return endAssignment(state, ports, entry, `${report.outcome} ${report.reason}`, now)
+    case 'superseded':
+      entry.task.ran = true
+      endAssignment(state, ports, entry, report.outcome, now)
+      return answerJob(state, ports, entry.job, { kind: 'given-up', reason: 'another entry has the job' }, now)
     case 'not-started':
       return endAssignment(state, ports, entry, `${report.outcome} ${report.reason}`, now)
   }
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -41,8 +41,8 @@
 })
 export type Room = typeof Room.Type
 
-/** How a run, or an order for one, ended. */
-export const RunOutcome = Schema.Literals(['done', 'failed', 'stopped', 'lapsed', 'lost', 'not-started'])
+/** How a run, or an order for one, ended; `superseded` where another entry has the same job now. */
+export const RunOutcome = Schema.Literals(['done', 'failed', 'stopped', 'lapsed', 'lost', 'not-started', 'superseded'])
 export type RunOutcome = typeof RunOutcome.Type
 
 /** The end of one run. */
--- a/packages/rehearsal/src/memory-calls.ts
+++ b/packages/rehearsal/src/memory-calls.ts
@@ -15,6 +15,8 @@
   /** Cuts the ways between two addresses; held messages arrive when it heals, if their caller still waits or not. */
   cut: (left: string, right: string) => void
   heal: (left: string, right: string) => void
+  /** Further delay of a call on its way there, in milliseconds; none by default. */
+  delayOf: (name: CallName) => number
   /** Heals all cuts. */
   healAll: () => void
 }
@@ -46,6 +48,7 @@
   }
 
   async function exchange (from: string, to: string, name: CallName, parameters: unknown): Promise<unknown> {
+    await pause(network.delayOf(name))
     await cross(from, to)
     const handlers = listeners.get(to)
     if (handlers === undefined) throw new CallError('refused', 'nothing listens')
@@ -79,7 +82,8 @@
     for (const release of held) release()
   }
 
-  return {
+  const network: MemoryNetwork = {
+    delayOf: () => 0,
     clientAt,
     listen: (address, handlers) => { listeners.set(address, handlers) },
     silence: address => { listeners.delete(address) },
@@ -87,4 +91,5 @@
     heal,
     healAll: () => { for (const key of [...cuts.keys()]) heal(...key.split(' ') as [string, string]) }
   }
+  return network
 }
--- a/packages/rehearsal/tests/fleet-faults.test.ts
+++ b/packages/rehearsal/tests/fleet-faults.test.ts
@@ -152,6 +152,30 @@
     expect(completed(again)).toBe(6)
   })
 
+  it('never runs a task twice when the order for it is delayed and was sent again', async () => {
+    await start(2, 3)
+    let starts = 0
+    fleet.network.delayOf = name => {
+      if (name !== 'start') return 0
+      starts += 1
+      return starts % 3 === 0 ? 200 : 0
+    }
+    const sendings = await sendSteadily(150, 15, () => job(150, 4))
+    await vi.advanceTimersByTimeAsync(5_000)
+    expect(sendings.every(({ answer }) => answer !== undefined)).toBe(true)
+  })
+
+  it('has an entry give up a job that its caller sent to another one', async () => {
+    await start(2, 1)
+    const sent = job(2_500, 4, { deadlineMilliseconds: 6_000 })
+    const former = fleet.send(first(fleet.entries), sent)
+    await vi.advanceTimersByTimeAsync(RESEND_MILLISECONDS)
+    const again = fleet.send(second(fleet.entries), sent)
+    await vi.advanceTimersByTimeAsync(5_000)
+    expect(former.answer?.kind).toBe('given-up')
+    expect(again.answer?.kind).toBe('completed')
+  })
+
   it('gives the room of a caller that left to the next', async () => {
     await start(1, 1)
     const entry = first(fleet.entries)
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -4,8 +4,8 @@
 } from '@baobabpost/fleet-calls'
 import { acknowledgeReports, addReport, createSession, renewSession, type EntrySession } from './entry-session.js'
 import { isAccepting, startWaiting, stopRun } from './orders.js'
-import { freeRoom, tombstoneKey, type RunBookPorts, type RunBookState } from './run-book-state.js'
-import { MAXIMUM_WAITING_RUNS, TOMBSTONE_MILLISECONDS } from './run-limits.js'
+import { buryOrder, freeRoom, isBuried, type RunBookPorts, type RunBookState } from './run-book-state.js'
+import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import type { RunRecord } from './run-record.js'
 
 /** Finds or makes the session of a caller, and renews its lease; a new incarnation ends what the old one asked for. */
@@ -82,11 +82,14 @@
   const known = state.runs.get(order.task)
   if (known !== undefined) {
     if (known.session === session && known.order.run === order.run) return 'accepted'
-    if (known.session !== session) stopRun(state, ports, known, 'asked for by another entry', now)
+    if (known.session !== session) {
+      known.superseded = true
+      stopRun(state, ports, known, 'asked for by another entry', now)
+    }
     return 'busy'
   }
   if (session.reports.some(report => report.task === order.task && report.run === order.run)) return 'accepted'
-  if (state.tombstones.has(tombstoneKey(order.task, order.run))) return 'stopped'
+  if (isBuried(state, session, order.task, order.run)) return 'stopped'
   if (now >= session.leaseUntil) return 'stale'
   if (!isAccepting(state, now)) return 'not-accepting'
   if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
@@ -104,7 +107,8 @@
     percent: 0,
     progressedAt: now,
     goneFrom: undefined,
-    stopReason: ''
+    stopReason: '',
+    superseded: false
   }
   state.runs.set(order.task, record)
   state.queue.add(record)
@@ -129,12 +133,15 @@
   for (const order of start.orders) verdicts.push(judge(state, ports, start, order, session, now))
   startWaiting(state, ports, now)
   if (start.patienceMilliseconds <= 0) refuseWaiting(state, start, verdicts)
+  for (const [position, { task, run }] of start.orders.entries()) {
+    if (verdicts[position] !== 'accepted') buryOrder(state, session, task, run, now)
+  }
   return { ...describe(state, state.profileVersion, now), verdicts }
 }
 
 /** Keeps a run that is not known here from starting, should its order still be under way. */
 function refuseLater (state: RunBookState, session: EntrySession, task: string, run: number, now: number): void {
-  state.tombstones.set(tombstoneKey(task, run), now + TOMBSTONE_MILLISECONDS)
+  buryOrder(state, session, task, run, now)
   if (session.reports.some(report => report.task === task && report.run === run)) return
   addReport(session, { task, run, outcome: 'not-started', reason: 'its order had not arrived', milliseconds: 0 })
 }
--- a/packages/runs/src/run-book-state.ts
+++ b/packages/runs/src/run-book-state.ts
@@ -6,6 +6,7 @@
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { isBooked, type RunRecord } from './run-record.js'
 import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
+import { TOMBSTONE_MILLISECONDS } from './run-limits.js'
 import type { StartOrder, StopOrder, UpstreamLife, UpstreamReport } from './upstream.js'
 
 /** What the run book has others do. */
@@ -97,9 +98,22 @@
   }
 }
 
-/** Key of a tombstone. */
-export function tombstoneKey (task: string, run: number): string {
-  return `${task} ${run}`
+function tombstoneKey (session: EntrySession, task: string, run: number): string {
+  return `${session.entry} ${session.incarnation} ${task} ${run}`
+}
+
+/** Keeps an entry's order from being taken again: a copy of it may still be under way. */
+export function buryOrder (
+  state: RunBookState, session: EntrySession, task: string, run: number, now: number
+): void {
+  const key = tombstoneKey(session, task, run)
+  state.tombstones.delete(key)
+  state.tombstones.set(key, now + TOMBSTONE_MILLISECONDS)
+}
+
+/** Whether an entry's order was refused, or has ended, before. */
+export function isBuried (state: RunBookState, session: EntrySession, task: string, run: number): boolean {
+  return state.tombstones.has(tombstoneKey(session, task, run))
 }
 
 /** What the upstream has left. */
@@ -122,8 +136,10 @@
   state.runs.delete(record.order.task)
   if (isBooked(record)) state.booked = subtractSizes(state.booked, record.order.size)
   else state.queue.remove(record)
+  buryOrder(state, record.session, record.order.task, record.order.run, now)
   const milliseconds = record.orderedAt === 0 ? 0 : now - record.orderedAt
-  addReport(record.session, { task: record.order.task, run: record.order.run, outcome, reason, milliseconds })
+  const told = record.superseded ? 'superseded' : outcome
+  addReport(record.session, { task: record.order.task, run: record.order.run, outcome: told, reason, milliseconds })
   ports.logger.info('run ended', {
     task: record.order.task,
     run: record.order.run,
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -37,6 +37,8 @@
   goneFrom: number | undefined
   /** Why it is stopped. */
   stopReason: string
+  /** Whether another entry asked for the same task: its caller sent the job again. */
+  superseded: boolean
 }
 
 /** Whether a run takes room at the upstream, or may yet. */
