--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -24,7 +24,7 @@
 export const OBSERVATION_WEIGHT = 0.1
 /** Attempts to find a run number that the upstream has not seen. */
 export const MAXIMUM_RUN_NUMBER_ATTEMPTS = 6
-/** Time for which an order that was refused or has ended is remembered: copies of it go stale within the entry lease. */
+/** Time for which an order that was refused or has ended is remembered; copies go stale within the entry lease. */
 export const TOMBSTONE_MILLISECONDS = 2_000
 /** Most tasks that wait at an agent; a few seconds of work. */
 export const MAXIMUM_WAITING_RUNS = 400
