Find unanswered orders out sooner, and order again on the same upstream

Change: orders are given up after 50 ms and listings wait 80 ms; an order that was surely not carried out is given again by the agent itself, under a higher run.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import typescriptEslint from 'typescript-eslint'
 
 export default [
-  { ignores: ['**/dist/**', 'node_modules/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**'] },
   ...neostandard({ ts: true, noJsx: true }),
   ...typescriptEslint.configs.recommendedTypeChecked.map(config => ({ ...config, files: ['**/*.ts'] })),
   {
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -2,7 +2,7 @@
 import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
 import { MAXIMUM_SILENT_LISTINGS, STANDSTILL_MILLISECONDS } from './run-limits.js'
 import { endRun, type RunBookPorts, type RunBookState } from './run-book-state.js'
-import { raiseFence, startWaiting, stopRun } from './orders.js'
+import { ORDER_UNANSWERED, raiseFence, repeatStart, startWaiting, stopRun } from './orders.js'
 import type { RunRecord } from './run-record.js'
 import type { ListAnswer, ListedEnd, Listing } from './upstream.js'
 
@@ -40,14 +40,24 @@
     if (record.goneFrom === undefined || askedAt < record.goneFrom) continue
     const present = listed.get(record.order.task) === record.upstreamRun
     if (record.state === 'unsure') settleUnsure(state, ports, record, present, now)
-    else if (!present) endRun(state, ports, record, record.confirmed ? 'lost' : 'not-started', record.stopReason, now)
+    else if (!present) endGone(state, ports, record, now)
   }
 }
 
+/** A run is gone without an end. One that was never there is ordered again if only its order was lost. */
+function endGone (state: RunBookState, ports: RunBookPorts, record: RunRecord, now: number): void {
+  if (record.confirmed) return endRun(state, ports, record, 'lost', record.stopReason, now)
+  if (record.stopReason !== ORDER_UNANSWERED) {
+    return endRun(state, ports, record, 'not-started', record.stopReason, now)
+  }
+  record.upstreamRun += 1
+  repeatStart(state, ports, record, ORDER_UNANSWERED, now)
+}
+
 function settleUnsure (
   state: RunBookState, ports: RunBookPorts, record: RunRecord, present: boolean, now: number
 ): void {
-  if (!present) return stopRun(state, ports, record, 'order unanswered', now)
+  if (!present) return stopRun(state, ports, record, ORDER_UNANSWERED, now)
   record.state = 'running'
   record.confirmed = true
   record.goneFrom = now
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -5,11 +5,14 @@
 import type { RunRecord } from './run-record.js'
 import type { OrderAnswer } from './upstream.js'
 
+/** Why a run is stopped whose order got no answer: the run is still wanted. */
+export const ORDER_UNANSWERED = 'order unanswered'
+
 /** Tells whether new runs may be accepted and started. */
 export function isAccepting (state: RunBookState, now: number): boolean {
   if (state.leaving || state.departed || state.phase !== 'serving') return false
   if (state.report === undefined || state.report.draining) return false
-  return now - state.listedAt <= LISTING_AGE_MILLISECONDS && state.silentListings < 2
+  return now - state.listedAt <= LISTING_AGE_MILLISECONDS
 }
 
 /** Time on the upstream's clock up to which runs may go on without a further renewal. */
@@ -53,7 +56,10 @@
   state: RunBookState, ports: RunBookPorts, record: RunRecord, reason: string, now: number
 ): void {
   if (record.state === 'waiting') return endRun(state, ports, record, 'not-started', reason, now)
-  if (record.state === 'stopping') return
+  if (record.state === 'stopping') {
+    record.stopReason = reason
+    return
+  }
   record.state = 'stopping'
   record.stopReason = reason
   record.goneFrom = undefined
@@ -80,14 +86,17 @@
   ports.look()
 }
 
-/** Sends a refused order again, where that can help and its entry still wants it. */
-function repeatStart (
+/** Sends an order that was surely not carried out again, where that can help and its entry still wants it. */
+export function repeatStart (
   state: RunBookState, ports: RunBookPorts, record: RunRecord, refusal: string, now: number
 ): void {
   record.runNumberAttempts += 1
-  if (record.state === 'stopping') return endRun(state, ports, record, 'not-started', record.stopReason, now)
+  if (record.state === 'stopping' && record.stopReason !== ORDER_UNANSWERED) {
+    return endRun(state, ports, record, 'not-started', record.stopReason, now)
+  }
   const hopeless = record.runNumberAttempts > MAXIMUM_RUN_NUMBER_ATTEMPTS || now > record.session.leaseUntil
   if (hopeless) return endRun(state, ports, record, 'not-started', refusal, now)
+  record.orderedAt = now
   sendStart(state, ports, record, now)
 }
 
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -1,17 +1,17 @@
 /** Timeouts and weights of an agent's decisions. */
 
 /** Wait for the answer to a start or a stop; an upstream on the same VM answers within a few milliseconds. */
-export const ORDER_TIMEOUT_MILLISECONDS = 120
-/** Wait of a listing for an end: under a quarter of the run lease, so that it is renewed four times over. */
-export const LIST_WAIT_MILLISECONDS = 160
+export const ORDER_TIMEOUT_MILLISECONDS = 50
+/** Wait of a listing for an end: an eighth of the run lease, so that lost listings neither end it nor hide ends. */
+export const LIST_WAIT_MILLISECONDS = 80
 /** Time beyond its wait after which a listing is given up. */
-export const LIST_TIMEOUT_MILLISECONDS = 120
+export const LIST_TIMEOUT_MILLISECONDS = 50
 /** Listings without an answer in a row after which the lease is no longer renewed, so that the runs surely end. */
-export const MAXIMUM_SILENT_LISTINGS = 3
+export const MAXIMUM_SILENT_LISTINGS = 4
 /** Pause between attempts to reach an upstream that does not answer. */
-export const RETRY_MILLISECONDS = 50
+export const RETRY_MILLISECONDS = 20
 /** Time without a listing after which an upstream takes no new runs: three listings of ordinary length. */
-export const LISTING_AGE_MILLISECONDS = 700
+export const LISTING_AGE_MILLISECONDS = 400
 /** Step by which the fence is raised when the upstream has seen a higher one. */
 export const FENCE_STEP = 100_000
 /** Forward jump of the upstream's clock against the agent's from which on the agent's VM must have been suspended. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,7 +9,7 @@
     alias: [{ find: /^@baobabpost\/([a-z-]+)$/, replacement: `${packages}$1/src/index.ts` }]
   },
   test: {
-    include: ['packages/*/tests/**/*.test.ts'],
+    include: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
     reporters: ['default', './tools/verdict-reporter.ts'],
     testTimeout: 30_000,
     hookTimeout: 30_000,
