Take no run for a stranger because an older listing arrived later

Change: the upstream's clock tells which listing is newer; an older one only counts for its numbered ends.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -16,6 +16,7 @@
   // Orders to the life before may still arrive, also where the next life has seen no fence.
   state.fence += 1
   state.lastEnd = 0
+  state.listedClock = 0
   state.clock.reset()
   state.observations.reset()
   ports.logger.warn('upstream life ended', { reason })
@@ -93,7 +94,12 @@
 }
 
 function takeListing (
-  state: RunBookState, ports: RunBookPorts, listing: Listing, askedAt: number, now: number
+  state: RunBookState,
+  ports: RunBookPorts,
+  listing: Listing,
+  clock: number | undefined,
+  askedAt: number,
+  now: number
 ): void {
   const bornAt = state.life?.bornAt
   if (listing.bornAt !== undefined && bornAt !== undefined && listing.bornAt !== bornAt) {
@@ -103,6 +109,13 @@
     return
   }
   state.listedAt = now
+  // Answers on two connections may overtake each other; ends are numbered, the rest counts for its moment only.
+  const overtaken = clock !== undefined && clock < state.listedClock
+  if (overtaken) {
+    for (const end of listing.ended) takeEnd(state, ports, end, now)
+    return
+  }
+  state.listedClock = clock ?? 0
   const strangers = stopStrangers(state, ports, listing)
   if (state.phase !== 'serving') {
     for (const end of listing.ended) state.lastEnd = Math.max(state.lastEnd, end.number)
@@ -133,7 +146,7 @@
     return endLapsed(state, ports, now)
   }
   state.silentListings = 0
-  takeListing(state, ports, answer.listing, askedAt, now)
+  takeListing(state, ports, answer.listing, answer.clock, askedAt, now)
   startWaiting(state, ports, now)
 }
 
--- a/packages/runs/src/run-book-state.ts
+++ b/packages/runs/src/run-book-state.ts
@@ -56,6 +56,8 @@
   lastEnd: number
   /** Agent time of the last listing; 0 before. */
   listedAt: number
+  /** Upstream's clock in that listing. */
+  listedClock: number
   silentListings: number
   /** Agent time at which a lease was last asked for. */
   renewedAt: number
@@ -89,6 +91,7 @@
     fence,
     lastEnd: 0,
     listedAt: 0,
+    listedClock: 0,
     silentListings: 0,
     renewedAt: 0,
     departed: false,
