--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -93,38 +93,44 @@
   }
 }
 
-function takeListing (
-  state: RunBookState,
-  ports: RunBookPorts,
-  listing: Listing,
-  clock: number | undefined,
-  askedAt: number,
-  now: number
-): void {
+/** Whether a listing is of the life that is known; one of a later life ends the known one. */
+function isOfThisLife (state: RunBookState, ports: RunBookPorts, listing: Listing, now: number): boolean {
   const bornAt = state.life?.bornAt
-  if (listing.bornAt !== undefined && bornAt !== undefined && listing.bornAt !== bornAt) {
-    if (listing.bornAt < bornAt) return
+  if (listing.bornAt === undefined || bornAt === undefined || listing.bornAt === bornAt) return true
+  if (listing.bornAt > bornAt) {
     state.life = { id: state.life?.id ?? '', bornAt: listing.bornAt }
     forgetLife(state, ports, 'the upstream was started again', now)
-    return
   }
-  state.listedAt = now
-  // Answers on two connections may overtake each other; ends are numbered, the rest counts for its moment only.
-  const overtaken = clock !== undefined && clock < state.listedClock
-  if (overtaken) {
-    for (const end of listing.ended) takeEnd(state, ports, end, now)
+  return false
+}
+
+/** Takes in what an upstream lists that may hold runs of an earlier incarnation of the agent. */
+function clearUpstream (state: RunBookState, ports: RunBookPorts, listing: Listing): void {
+  for (const end of listing.ended) state.lastEnd = Math.max(state.lastEnd, end.number)
+  if (stopStrangers(state, ports, listing) > 0) {
+    state.phase = 'clearing'
     return
   }
-  state.listedClock = clock ?? 0
-  const strangers = stopStrangers(state, ports, listing)
+  state.phase = 'serving'
+  state.cleared = true
+  ports.logger.info('upstream serves', { fence: state.fence })
+}
+
+function takeListing (
+  state: RunBookState, ports: RunBookPorts, listing: Listing, clock: number, askedAt: number, now: number
+): void {
+  if (!isOfThisLife(state, ports, listing, now)) return
+  state.listedAt = now
+  // Answers on two connections may overtake each other: what runs counts for its moment, ends are numbered.
+  const overtaken = clock < state.listedClock
+  state.listedClock = Math.max(clock, state.listedClock)
   if (state.phase !== 'serving') {
-    for (const end of listing.ended) state.lastEnd = Math.max(state.lastEnd, end.number)
-    state.phase = strangers === 0 ? 'serving' : 'clearing'
-    state.cleared ||= strangers === 0
-    if (strangers === 0) ports.logger.info('upstream serves', { fence: state.fence })
+    if (!overtaken) clearUpstream(state, ports, listing)
     return
   }
   for (const end of listing.ended) takeEnd(state, ports, end, now)
+  if (overtaken) return
+  stopStrangers(state, ports, listing)
   noteProgress(state, ports, listing, now)
   endMissing(state, ports, new Map(listing.running.map(({ task, run }) => [task, run])), askedAt, now)
 }
@@ -146,7 +152,7 @@
     return endLapsed(state, ports, now)
   }
   state.silentListings = 0
-  takeListing(state, ports, answer.listing, answer.clock, askedAt, now)
+  takeListing(state, ports, answer.listing, answer.clock ?? 0, askedAt, now)
   startWaiting(state, ports, now)
 }
 
