Log a closed list of events without blocking, and serve metrics as text

Cause: an on-call engineer has only logs and metrics; lines went to standard output with blocking writes, their names stood all over the code, and no metrics were served to a scraper.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,9 +1,13 @@
 /** Identities, error kinds, clock, settings, logs and metrics that every package shares. */
 export * from './dispatch-error.js'
 export * from './error-kinds.js'
+export * from './event-logger.js'
+export * from './event-metrics.js'
 export * from './identities.js'
 export * from './indexed-heap.js'
 export * from './invariants.js'
+export * from './line-sink.js'
+export * from './log-events.js'
 export * from './logger.js'
 export * from './metrics.js'
 export * from './partition.js'
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -1,5 +1,5 @@
 /** State of an entry's dispatcher, and what it has others do. */
-import type { Logger } from '@baobabpost/common'
+import type { EventLogger } from '@baobabpost/common'
 import type { RunOrder, Start, Stop } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import type { Job, JobTask } from './job.js'
@@ -11,7 +11,7 @@
   sendStart: (view: AgentView, start: Start) => void
   /** Sends a stop; its answer comes back as `stopAnswered`, if any. */
   sendStop: (view: AgentView, stop: Stop) => void
-  readonly logger: Logger
+  readonly logger: EventLogger
 }
 
 /** A task with its job. */
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -1,5 +1,5 @@
 /** Runs an entry's decisions: watches of the agents, calls to them, and timers. */
-import type { Logger } from '@baobabpost/common'
+import type { EventLogger } from '@baobabpost/common'
 import { CallError, createCallClient, type CallClient, type Start, type Stop } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import { createDispatcher, type Dispatcher } from './create-dispatcher.js'
@@ -32,7 +32,7 @@
   readonly failureDomain: string
   readonly placement?: Placement
   readonly client?: CallClient
-  readonly logger: Logger
+  readonly logger: EventLogger
   /** Steady clock in milliseconds. */
   readonly now: () => number
 }
--- a/packages/fleet-calls/src/call-server.ts
+++ b/packages/fleet-calls/src/call-server.ts
@@ -1,6 +1,6 @@
 /** Answers calls of other processes: JSON-RPC over HTTP. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Logger } from '@baobabpost/common'
+import type { EventLogger } from '@baobabpost/common'
 import { Result, Schema } from 'effect'
 import { isJSONRPCRequest, JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0'
 import { CALLS, type CallHandlers, type CallName } from './calls.js'
@@ -12,7 +12,7 @@
 /** Time after which an idle connection is closed; callers close theirs earlier. */
 const KEEP_ALIVE_MILLISECONDS = 60_000
 
-function createMethods (handlers: CallHandlers, logger: Logger): JSONRPCServer {
+function createMethods (handlers: CallHandlers, logger: EventLogger): JSONRPCServer {
   const methods = new JSONRPCServer({
     errorListener: (reason, data) => { logger.warn('call failed', { reason, data: String(data) }) }
   })
@@ -44,7 +44,7 @@
  * @example
  * createCallServer({ announce: ({ member }) => ({ members: fleet.add(member) }) }, logger).listen(7720, '10.1.0.13')
  */
-export function createCallServer (handlers: CallHandlers, logger: Logger): Server {
+export function createCallServer (handlers: CallHandlers, logger: EventLogger): Server {
   const methods = createMethods(handlers, logger)
 
   async function take (body: string, outgoing: ServerResponse): Promise<void> {
--- a/packages/fleet-calls/src/create-directory.ts
+++ b/packages/fleet-calls/src/create-directory.ts
@@ -1,5 +1,5 @@
 /** Who is in the fleet: learnt from addresses given at start and from what processes announce to entries. */
-import type { Logger } from '@baobabpost/common'
+import type { EventLogger } from '@baobabpost/common'
 import type { CallClient } from './call-client.js'
 import type { Announce, AnnounceAnswer, Member } from './entry-messages.js'
 
@@ -33,7 +33,7 @@
   /** Addresses at which entries may be found. */
   readonly seeds: readonly string[]
   readonly client: CallClient
-  readonly logger: Logger
+  readonly logger: EventLogger
   /** Steady clock in milliseconds. */
   readonly now: () => number
   /** Told of each member when it is first known or has moved. */
@@ -65,7 +65,7 @@
     const known = members.get(member.name)
     if (known !== undefined && known.member.address === member.address) return
     members.set(member.name, { member, heardAt: now() })
-    options.logger.info('member found', { member: member.name, role: member.role, address: member.address })
+    options.logger.info('member found', { member: member.name, memberRole: member.role, address: member.address })
     options.onMember(member)
   }
 
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -1,5 +1,5 @@
 /** A whole fleet in one process: the real programs of entries and agents, leased upstreams, and callers. */
-import { silentLogger, type Logger } from '@baobabpost/common'
+import { silentLogger, type EventLogger } from '@baobabpost/common'
 import { startEntryProgram, type EntryProgram, type JobAnswer, type JobStep, type Placement } from '@baobabpost/dispatching'
 import type { CallClient, CallHandlers, Size } from '@baobabpost/fleet-calls'
 import { startAgentProgram, type AgentProgram, type Upstream } from '@baobabpost/runs'
@@ -74,7 +74,7 @@
   /** Capacity and speed of each upstream. */
   readonly upstreams: ReadonlyArray<{ readonly capacity: Size, readonly speed: number }>
   readonly placement?: () => Placement
-  readonly logger?: Logger
+  readonly logger?: EventLogger
 }
 
 function pause (milliseconds: number): Promise<void> {
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -1,5 +1,5 @@
 /** Runs an agent's decisions: the loop of listings, the timers, and the watches that wait. */
-import type { Logger } from '@baobabpost/common'
+import type { EventLogger } from '@baobabpost/common'
 import type { CallHandlers, Start, StartAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
 import { createRunBook, type RunBook } from './create-run-book.js'
 import type { EntrySession } from './entry-session.js'
@@ -35,7 +35,7 @@
   readonly upstream: Upstream
   readonly incarnation: string
   readonly fence: number
-  readonly logger: Logger
+  readonly logger: EventLogger
   /** Steady clock in milliseconds. */
   readonly now: () => number
 }
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -99,6 +99,7 @@
     specification: start.specification,
     priority: start.priority,
     patientUntil: now + start.patienceMilliseconds,
+    acceptedAt: now,
     state: 'waiting',
     upstreamRun: order.run,
     runNumberAttempts: 0,
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -43,6 +43,13 @@
       endRun(state, ports, record, 'not-started', 'not-accepting', now)
     } else if (fitsInto(record.order.size, freeRoom(state))) {
       bookRun(state, record)
+      ports.logger.info('run ordered', {
+        task: record.order.task,
+        run: record.order.run,
+        entry: record.session.entry,
+        waited: Math.round(now - record.acceptedAt),
+        free: freeRoom(state).processor
+      })
       record.orderedAt = now
       sendStart(state, ports, record, now)
     } else if (now > record.patientUntil) {
--- a/packages/runs/src/run-book-state.ts
+++ b/packages/runs/src/run-book-state.ts
@@ -1,5 +1,5 @@
 /** State of an agent's run book, and the few changes of it that every part shares. */
-import type { Logger } from '@baobabpost/common'
+import type { EventLogger } from '@baobabpost/common'
 import { addSizes, EMPTY_SIZE, subtractSizes, type RunOutcome, type Size } from '@baobabpost/fleet-calls'
 import { addReport, type EntrySession } from './entry-session.js'
 import { createObservations, type Observations } from './observations.js'
@@ -21,7 +21,7 @@
   look: () => void
   /** Answers the waiting watch of an entry; of all entries without one. */
   wake: (session?: EntrySession) => void
-  readonly logger: Logger
+  readonly logger: EventLogger
 }
 
 /**
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -21,6 +21,8 @@
   readonly priority: number
   /** Agent time after which it no longer waits for room. */
   readonly patientUntil: number
+  /** Agent time at which it was accepted. */
+  readonly acceptedAt: number
   state: RunState
   /** Number of the run at the upstream: the entry's, or a higher one where the upstream has seen that. */
   upstreamRun: number
