--- a/packages/docs-lists/src/lists.ts
+++ b/packages/docs-lists/src/lists.ts
@@ -4,7 +4,9 @@
 import {
   COMMANDS, EXIT_CODES, OperatorCommand, renderExplanation, renderFleet, renderUpstreams
 } from '@baobabpost/command-line'
-import { ERROR_KINDS, errorAnswer, flagName, METRICS, variableName, type SettingDefinitions } from '@baobabpost/common'
+import {
+  ERROR_KINDS, errorAnswer, EVENT_METRICS, flagName, LOG_EVENTS, METRICS, variableName, type SettingDefinitions
+} from '@baobabpost/common'
 import { ENTRY_SETTINGS } from '@baobabpost/entry'
 import { standInPlatformSettings } from '@baobabpost/stand-in-platform'
 import { standInUpstreamSettings } from '@baobabpost/stand-in-upstream'
@@ -40,6 +42,16 @@
   return formatMarkdownTable(['metric', 'type', 'unit', 'meaning'], rows)
 }
 
+function renderEventMetrics (): string {
+  const rows = Object.entries(EVENT_METRICS).map(([name, { type, about }]) => [code(name), type, about])
+  return formatMarkdownTable(['metric', 'type', 'meaning'], rows)
+}
+
+function renderEvents (): string {
+  const rows = Object.entries(LOG_EVENTS).map(([event, about]) => [code(event), about])
+  return formatMarkdownTable(['event', 'meaning and fields'], rows)
+}
+
 function renderCommands (): string {
   const rows = Object.entries(COMMANDS).map(([id, command]) => {
     const argumentNames = Object.entries(command.args ?? {}).map(([name, argument]) =>
@@ -101,6 +113,8 @@
 export const DOCS_LISTS: readonly DocsList[] = [
   { page: 'docs/ERRORS.md', name: 'errors', render: renderErrors },
   { page: 'docs/METRICS.md', name: 'metrics', render: renderMetrics },
+  { page: 'docs/METRICS.md', name: 'event-metrics', render: renderEventMetrics },
+  { page: 'docs/LOGS.md', name: 'events', render: renderEvents },
   { page: 'docs/SETTINGS.md', name: 'entry-settings', render: () => renderSettings(ENTRY_SETTINGS) },
   { page: 'docs/SETTINGS.md', name: 'agent-settings', render: () => renderSettings(agentSettings) },
   { page: 'docs/SETTINGS.md', name: 'platform-settings', render: () => renderSettings(standInPlatformSettings) },
