Let what agents and entries spend on each other follow the work

Every entry watched every agent at least five times a second once it had work there, jobs were spread over many agents, and timers ran at 10 to 50 ms whether there was work or not. Change: jobs keep to fewer agents and to their own failure domain unless that costs 12 or 25 ms; idle watches grow longer with the fleet; timers are slower; the entry lease is 570 ms, looked at every 40.

--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -5,7 +5,9 @@
 } from './agent-answers.js'
 import { createAgentView, isUsable, type AgentView } from './agent-view.js'
 import { assignWaiting, callerFor } from './assignments.js'
-import { BUSY_WATCH_MILLISECONDS, IDLE_WATCH_MILLISECONDS, STALL_MILLISECONDS } from './dispatch-limits.js'
+import {
+  BUSY_WATCH_MILLISECONDS, IDLE_WATCH_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT, STALL_MILLISECONDS
+} from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
 import { answerJob } from './job-ends.js'
@@ -157,6 +159,11 @@
     return view
   }
 
+  function idleWatch (): number {
+    const { least, most } = IDLE_WATCH_MILLISECONDS
+    return Math.min(most, Math.max(least, state.agents.size * IDLE_WATCH_MILLISECONDS_PER_AGENT))
+  }
+
   function hasWorkAt (view: AgentView): boolean {
     for (const { task } of state.assigned.values()) {
       if (task.assignment?.agent === view.name) return true
@@ -173,7 +180,7 @@
       caller: callerFor(state, view),
       acknowledged: view.acknowledged,
       profileVersion: view.profile?.version ?? 0,
-      waitMilliseconds: hasWorkAt(view) ? BUSY_WATCH_MILLISECONDS : IDLE_WATCH_MILLISECONDS
+      waitMilliseconds: hasWorkAt(view) ? BUSY_WATCH_MILLISECONDS : idleWatch()
     }),
     watchAnswered: (view, answer, now) => {
       takeWatchAnswer(state, ports, view, answer, now)
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -4,18 +4,20 @@
 export const WAITING_SHARE = 0.22
 /** Wait for the answer to a start or a stop. */
 export const CALL_TIMEOUT_MILLISECONDS = 150
-/** Wait of a watch at an agent that runs something for this entry: a third of the entry lease. */
-export const BUSY_WATCH_MILLISECONDS = 200
-/** Wait of a watch at an agent that runs nothing for this entry. */
-export const IDLE_WATCH_MILLISECONDS = 1_000
+/** Wait of a watch at an agent that runs something for this entry: half of the entry lease. */
+export const BUSY_WATCH_MILLISECONDS = 280
+/** Wait of a watch at an agent that runs nothing for this entry: this much for each agent that is known … */
+export const IDLE_WATCH_MILLISECONDS_PER_AGENT = 60
+/** … within these bounds, so that what idle watches cost an entry doesn't grow with the fleet. */
+export const IDLE_WATCH_MILLISECONDS = { least: 600, most: 2_000 }
 /** Time beyond its wait after which a watch is given up. */
 export const WATCH_TIMEOUT_MILLISECONDS = 150
 /** Pause between watches of an agent that does not answer. */
 export const WATCH_RETRY_MILLISECONDS = 100
 /** Cost of another failure domain, as milliseconds of response: bytes between them are dear. */
-export const FAR_MILLISECONDS = 6
+export const FAR_MILLISECONDS = 25
 /** Cost of one more agent for a job, as milliseconds of response: each gets the specification once. */
-export const SPREAD_MILLISECONDS = 4
+export const SPREAD_MILLISECONDS = 12
 /** Times the expected wait for which a task may wait at an agent whose room is taken … */
 export const PATIENCE_FACTOR = 2
 /** … and this much more, in milliseconds. */
@@ -23,7 +25,7 @@
 /** Cost of an upstream without room, as milliseconds of response: how soon it has some is a guess. */
 export const NO_ROOM_MILLISECONDS = 25
 /** Cost of an upstream whose room would be all taken, as a share of the run time: another entry may be there first. */
-export const CROWDED_SHARE = 0.25
+export const CROWDED_SHARE = 0.15
 /** Priorities below all of those in time, for jobs that can only be late. */
 export const LATE_PRIORITY = 4
 /** Share of an upstream that is left free for work in time when jobs that are late get the rest. */
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -9,7 +9,7 @@
 import type { Placement } from './placement.js'
 
 /** Interval at which waits and deadlines are looked at; small against the shortest objective. */
-const TICK_MILLISECONDS = 10
+const TICK_MILLISECONDS = 20
 /** Time after which an agent that does not answer is forgotten; it announces itself when it is back. */
 const FORGET_MILLISECONDS = 60_000
 /** Attempts to send an unanswered start again before its fate is left to the leases. */
--- a/packages/fleet-calls/src/create-directory.ts
+++ b/packages/fleet-calls/src/create-directory.ts
@@ -126,7 +126,12 @@
     }
   }
 
-  const timer = setInterval(announce, FIRST_ANNOUNCE_MILLISECONDS / 2)
-  announce()
-  return { announced, found, entryAddresses, close: () => { clearInterval(timer) } }
+  let timer: ReturnType<typeof setTimeout> | undefined
+  function keepAnnouncing (): void {
+    announce()
+    const starting = now() - startedAt < STARTING_MILLISECONDS
+    timer = setTimeout(keepAnnouncing, starting ? FIRST_ANNOUNCE_MILLISECONDS / 2 : ANNOUNCE_MILLISECONDS / 2)
+  }
+  keepAnnouncing()
+  return { announced, found, entryAddresses, close: () => { clearTimeout(timer) } }
 }
--- a/packages/fleet-calls/src/lease-lengths.ts
+++ b/packages/fleet-calls/src/lease-lengths.ts
@@ -7,7 +7,7 @@
  */
 
 /** Time for which an agent lets an entry's runs go on after the entry last proved that it hears the agent. */
-export const ENTRY_LEASE_MILLISECONDS = 600
+export const ENTRY_LEASE_MILLISECONDS = 570
 
 /** Time for which an upstream lets runs go on after the agent last renewed its lease. */
 export const RUN_LEASE_MILLISECONDS = 640
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -9,12 +9,12 @@
 import type { ListAnswer, Upstream, UpstreamReport } from './upstream.js'
 
 /** Interval at which leases and waits are looked at; small against the leases. */
-const TICK_MILLISECONDS = 20
+const TICK_MILLISECONDS = 40
 /** Longest wait of a watch. */
 const MAXIMUM_WATCH_MILLISECONDS = 2_000
 
 /** Watches that wait longer end when their entry sends work. */
-const LONG_WATCH_MILLISECONDS = 250
+const LONG_WATCH_MILLISECONDS = 300
 
 /** A running agent. */
 export interface AgentProgram {
--- a/packages/runs/src/create-run-book.ts
+++ b/packages/runs/src/create-run-book.ts
@@ -6,7 +6,7 @@
 import { takeListAnswer } from './listings.js'
 import { leaseUntil, startWaiting, takeStartAnswer, takeStopAnswer } from './orders.js'
 import { createRunBookState, type RunBookPorts } from './run-book-state.js'
-import { LIST_WAIT_MILLISECONDS, MAXIMUM_SILENT_LISTINGS } from './run-limits.js'
+import { IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_SILENT_LISTINGS } from './run-limits.js'
 import type { RunRecord } from './run-record.js'
 import type { ListAnswer, ListOrder, OrderAnswer, UpstreamReport } from './upstream.js'
 
@@ -83,6 +83,11 @@
     }
   }
 
+  function listingWait (): number {
+    if (state.silentListings > 0 || state.phase !== 'serving') return 0
+    return state.runs.size > 0 ? LIST_WAIT_MILLISECONDS : IDLE_LIST_WAIT_MILLISECONDS
+  }
+
   return {
     answerStart: (start, now) => answerStart(state, ports, start, now),
     answerStop: (stop, now) => answerStop(state, ports, stop, now),
@@ -139,6 +144,6 @@
       return true
     },
     runCount: () => state.runs.size,
-    listingWait: () => state.silentListings > 0 || state.phase !== 'serving' ? 0 : LIST_WAIT_MILLISECONDS
+    listingWait
   }
 }
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -4,6 +4,8 @@
 export const ORDER_TIMEOUT_MILLISECONDS = 50
 /** Wait of a listing for an end: an eighth of the run lease, so that lost listings neither end it nor hide ends. */
 export const LIST_WAIT_MILLISECONDS = 80
+/** The same where nothing runs, so that no end is awaited; still well within the lease of a run that starts meanwhile. */
+export const IDLE_LIST_WAIT_MILLISECONDS = 240
 /** Time beyond its wait after which a listing is given up. */
 export const LIST_TIMEOUT_MILLISECONDS = 50
 /** Listings without an answer in a row after which the lease is no longer renewed, so that the runs surely end. */
@@ -11,7 +13,7 @@
 /** Pause between attempts to reach an upstream that does not answer. */
 export const RETRY_MILLISECONDS = 20
 /** Time without a listing after which an upstream takes no new runs: three listings of ordinary length. */
-export const LISTING_AGE_MILLISECONDS = 400
+export const LISTING_AGE_MILLISECONDS = 700
 /** Step by which the fence is raised when the upstream has seen a higher one. */
 export const FENCE_STEP = 100_000
 /** Forward jump of the upstream's clock against the agent's from which on the agent's VM must have been suspended. */
