--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -4,7 +4,7 @@
 export const ORDER_TIMEOUT_MILLISECONDS = 50
 /** Wait of a listing for an end: an eighth of the run lease, so that lost listings neither end it nor hide ends. */
 export const LIST_WAIT_MILLISECONDS = 80
-/** The same where nothing runs, so that no end is awaited; still well within the lease of a run that starts meanwhile. */
+/** The same where nothing runs and no end is awaited; well within the lease of a run that starts meanwhile. */
 export const IDLE_LIST_WAIT_MILLISECONDS = 240
 /** Time beyond its wait after which a listing is given up. */
 export const LIST_TIMEOUT_MILLISECONDS = 50
