Gather ends for a few milliseconds, and go through waiting jobs less often

Change: ends are gathered for 6 ms; a pass runs at most every 8 ms, and an arrival is placed by itself unless jobs that can still be in time wait before it.

--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -2,8 +2,8 @@
 import { addSizes, EMPTY_SIZE, fitsInto, type Caller } from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
 import {
-  FASTEST_SLOWNESS, LATE_PRIORITY, MAXIMUM_LATE_JOBS, PATIENCE_FACTOR, PATIENCE_MILLISECONDS, PROBE_MILLISECONDS,
-  RETRY_AFTER_MILLISECONDS, SPARE_SHARE, WAITING_SHARE
+  ASSIGN_MILLISECONDS, FASTEST_SLOWNESS, LATE_PRIORITY, MAXIMUM_LATE_JOBS, PATIENCE_FACTOR, PATIENCE_MILLISECONDS,
+  PROBE_MILLISECONDS, RETRY_AFTER_MILLISECONDS, SPARE_SHARE, WAITING_SHARE
 } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, PendingOrders } from './dispatcher-state.js'
 import { findEjected } from './ejection.js'
@@ -211,9 +211,21 @@
   return late
 }
 
+/** Tries to send a job that has just arrived, unless jobs that can still be in time wait before it. */
+export function assignArrival (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): void {
+  const behindOthers = state.waiting.some(other => !other.late && !other.answered)
+  if (behindOthers || !assignJob(state, ports, job, now)) state.waiting.push(job)
+}
+
+/** Goes through the jobs with waiting tasks, if that was not done just now; the next tick does it else. */
+export function assignSoon (state: DispatcherState, ports: DispatcherPorts, now: number): void {
+  if (now - state.assignedAt >= ASSIGN_MILLISECONDS) assignWaiting(state, ports, now)
+}
+
 /** Goes through the jobs with waiting tasks: by priority, then by arrival. */
 export function assignWaiting (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   if (state.waiting.length === 0) return
+  state.assignedAt = now
   const ordered = [...state.waiting].sort((left, right) =>
     Number(left.late) - Number(right.late) ||
     left.request.priority - right.request.priority ||
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -4,7 +4,7 @@
   endSilent, takeStartAnswer, takeStartFailure, takeStopAnswer, takeWatchAnswer, takeWatchFailure
 } from './agent-answers.js'
 import { createAgentView, isUsable, type AgentView } from './agent-view.js'
-import { assignWaiting, callerFor } from './assignments.js'
+import { assignArrival, assignSoon, assignWaiting, callerFor } from './assignments.js'
 import {
   BUSY_WATCH_MILLISECONDS, IDLE_WATCH_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT, STALL_MILLISECONDS
 } from './dispatch-limits.js'
@@ -72,7 +72,8 @@
     agents: new Map(),
     jobs: new Map(),
     assigned: new Map(),
-    waiting: []
+    waiting: [],
+    assignedAt: 0
   }
   const ports: DispatcherPorts = options
   let tickedAt: number | undefined
@@ -86,8 +87,7 @@
     const withdraw = (later: number): void => { giveUp(job, 'the caller left', later) }
     if (known === undefined) {
       state.jobs.set(request.id, job)
-      state.waiting.push(job)
-      assignWaiting(state, ports, now)
+      assignArrival(state, ports, job, now)
       return withdraw
     }
     // Only one of the same job may run; its caller sent it again because the connection broke.
@@ -184,12 +184,12 @@
     }),
     watchAnswered: (view, answer, now) => {
       takeWatchAnswer(state, ports, view, answer, now)
-      assignWaiting(state, ports, now)
+      assignSoon(state, ports, now)
     },
     watchFailed: (view, refused, now) => { takeWatchFailure(ports, view, refused, now) },
     startAnswered: (view, start, answer, now) => {
       takeStartAnswer(state, ports, view, start, answer, now)
-      assignWaiting(state, ports, now)
+      assignSoon(state, ports, now)
     },
     startFailed: (view, start, refused, now) => { takeStartFailure(state, ports, view, start, refused, now) },
     stopAnswered: (view, answer, now) => { takeStopAnswer(state, ports, view, answer, now) },
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -40,6 +40,8 @@
 export const MAXIMUM_EJECTED_SHARE = 0.34
 /** Interval at which an ejected upstream gets a task. */
 export const PROBE_MILLISECONDS = 500
+/** Shortest interval between two passes over the waiting jobs: under overload each answer of an agent asks for one. */
+export const ASSIGN_MILLISECONDS = 8
 /** Pause before a task is sent again to an agent that is still stopping another run of it. */
 export const BUSY_PAUSE_MILLISECONDS = 30
 /** Shortest time that callers are asked to stay away after a refusal. */
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -34,6 +34,8 @@
   readonly assigned: Map<string, TaskOfJob>
   /** Jobs with tasks that wait to be sent. */
   waiting: Job[]
+  /** When the waiting jobs were last gone through. */
+  assignedAt: number
 }
 
 /** Orders of one job for one agent, not sent yet. */
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -10,6 +10,8 @@
 
 /** Interval at which leases and waits are looked at; small against the leases. */
 const TICK_MILLISECONDS = 40
+/** Time for which ends are gathered before they are told: small against the slack of the shortest objective. */
+const COALESCE_MILLISECONDS = 6
 /** Longest wait of a watch. */
 const MAXIMUM_WATCH_MILLISECONDS = 2_000
 
@@ -110,7 +112,7 @@
   async function keepListing (): Promise<void> {
     while (!life.stopped) {
       const answer = await list(book.listingWait())
-      if (answer.outcome !== 'taken') await pause(RETRY_MILLISECONDS)
+      await pause(answer.outcome === 'taken' ? COALESCE_MILLISECONDS : RETRY_MILLISECONDS)
     }
   }
 
@@ -127,8 +129,8 @@
         answer: () => {
           if (!waiting.delete(entry)) return
           clearTimeout(timer)
-          // Ends of one listing travel in one answer.
-          setImmediate(() => { resolve(book.answerWatch(parameters, now())) })
+          // Tasks of one job end close together; their ends travel in one answer.
+          setTimeout(() => { resolve(book.answerWatch(parameters, now())) }, COALESCE_MILLISECONDS)
         }
       }
       const timer = setTimeout(entry.answer, Math.min(parameters.waitMilliseconds, MAXIMUM_WATCH_MILLISECONDS))
