--- a/packages/rehearsal/src/run-ledger.ts
+++ b/packages/rehearsal/src/run-ledger.ts
@@ -23,6 +23,7 @@
 export function createRunLedger (now: () => number): RunLedger {
   const running = new Map<string, string>()
   const starts = new Map<string, number>()
+  const startedOf = new Map<string, Set<string>>()
   const done = new Set<string>()
   const answers = new Map<JobAnswer['kind'], number>()
   const refused = new Map<string, boolean>()
@@ -47,6 +48,8 @@
       if (refused.get(jobOf(task)) === true) violate(`${task} starts after its job was refused`)
       running.set(task, upstream)
       starts.set(task, (starts.get(task) ?? 0) + 1)
+      const tasks = startedOf.get(jobOf(task)) ?? new Set()
+      startedOf.set(jobOf(task), tasks.add(task))
     },
     ended: (upstream, task, kind) => {
       if (running.get(task) === upstream) running.delete(task)
@@ -55,7 +58,7 @@
     answered: (job, answer, withdrawn) => {
       if (withdrawn) return
       answers.set(answer.kind, (answers.get(answer.kind) ?? 0) + 1)
-      const started = [...starts.keys()].filter(task => jobOf(task) === job)
+      const started = [...startedOf.get(job) ?? []]
       if (answer.kind === 'refused' && !refused.has(job)) {
         if (started.length > 0) violate(`${job} is refused, and ${started[0]} has run`)
         refused.set(job, true)
