Leave the session of a restarted entry alone when its former watch ends

Cause: found by reading: an agent answered a watch that had waited since before its entry was restarted by opening the former life's session again, which stopped the runs of the new one and forgot its reports. Change: a watch is answered from the session that it began with.

--- a/packages/rehearsal/tests/fleet-faults.test.ts
+++ b/packages/rehearsal/tests/fleet-faults.test.ts
@@ -176,6 +176,19 @@
     expect(again.answer?.kind).toBe('completed')
   })
 
+  it('serves a restarted entry although a watch of its former life still waits', async () => {
+    await start(1, 1)
+    const entry = first(fleet.entries)
+    fleet.killEntry(entry)
+    await vi.advanceTimersByTimeAsync(10)
+    fleet.startEntry(entry)
+    await vi.advanceTimersByTimeAsync(30)
+    const sending = fleet.send(entry, job(700, 4))
+    await vi.advanceTimersByTimeAsync(3_000)
+    expect(sending.answer?.kind).toBe('completed')
+    expect([...fleet.ledger.starts.values()]).toEqual([1, 1, 1, 1])
+  })
+
   it('gives the room of a caller that left to the next', async () => {
     await start(1, 1)
     const entry = first(fleet.entries)
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -120,7 +120,7 @@
     const session = book.beginWatch(parameters, now())
     watchedAt.set(parameters.caller.entry, now())
     if (book.hasNews(session, parameters) || parameters.waitMilliseconds === 0) {
-      return Promise.resolve(book.answerWatch(parameters, now()))
+      return Promise.resolve(book.answerWatch(session, parameters, now()))
     }
     return new Promise(resolve => {
       const entry: WaitingWatch = {
@@ -130,7 +130,7 @@
           if (!waiting.delete(entry)) return
           clearTimeout(timer)
           // Tasks of one job end close together; their ends travel in one answer.
-          setTimeout(() => { resolve(book.answerWatch(parameters, now())) }, COALESCE_MILLISECONDS)
+          setTimeout(() => { resolve(book.answerWatch(session, parameters, now())) }, COALESCE_MILLISECONDS)
         }
       }
       const timer = setTimeout(entry.answer, Math.min(parameters.waitMilliseconds, MAXIMUM_WATCH_MILLISECONDS))
--- a/packages/runs/src/create-run-book.ts
+++ b/packages/runs/src/create-run-book.ts
@@ -17,7 +17,7 @@
   beginWatch: (watch: Watch, now: number) => EntrySession
   /** Whether there is something to tell the entry at once. */
   hasNews: (session: EntrySession, watch: Watch) => boolean
-  answerWatch: (watch: Watch, now: number) => WatchAnswer
+  answerWatch: (session: EntrySession, watch: Watch, now: number) => WatchAnswer
   startAnswered: (record: RunRecord, answer: OrderAnswer, usedFence: number, now: number) => void
   stopAnswered: (record: RunRecord, answer: OrderAnswer, usedFence: number, now: number) => void
   /** The next order to list; notes that the lease is asked for. */
@@ -93,7 +93,7 @@
     answerStop: (stop, now) => answerStop(state, ports, stop, now),
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
     hasNews: (session, watch) => session.reports.length > 0 || watch.profileVersion !== state.profileVersion,
-    answerWatch: (watch, now) => answerWatch(state, ports, watch, now),
+    answerWatch: (session, watch, now) => answerWatch(state, session, watch, now),
     startAnswered: (record, answer, usedFence, now) => {
       noteClock(answer.clock, now)
       takeStartAnswer(state, ports, record, answer, usedFence, now)
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -161,13 +161,12 @@
   return describe(state, state.profileVersion, now)
 }
 
-/** Answers an entry that asks for what has changed. */
-export function answerWatch (state: RunBookState, ports: RunBookPorts, watch: Watch, now: number): WatchAnswer {
-  const session = openSession(state, ports, watch.caller, now)
+/** Answers an entry that asks for what has changed. Its session may be of a former life by now, and is left alone. */
+export function answerWatch (state: RunBookState, session: EntrySession, watch: Watch, now: number): WatchAnswer {
   return { ...describe(state, watch.profileVersion, now), reports: session.reports }
 }
 
-/** Takes in a watch: renews the lease and forgets what is acknowledged. Tells whether there is something to answer. */
+/** Takes in a watch: renews the lease and forgets what is acknowledged. */
 export function beginWatch (state: RunBookState, ports: RunBookPorts, watch: Watch, now: number): EntrySession {
   const session = openSession(state, ports, watch.caller, now)
   acknowledgeReports(session, watch.acknowledged)
