Have calls between entries and agents follow the work

Ruled out: start-up of processes alone (39 to 105 ms each), refused calls (none).

Change: old views cost in placement, and entries differ a little in what they prefer; ends of the runs of one start are told together, other ends at once; a waiting watch is shortened by a start to half of the lease instead of being ended; heartbeats that change nothing wake nobody; a watch whose connection ends no longer counts as being in touch, one that waits does; idle watches wait up to 4 s; an idle agent ticks every 160 ms; an agent that did not answer a start gets no more before it answers something.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -214,6 +214,8 @@
   }
   if (unsure.length === 0) return
   ports.logger.warn('start got no answer', { agent: view.name, tasks: unsure.length })
+  // Nothing more goes there before it answers something, be it the stop that follows.
+  view.reachable = false
   stopTasks(state, ports, unsure)
 }
 
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -1,9 +1,12 @@
 /** What an entry knows of one agent and its upstream. */
 import { EMPTY_SIZE, type Profile, type Room, type Size } from '@baobabpost/fleet-calls'
+import { rankFor } from './preference.js'
 
 /** An agent as an entry sees it. All times are of the entry's steady clock, in milliseconds. */
 export interface AgentView {
   readonly name: string
+  /** Where this entry ranks it for no other reason than that entries should differ, from 0 (first) to 1. */
+  readonly preference: number
   address: string
   incarnation: string
   /** When that incarnation first answered: the one before was dead by then. */
@@ -34,11 +37,12 @@
  * Makes the view of an agent that nothing is known of but its address.
  *
  * @example
- * const view = createAgentView('agent-1', '10.1.0.14:7720')
+ * const view = createAgentView('entry-1', 'agent-1', '10.1.0.14:7720')
  */
-export function createAgentView (name: string, address: string): AgentView {
+export function createAgentView (entry: string, name: string, address: string): AgentView {
   return {
     name,
+    preference: rankFor(entry, name),
     address,
     incarnation: '',
     incarnationSince: 0,
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -42,7 +42,7 @@
 
 /** Places all waiting tasks of a job; undefined if one of them has no place now. */
 function planJob (
-  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: readonly AgentView[]
+  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: readonly AgentView[], now: number
 ): Map<JobTask, PlacementChoice> | undefined {
   const plan = new Map<JobTask, PlacementChoice>()
   const used = new Set<string>()
@@ -54,7 +54,8 @@
       priority: job.request.priority,
       candidates: fresh.length > 0 ? fresh : able,
       used,
-      failureDomain: state.failureDomain
+      failureDomain: state.failureDomain,
+      now
     })
     if (choice === undefined) {
       releasePlan(plan)
@@ -146,7 +147,7 @@
   const plan = new Map<JobTask, PlacementChoice>()
   for (const task of due) {
     const spare = agents.filter(view => hasRoomToSpare(view, task))
-    const one = planJob(state, job, [task], spare)
+    const one = planJob(state, job, [task], spare, now)
     const choice = one?.get(task)
     if (choice !== undefined) plan.set(task, choice)
   }
@@ -185,7 +186,7 @@
   if (due.length === 0) return false
   const agents = agentsFor(state, request.service, now)
   if (!job.late) {
-    const plan = planJob(state, job, due, agents)
+    const plan = planJob(state, job, due, agents, now)
     if (plan !== undefined && now + longestFinish(plan) <= request.arrivedAt + job.objectiveMilliseconds) {
       sendPlan(state, ports, job, plan, now)
       return due.length === waiting.length
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -153,7 +153,7 @@
       known.address = address
       return undefined
     }
-    const view = createAgentView(name, address)
+    const view = createAgentView(state.entry, name, address)
     state.agents.set(name, view)
     ports.logger.info('agent added', { agent: name, address })
     return view
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -8,8 +8,8 @@
 export const BUSY_WATCH_MILLISECONDS = 280
 /** Wait of a watch at an agent that runs nothing for this entry: this much for each agent that is known … */
 export const IDLE_WATCH_MILLISECONDS_PER_AGENT = 60
-/** … within these bounds, so that what idle watches cost an entry doesn't grow with the fleet. */
-export const IDLE_WATCH_MILLISECONDS = { least: 600, most: 2_000 }
+/** … within these bounds: the cost grows late with the fleet, and silence is noticed within seconds. */
+export const IDLE_WATCH_MILLISECONDS = { least: 600, most: 4_000 }
 /** Time beyond its wait after which a watch is given up. */
 export const WATCH_TIMEOUT_MILLISECONDS = 150
 /** Pause between watches of an agent that does not answer. */
@@ -18,6 +18,10 @@
 export const FAR_MILLISECONDS = 25
 /** Cost of one more agent for a job, as milliseconds of response: each gets the specification once. */
 export const SPREAD_MILLISECONDS = 12
+/** Cost of an upstream that was last heard of a lease ago, as milliseconds of response: its room is a guess by then. */
+export const OLD_VIEW_MILLISECONDS = 15
+/** Largest cost by which entries differ in what they prefer, as milliseconds of response: they collide less often. */
+export const PREFERENCE_MILLISECONDS = 5
 /** Times the expected wait for which a task may wait at an agent whose room is taken … */
 export const PATIENCE_FACTOR = 2
 /** … and this much more, in milliseconds. */
--- a/packages/dispatching/src/placement.ts
+++ b/packages/dispatching/src/placement.ts
@@ -1,6 +1,10 @@
 /** Choice of the upstream for a task. */
 import type { AgentView } from './agent-view.js'
-import { CROWDED_SHARE, FAR_MILLISECONDS, NO_ROOM_MILLISECONDS, SPREAD_MILLISECONDS } from './dispatch-limits.js'
+import { ENTRY_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import {
+  CROWDED_SHARE, FAR_MILLISECONDS, NO_ROOM_MILLISECONDS, OLD_VIEW_MILLISECONDS, PREFERENCE_MILLISECONDS,
+  SPREAD_MILLISECONDS
+} from './dispatch-limits.js'
 import type { JobTask } from './job.js'
 
 /** What a placement decides from. */
@@ -13,6 +17,8 @@
   readonly used: ReadonlySet<string>
   /** Failure domain of the entry. */
   readonly failureDomain: string
+  /** Entry's steady clock, in milliseconds. */
+  readonly now: number
 }
 
 /** A choice, with what is expected of it. */
@@ -62,6 +68,11 @@
   return Math.min(1, Math.max(0, 1 - (view.room.free.processor - view.unanswered.processor) / capacity))
 }
 
+/** How old what is known of an agent is, from 0 to 1 for a lease or more. */
+function staleness (view: AgentView, now: number): number {
+  return Math.min(1, Math.max(0, (now - view.heardReceivedAt) / ENTRY_LEASE_MILLISECONDS))
+}
+
 /** Takes the upstream where the task is expected to end first; near ones, and those of the job, when it is close. */
 export class EarliestFinishPlacement extends Placement {
   override choose (question: PlacementQuestion): PlacementChoice | undefined {
@@ -74,6 +85,7 @@
       cost += CROWDED_SHARE * crowding(view) * (choice.finishMilliseconds - choice.waitMilliseconds)
       if (view.profile?.failureDomain !== question.failureDomain) cost += FAR_MILLISECONDS
       if (!question.used.has(view.name)) cost += SPREAD_MILLISECONDS
+      cost += OLD_VIEW_MILLISECONDS * staleness(view, question.now) + PREFERENCE_MILLISECONDS * view.preference
       const { rack } = question.task.step
       if (rack !== undefined && view.profile?.labels.includes(rack) !== true) cost += choice.finishMilliseconds
       if (cost >= bestCost) continue
--- a/packages/fleet-calls/src/call-server.ts
+++ b/packages/fleet-calls/src/call-server.ts
@@ -3,7 +3,7 @@
 import type { EventLogger } from '@baobabpost/common'
 import { Result, Schema } from 'effect'
 import { isJSONRPCRequest, JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0'
-import { CALLS, type CallHandlers, type CallName } from './calls.js'
+import { CALLS, type CallConnection, type CallHandlers, type CallName } from './calls.js'
 
 /** Path of the calls. */
 export const CALL_PATH = '/calls'
@@ -12,22 +12,30 @@
 /** Time after which an idle connection is closed; callers close theirs earlier. */
 const KEEP_ALIVE_MILLISECONDS = 60_000
 
-function createMethods (handlers: CallHandlers, logger: EventLogger): JSONRPCServer {
-  const methods = new JSONRPCServer({
+function createMethods (handlers: CallHandlers, logger: EventLogger): JSONRPCServer<CallConnection> {
+  const methods = new JSONRPCServer<CallConnection>({
     errorListener: (reason, data) => { logger.warn('call failed', { reason, data: String(data) }) }
   })
   for (const name of Object.keys(handlers) as CallName[]) {
     const decode = Schema.decodeUnknownResult(CALLS[name].parameters)
-    const handle = handlers[name] as (parameters: unknown) => unknown
-    methods.addMethod(name, (parameters: unknown) => {
+    const handle = handlers[name] as (parameters: unknown, connection: CallConnection) => unknown
+    methods.addMethod(name, (parameters: unknown, connection: CallConnection) => {
       const decoded = decode(parameters)
-      if (Result.isSuccess(decoded)) return handle(decoded.success)
+      if (Result.isSuccess(decoded)) return handle(decoded.success, connection)
       throw new JSONRPCErrorException(`parameters of ${name} do not decode`, JSONRPCErrorCode.InvalidParams)
     })
   }
   return methods
 }
 
+function connectionOf (outgoing: ServerResponse): CallConnection {
+  return {
+    onLost: callback => {
+      outgoing.on('close', () => { if (!outgoing.writableFinished) callback() })
+    }
+  }
+}
+
 function parse (body: string): unknown {
   try {
     return JSON.parse(body)
@@ -50,7 +58,7 @@
   async function take (body: string, outgoing: ServerResponse): Promise<void> {
     const call = parse(body)
     if (!isJSONRPCRequest(call)) return end(outgoing, 400, '')
-    const response = await methods.receive(call)
+    const response = await methods.receive(call, connectionOf(outgoing))
     end(outgoing, 200, JSON.stringify(response))
   }
 
--- a/packages/fleet-calls/src/calls.ts
+++ b/packages/fleet-calls/src/calls.ts
@@ -16,7 +16,14 @@
 export type CallParameters<Name extends CallName> = typeof CALLS[Name]['parameters']['Type']
 /** Answer of a call. */
 export type CallAnswer<Name extends CallName> = typeof CALLS[Name]['answer']['Type']
+/** The connection that a call came by. */
+export interface CallConnection {
+  /** Calls back if the connection ends before the answer is sent. */
+  onLost: (callback: () => void) => void
+}
 /** What a process does for the calls that it answers. */
 export type CallHandlers = {
-  readonly [Name in CallName]?: (parameters: CallParameters<Name>) => CallAnswer<Name> | Promise<CallAnswer<Name>>
+  readonly [Name in CallName]?: (
+    parameters: CallParameters<Name>, connection: CallConnection
+  ) => CallAnswer<Name> | Promise<CallAnswer<Name>>
 }
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -1,7 +1,7 @@
 /** A whole fleet in one process: the real programs of entries and agents, leased upstreams, and callers. */
 import { silentLogger, type EventLogger } from '@baobabpost/common'
 import { startEntryProgram, type EntryProgram, type JobAnswer, type JobStep, type Placement } from '@baobabpost/dispatching'
-import type { CallClient, CallHandlers, Size } from '@baobabpost/fleet-calls'
+import type { CallClient, CallConnection, CallHandlers, Size } from '@baobabpost/fleet-calls'
 import { startAgentProgram, type AgentProgram, type Upstream } from '@baobabpost/runs'
 import { createLeasedUpstream, type LeasedUpstream, type Work } from './leased-upstream.js'
 import { createMemoryNetwork, type MemoryNetwork } from './memory-calls.js'
@@ -107,10 +107,11 @@
 }
 
 function mortalHandlers (handlers: CallHandlers, life: Life): CallHandlers {
-  const guarded: Record<string, (parameters: never) => unknown> = {}
+  const guarded: Record<string, (parameters: never, connection: CallConnection) => unknown> = {}
   for (const [name, handle] of Object.entries(handlers)) {
-    const answer = handle as (parameters: never) => unknown
-    guarded[name] = (parameters: never) => life.dead ? new Promise(() => {}) : answer(parameters)
+    const answer = handle as (parameters: never, connection: CallConnection) => unknown
+    guarded[name] = (parameters: never, connection) =>
+      life.dead ? new Promise(() => {}) : answer(parameters, connection)
   }
   return guarded
 }
--- a/packages/rehearsal/src/memory-calls.ts
+++ b/packages/rehearsal/src/memory-calls.ts
@@ -1,5 +1,7 @@
 /** Calls between the processes of a rehearsal: in memory, with delays, cuts and freezes. */
-import { CallError, type CallAnswer, type CallClient, type CallHandlers, type CallName } from '@baobabpost/fleet-calls'
+import {
+  CallError, type CallAnswer, type CallClient, type CallConnection, type CallHandlers, type CallName
+} from '@baobabpost/fleet-calls'
 
 /** One way between two VMs. */
 const DELAY_MILLISECONDS = 1.4
@@ -17,6 +19,8 @@
   heal: (left: string, right: string) => void
   /** Further delay of a call on its way there, in milliseconds; none by default. */
   delayOf: (name: CallName) => number
+  /** Calls that were made since the start, by name. */
+  readonly callCounts: Map<CallName, number>
   /** Heals all cuts. */
   healAll: () => void
 }
@@ -35,6 +39,7 @@
 export function createMemoryNetwork (): MemoryNetwork {
   const listeners = new Map<string, CallHandlers>()
   const cuts = new Map<string, Array<() => void>>()
+  const callCounts = new Map<CallName, number>()
 
   function wayKey (left: string, right: string): string {
     return left < right ? `${left} ${right}` : `${right} ${left}`
@@ -52,8 +57,8 @@
     await cross(from, to)
     const handlers = listeners.get(to)
     if (handlers === undefined) throw new CallError('refused', 'nothing listens')
-    const handle = handlers[name] as (parameters: unknown) => unknown
-    const answer: unknown = await handle(JSON.parse(JSON.stringify(parameters)))
+    const handle = handlers[name] as (parameters: unknown, connection: CallConnection) => unknown
+    const answer: unknown = await handle(JSON.parse(JSON.stringify(parameters)), { onLost: () => {} })
     await cross(to, from)
     if (listeners.get(to) !== handlers) throw new CallError('unanswered', 'connection reset')
     return JSON.parse(JSON.stringify(answer))
@@ -63,6 +68,7 @@
     return {
       call: <Name extends CallName>(to: string, name: Name, parameters: unknown, timeout: number) =>
         new Promise<CallAnswer<Name>>((resolve, reject) => {
+          callCounts.set(name, (callCounts.get(name) ?? 0) + 1)
           const timer = setTimeout(() => { reject(new CallError('unanswered', 'timeout')) }, timeout)
           exchange(from, to, name, parameters).then(answer => {
             clearTimeout(timer)
@@ -84,6 +90,7 @@
 
   const network: MemoryNetwork = {
     delayOf: () => 0,
+    callCounts,
     clientAt,
     listen: (address, handlers) => { listeners.set(address, handlers) },
     silence: address => { listeners.delete(address) },
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -1,6 +1,9 @@
 /** Runs an agent's decisions: the loop of listings, the timers, and the watches that wait. */
 import type { EventLogger } from '@baobabpost/common'
-import type { CallHandlers, Start, StartAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
+import {
+  ENTRY_LEASE_MILLISECONDS, type CallConnection, type CallHandlers, type Start, type StartAnswer, type Watch,
+  type WatchAnswer
+} from '@baobabpost/fleet-calls'
 import { createRunBook, type RunBook } from './create-run-book.js'
 import type { EntrySession } from './entry-session.js'
 import {
@@ -10,13 +13,14 @@
 
 /** Interval at which leases and waits are looked at; small against the leases. */
 const TICK_MILLISECONDS = 40
+/** The same where nothing runs or waits: only the upstream's silence is to be noticed. */
+const IDLE_TICK_MILLISECONDS = 160
 /** Time for which ends are gathered before they are told: small against the slack of the shortest objective. */
 const COALESCE_MILLISECONDS = 6
 /** Longest wait of a watch. */
-const MAXIMUM_WATCH_MILLISECONDS = 2_000
-
-/** Watches that wait longer end when their entry sends work. */
-const LONG_WATCH_MILLISECONDS = 300
+const MAXIMUM_WATCH_MILLISECONDS = 4_000
+/** Longest wait of a watch of an entry that has work here: half of its lease, which the next watch renews. */
+const BUSY_WATCH_MILLISECONDS = ENTRY_LEASE_MILLISECONDS / 2
 
 /** A running agent. */
 export interface AgentProgram {
@@ -45,9 +49,9 @@
 /** The watches that wait, one for each entry. */
 interface WaitingWatch {
   readonly session: EntrySession
-  /** Whether it waits longer than a watch of an entry that has work here. */
-  readonly long: boolean
   answer: () => void
+  /** Has it answered after this many milliseconds, if that is sooner. */
+  answerWithin: (milliseconds: number) => void
 }
 
 /**
@@ -116,25 +120,40 @@
     }
   }
 
-  function watch (parameters: Watch): Promise<WatchAnswer> {
+  function isWatching (entry: string): boolean {
+    for (const { session } of waiting) if (session.entry === entry) return true
+    return false
+  }
+
+  function watch (parameters: Watch, connection: CallConnection): Promise<WatchAnswer> {
     const session = book.beginWatch(parameters, now())
     watchedAt.set(parameters.caller.entry, now())
     if (book.hasNews(session, parameters) || parameters.waitMilliseconds === 0) {
       return Promise.resolve(book.answerWatch(session, parameters, now()))
     }
     return new Promise(resolve => {
+      let endsAt = now() + Math.min(parameters.waitMilliseconds, MAXIMUM_WATCH_MILLISECONDS)
       const entry: WaitingWatch = {
         session,
-        long: parameters.waitMilliseconds > LONG_WATCH_MILLISECONDS,
         answer: () => {
           if (!waiting.delete(entry)) return
           clearTimeout(timer)
-          // Tasks of one job end close together; their ends travel in one answer.
+          // Ends that are close together travel in one answer.
           setTimeout(() => { resolve(book.answerWatch(session, parameters, now())) }, COALESCE_MILLISECONDS)
+        },
+        answerWithin: milliseconds => {
+          if (now() + milliseconds >= endsAt) return
+          endsAt = now() + milliseconds
+          clearTimeout(timer)
+          timer = setTimeout(entry.answer, milliseconds)
         }
       }
-      const timer = setTimeout(entry.answer, Math.min(parameters.waitMilliseconds, MAXIMUM_WATCH_MILLISECONDS))
+      let timer = setTimeout(entry.answer, endsAt - now())
       waiting.add(entry)
+      connection.onLost(() => {
+        clearTimeout(timer)
+        if (waiting.delete(entry)) watchedAt.delete(session.entry)
+      })
     })
   }
 
@@ -142,13 +161,21 @@
     const answer = book.answerStart(parameters, now())
     // The next watch renews the entry's lease, so one that began before there was work must not wait long.
     for (const waitingWatch of waiting) {
-      if (waitingWatch.long && waitingWatch.session.entry === parameters.caller.entry) waitingWatch.answer()
+      const { session } = waitingWatch
+      if (session.entry !== parameters.caller.entry) continue
+      waitingWatch.answerWithin(Math.min(BUSY_WATCH_MILLISECONDS, Math.max(0, (session.leaseUntil - now()) / 2)))
     }
     return answer
   }
 
   const handlers: CallHandlers = { watch, start, stop: parameters => book.answerStop(parameters, now()) }
-  const ticks = setInterval(() => { book.tick(now()) }, TICK_MILLISECONDS)
+  let ticks: ReturnType<typeof setTimeout> | undefined
+  function keepTicking (): void {
+    book.tick(now())
+    if (life.stopped) return
+    ticks = setTimeout(keepTicking, book.runCount() > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS)
+  }
+  keepTicking()
   keepListing().catch(reportDefect)
 
   async function stop (timeoutMilliseconds: number): Promise<void> {
@@ -156,7 +183,7 @@
     book.leave(now())
     while (!book.isIdle(now()) && now() < deadline) await pause(TICK_MILLISECONDS)
     life.stopped = true
-    clearInterval(ticks)
+    clearTimeout(ticks)
     wake()
   }
 
@@ -166,7 +193,7 @@
     departed: id => { book.departed(id, now()) },
     stop,
     runCount: () => book.runCount(),
-    watchedAgo: entry => now() - (watchedAt.get(entry) ?? -Infinity)
+    watchedAgo: entry => isWatching(entry) ? 0 : now() - (watchedAt.get(entry) ?? -Infinity)
   }
 }
 
--- a/packages/runs/src/create-run-book.ts
+++ b/packages/runs/src/create-run-book.ts
@@ -1,7 +1,7 @@
 /** The agent's decisions about the runs at its upstream; reads no clock and opens no socket. */
 import type { Start, StartAnswer, Stop, StopAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
 import { answerStart, answerStop, answerWatch, beginWatch, describeProfile, stopRunsOf } from './entry-calls.js'
-import type { EntrySession } from './entry-session.js'
+import { hasPressingReport, type EntrySession } from './entry-session.js'
 import { takeDeparture, takeReport } from './heartbeats.js'
 import { takeListAnswer } from './listings.js'
 import { leaseUntil, startWaiting, takeStartAnswer, takeStopAnswer } from './orders.js'
@@ -92,7 +92,7 @@
     answerStart: (start, now) => answerStart(state, ports, start, now),
     answerStop: (stop, now) => answerStop(state, ports, stop, now),
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
-    hasNews: (session, watch) => session.reports.length > 0 || watch.profileVersion !== state.profileVersion,
+    hasNews: (session, watch) => hasPressingReport(session) || watch.profileVersion !== state.profileVersion,
     answerWatch: (session, watch, now) => answerWatch(state, session, watch, now),
     startAnswered: (record, answer, usedFence, now) => {
       noteClock(answer.clock, now)
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -6,7 +6,7 @@
 import { isAccepting, startWaiting, stopRun } from './orders.js'
 import { buryOrder, freeRoom, isBuried, type RunBookPorts, type RunBookState } from './run-book-state.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
-import type { RunRecord } from './run-record.js'
+import type { RunGroup, RunRecord } from './run-record.js'
 
 /** Finds or makes the session of a caller, and renews its lease; a new incarnation ends what the old one asked for. */
 export function openSession (state: RunBookState, ports: RunBookPorts, caller: Caller, now: number): EntrySession {
@@ -77,7 +77,13 @@
 }
 
 function judge (
-  state: RunBookState, ports: RunBookPorts, start: Start, order: RunOrder, session: EntrySession, now: number
+  state: RunBookState,
+  ports: RunBookPorts,
+  start: Start,
+  order: RunOrder,
+  session: EntrySession,
+  group: RunGroup,
+  now: number
 ): Verdict {
   const known = state.runs.get(order.task)
   if (known !== undefined) {
@@ -96,6 +102,7 @@
   const record: RunRecord = {
     order,
     session,
+    group,
     specification: start.specification,
     priority: start.priority,
     patientUntil: now + start.patienceMilliseconds,
@@ -111,6 +118,7 @@
     stopReason: '',
     superseded: false
   }
+  group.open += 1
   state.runs.set(order.task, record)
   state.queue.add(record)
   return 'accepted'
@@ -121,6 +129,7 @@
   for (const [position, { task }] of start.orders.entries()) {
     const record = state.runs.get(task)
     if (verdicts[position] !== 'accepted' || record?.state !== 'waiting') continue
+    record.group.open -= 1
     state.runs.delete(task)
     state.queue.remove(record)
     verdicts[position] = 'no-room'
@@ -131,7 +140,8 @@
 export function answerStart (state: RunBookState, ports: RunBookPorts, start: Start, now: number): StartAnswer {
   const session = openSession(state, ports, start.caller, now)
   const verdicts: Verdict[] = []
-  for (const order of start.orders) verdicts.push(judge(state, ports, start, order, session, now))
+  const group: RunGroup = { open: 0 }
+  for (const order of start.orders) verdicts.push(judge(state, ports, start, order, session, group, now))
   startWaiting(state, ports, now)
   if (start.patienceMilliseconds <= 0) refuseWaiting(state, start, verdicts)
   for (const [position, { task, run }] of start.orders.entries()) {
@@ -144,7 +154,7 @@
 function refuseLater (state: RunBookState, session: EntrySession, task: string, run: number, now: number): void {
   buryOrder(state, session, task, run, now)
   if (session.reports.some(report => report.task === task && report.run === run)) return
-  addReport(session, { task, run, outcome: 'not-started', reason: 'its order had not arrived', milliseconds: 0 })
+  addReport(session, { task, run, outcome: 'not-started', reason: 'its order had not arrived', milliseconds: 0 }, true)
 }
 
 /** Answers an entry that asks for stops. */
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -9,6 +9,8 @@
   leaseUntil: number
   reports: RunReport[]
   lastSequence: number
+  /** Reports up to this one are to be told at once; later ones wait for the other runs of their group. */
+  pressingSequence: number
 }
 
 /**
@@ -18,7 +20,14 @@
  * const session = createSession(caller)
  */
 export function createSession (caller: Caller): EntrySession {
-  return { entry: caller.entry, incarnation: caller.incarnation, leaseUntil: 0, reports: [], lastSequence: 0 }
+  return {
+    entry: caller.entry,
+    incarnation: caller.incarnation,
+    leaseUntil: 0,
+    reports: [],
+    lastSequence: 0,
+    pressingSequence: 0
+  }
 }
 
 /**
@@ -40,10 +49,17 @@
   readonly milliseconds: number
 }
 
-/** Adds a report for the entry. */
-export function addReport (session: EntrySession, end: RunEnd): void {
+/** Adds a report for the entry; a pressing one, and those before it, are to be told at once. */
+export function addReport (session: EntrySession, end: RunEnd, pressing: boolean): void {
   session.lastSequence += 1
   session.reports.push({ sequence: session.lastSequence, ...end })
+  if (pressing) session.pressingSequence = session.lastSequence
+}
+
+/** Whether a report is to be told at once. */
+export function hasPressingReport (session: EntrySession): boolean {
+  const [report] = session.reports
+  return report !== undefined && report.sequence <= session.pressingSequence
 }
 
 /** Forgets the reports that the entry has acknowledged. */
--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -28,7 +28,6 @@
   state.departed = false
   if (report.draining && !wasDraining) ports.logger.info('upstream drains', { upstream: report.life.id })
   startWaiting(state, ports, now)
-  ports.wake()
 }
 
 /** Takes in that an upstream has left for good. */
@@ -37,5 +36,4 @@
   state.departed = true
   ports.logger.info('upstream left', { upstream: id })
   forgetLife(state, ports, 'the upstream left', now)
-  ports.wake()
 }
--- a/packages/runs/src/run-book-state.ts
+++ b/packages/runs/src/run-book-state.ts
@@ -142,7 +142,11 @@
   buryOrder(state, record.session, record.order.task, record.order.run, now)
   const milliseconds = record.orderedAt === 0 ? 0 : now - record.orderedAt
   const told = record.superseded ? 'superseded' : outcome
-  addReport(record.session, { task: record.order.task, run: record.order.run, outcome: told, reason, milliseconds })
+  record.group.open -= 1
+  // A job goes on when all its tasks here are done; any other end needs a decision at once.
+  const pressing = told !== 'done' || record.group.open === 0
+  addReport(
+    record.session, { task: record.order.task, run: record.order.run, outcome: told, reason, milliseconds }, pressing)
   ports.logger.info('run ended', {
     task: record.order.task,
     run: record.order.run,
@@ -151,5 +155,5 @@
     reason,
     milliseconds: Math.round(milliseconds)
   })
-  ports.wake(record.session)
+  if (pressing) ports.wake(record.session)
 }
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -13,10 +13,17 @@
  */
 export type RunState = 'waiting' | 'ordered' | 'unsure' | 'running' | 'stopping'
 
+/** The runs that one start asked for: their ends are told together. */
+export interface RunGroup {
+  /** Runs that have not ended. */
+  open: number
+}
+
 /** One run. */
 export interface RunRecord {
   readonly order: RunOrder
   readonly session: EntrySession
+  readonly group: RunGroup
   readonly specification: string
   readonly priority: number
   /** Agent time after which it no longer waits for room. */
