--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -15,8 +15,8 @@
 const TICK_MILLISECONDS = 40
 /** The same where nothing runs or waits: only the upstream's silence is to be noticed. */
 const IDLE_TICK_MILLISECONDS = 160
-/** Time for which ends are gathered before they are told: small against the slack of the shortest objective. */
-const COALESCE_MILLISECONDS = 6
+/** Time for which the upstream gathers ends after a listing: small against the slack of the shortest objective. */
+const GATHER_MILLISECONDS = 10
 /** Longest wait of a watch. */
 const MAXIMUM_WATCH_MILLISECONDS = 4_000
 /** Longest wait of a watch of an entry that has work here: half of its lease, which the next watch renews. */
@@ -116,7 +116,7 @@
   async function keepListing (): Promise<void> {
     while (!life.stopped) {
       const answer = await list(book.listingWait())
-      await pause(answer.outcome === 'taken' ? COALESCE_MILLISECONDS : RETRY_MILLISECONDS)
+      await pause(answer.outcome === 'taken' ? GATHER_MILLISECONDS : RETRY_MILLISECONDS)
     }
   }
 
@@ -138,8 +138,8 @@
         answer: () => {
           if (!waiting.delete(entry)) return
           clearTimeout(timer)
-          // Ends that are close together travel in one answer.
-          setTimeout(() => { resolve(book.answerWatch(session, parameters, now())) }, COALESCE_MILLISECONDS)
+          // The ends of one listing travel in one answer.
+          setImmediate(() => { resolve(book.answerWatch(session, parameters, now())) })
         },
         answerWithin: milliseconds => {
           if (now() + milliseconds >= endsAt) return
