--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -1,7 +1,8 @@
 /** Stand-in for an upstream that runs tasks under leases and starts whatever it is told to. */
 import { addSizes, EMPTY_SIZE, subtractSizes, type Size } from '@baobabpost/fleet-calls'
 import type {
-  EndKind, ListAnswer, ListedEnd, ListOrder, OrderAnswer, OrderOutcome, StartOrder, StopOrder, Upstream, UpstreamReport
+  EndKind, ListAnswer, ListedEnd, ListOrder, OrderAnswer, OrderOutcome, StartOrder, StopOrder, Upstream, UpstreamLife,
+  UpstreamReport
 } from '@baobabpost/runs'
 
 /** Longest lease that the upstream gives. */
@@ -42,6 +43,8 @@
   readonly upstream: Upstream
   readonly faults: UpstreamFaults
   report: () => UpstreamReport
+  /** The present life. */
+  life: () => UpstreamLife
   setDraining: () => void
   /** Loses all it knows, and starts again under the same identity. */
   crash: () => void
@@ -188,10 +191,11 @@
     const life = bornAt
     await pause(ORDER_MILLISECONDS)
     const late = mayBeLate && faults.isLate()
-    if (!late && !faults.silent) {
+    // A crash takes with it what was on its way to the life before, and the answers of that life.
+    if (!late && !faults.silent && bornAt === life) {
       const answer = await carryOut()
       await pause(ORDER_MILLISECONDS)
-      if (!faults.silent) return answer
+      if (!faults.silent && bornAt === life) return answer
     }
     const carryOutLate = async (): Promise<void> => {
       await pause(faults.lateMilliseconds)
@@ -221,6 +225,7 @@
         draining
       }
     },
+    life: () => ({ id: options.name, bornAt }),
     setDraining: () => { draining = true },
     crash: () => {
       for (const run of [...running.values()]) end(run, 'lapsed')
