Judge an order by its own age

A copy of the order was held up for longer than refused orders are remembered (2 s), and its staleness was judged by the entry's session, which watches had renewed meanwhile. Found beside it by reading: a time that an earlier incarnation of the agent told could renew a lease far into the future. Ruled out: a repeat by the entry (its run number was 4 by then), the upstream.

Change: an order is stale by the age of the time that it carries; a time that the agent has not reached counts for nothing.

--- a/packages/rehearsal/tests/fleet-faults.test.ts
+++ b/packages/rehearsal/tests/fleet-faults.test.ts
@@ -165,6 +165,35 @@
     expect(sendings.every(({ answer }) => answer !== undefined)).toBe(true)
   })
 
+  it('never starts an order that was on its way for seconds, although its entry has been in touch since', async () => {
+    await start(1, 1)
+    const { handlers } = first(fleet.agents).program
+    const order = { task: '00000000000000aa.0.0.0', run: 3, size: SIZE, estimateMilliseconds: 500 }
+    const specification = JSON.stringify({ milliseconds: 500, size: SIZE })
+    // The fleet's processes are numbered as they start: the entry is the second.
+    const caller = { entry: 'entry-1', incarnation: '2', heardAt: performance.now() }
+    await vi.advanceTimersByTimeAsync(2_300)
+    const answer = await handlers.start?.({
+      caller, specification, priority: 0, patienceMilliseconds: 0, orders: [order]
+    }, { onLost: () => {} })
+    expect(answer?.verdicts).toEqual(['stale'])
+  })
+
+  it('takes nothing from a time that an earlier incarnation of the agent has told', async () => {
+    await start(1, 1)
+    const { handlers } = first(fleet.agents).program
+    const caller = { entry: 'entry-9', incarnation: '9', heardAt: performance.now() + 60_000 }
+    const watch = { caller, acknowledged: 0, profileVersion: 0, waitMilliseconds: 0 }
+    await handlers.watch?.(watch, { onLost: () => {} })
+    await handlers.watch?.(watch, { onLost: () => {} })
+    const order = { task: '00000000000000aa.0.0.0', run: 1, size: SIZE, estimateMilliseconds: 500 }
+    const specification = JSON.stringify({ milliseconds: 500, size: SIZE })
+    const answer = await handlers.start?.({
+      caller, specification, priority: 0, patienceMilliseconds: 0, orders: [order]
+    }, { onLost: () => {} })
+    expect(answer?.verdicts).toEqual(['stale'])
+  })
+
   it('has an entry give up a job that its caller sent to another one', async () => {
     await start(2, 1)
     const sent = job(2_500, 4, { deadlineMilliseconds: 6_000 })
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -1,8 +1,11 @@
 /** What entries ask of an agent: starts, stops, and what has changed. */
-import type {
-  Caller, Profile, Room, RunOrder, Start, StartAnswer, Stop, StopAnswer, Verdict, Watch, WatchAnswer
+import {
+  ENTRY_LEASE_MILLISECONDS, type Caller, type Profile, type Room, type RunOrder, type Start, type StartAnswer,
+  type Stop, type StopAnswer, type Verdict, type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import { acknowledgeReports, addReport, createSession, renewSession, type EntrySession } from './entry-session.js'
+import {
+  acknowledgeReports, addReport, createSession, isOfFormerClock, renewSession, type EntrySession
+} from './entry-session.js'
 import { isAccepting, startWaiting, stopRun } from './orders.js'
 import { buryOrder, freeRoom, isBuried, type RunBookPorts, type RunBookState } from './run-book-state.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
@@ -12,7 +15,7 @@
 export function openSession (state: RunBookState, ports: RunBookPorts, caller: Caller, now: number): EntrySession {
   const known = state.sessions.get(caller.entry)
   if (known?.incarnation === caller.incarnation) {
-    renewSession(known, caller)
+    renewSession(known, caller, now)
     return known
   }
   const session = createSession(caller)
@@ -96,7 +99,9 @@
   }
   if (session.reports.some(report => report.task === order.task && report.run === order.run)) return 'accepted'
   if (isBuried(state, session, order.task, order.run)) return 'stopped'
-  if (now >= session.leaseUntil) return 'stale'
+  // An order counts by its own age: other calls may have renewed the lease while it was held up on its way.
+  const { caller } = start
+  if (now >= caller.heardAt + ENTRY_LEASE_MILLISECONDS || isOfFormerClock(caller, now)) return 'stale'
   if (!isAccepting(state, now)) return 'not-accepting'
   if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
   const record: RunRecord = {
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -34,12 +34,18 @@
  * Renews an entry's lease from the newest agent time that it proves to have seen.
  *
  * @example
- * renewSession(session, watch.caller)
+ * renewSession(session, watch.caller, now)
  */
-export function renewSession (session: EntrySession, caller: Caller): void {
+export function renewSession (session: EntrySession, caller: Caller, now: number): void {
+  if (isOfFormerClock(caller, now)) return
   session.leaseUntil = Math.max(session.leaseUntil, caller.heardAt + ENTRY_LEASE_MILLISECONDS)
 }
 
+/** Whether a caller has seen a time that is not reached yet: an earlier incarnation of the agent told it. */
+export function isOfFormerClock (caller: Caller, now: number): boolean {
+  return caller.heardAt > now
+}
+
 /** The end of a run, before it has a sequence number. */
 export interface RunEnd {
   readonly task: string
