--- a/packages/rehearsal/tests/fleet-faults.test.ts
+++ b/packages/rehearsal/tests/fleet-faults.test.ts
@@ -179,6 +179,60 @@
     expect(answer?.verdicts).toEqual(['stale'])
   })
 
+  it('tells an end that needs a decision at once, while other runs of its start go on', async () => {
+    await start(1, 1)
+    const { handlers } = first(fleet.agents).program
+    const connection = { onLost: () => {} }
+    const caller = { entry: 'entry-9', incarnation: '9', heardAt: 0 }
+    const watch = { caller, acknowledged: 0, profileVersion: 0, waitMilliseconds: 0 }
+    const { clock, profile } = await handlers.watch?.(watch, connection) ?? { clock: 0, profile: undefined }
+    const seen = { ...caller, heardAt: clock }
+    const orders = [0, 1].map(index => ({
+      task: `00000000000000aa.0.0.${index}`, run: 1, size: SIZE, estimateMilliseconds: 900
+    }))
+    const specification = JSON.stringify({ milliseconds: 900, size: SIZE })
+    await handlers.start?.({ caller: seen, specification, priority: 0, patienceMilliseconds: 0, orders }, connection)
+    const told = handlers.watch?.({
+      ...watch, caller: seen, profileVersion: profile?.version ?? 0, waitMilliseconds: 4_000
+    }, connection)
+    await vi.advanceTimersByTimeAsync(100)
+    await handlers.stop?.({ caller: seen, runs: [{ task: '00000000000000aa.0.0.0', run: 1 }] }, connection)
+    await vi.advanceTimersByTimeAsync(100)
+    const late = new Promise(resolve => { setTimeout(resolve, 1, undefined) })
+    const racing = Promise.race([told, late])
+    await vi.advanceTimersByTimeAsync(2)
+    expect(await racing).toMatchObject({ reports: [{ task: '00000000000000aa.0.0.0', outcome: 'stopped' }] })
+  })
+
+  it('is in touch with an entry whose watch waits, and no more once that connection is lost', async () => {
+    await start(1, 1)
+    const { program } = first(fleet.agents)
+    const caller = { entry: 'entry-9', incarnation: '9', heardAt: 0 }
+    const watch = { caller, acknowledged: 0, profileVersion: 0, waitMilliseconds: 0 }
+    const { profile } = await program.handlers.watch?.(watch, { onLost: () => {} }) ?? { profile: undefined }
+    const lost: Array<() => void> = []
+    const waiting = { ...watch, profileVersion: profile?.version ?? 0, waitMilliseconds: 4_000 }
+    const unanswered = program.handlers.watch?.(waiting, { onLost: callback => { lost.push(callback) } })
+    await vi.advanceTimersByTimeAsync(2_500)
+    expect(program.watchedAgo('entry-9')).toBe(0)
+    for (const callback of lost) callback()
+    expect(program.watchedAgo('entry-9')).toBe(Infinity)
+    expect(unanswered).toBeInstanceOf(Promise)
+  })
+
+  it('holds an agent that left a start unanswered for silent until it answers something', async () => {
+    await start(1, 1)
+    const { program } = first(fleet.entries)
+    fleet.network.delayOf = name => name === 'start' ? 400 : 0
+    fleet.send(first(fleet.entries), job(300, 1))
+    await vi.advanceTimersByTimeAsync(295)
+    expect(program.isReachable('agent-1')).toBe(true)
+    await vi.advanceTimersByTimeAsync(6)
+    expect(program.isReachable('agent-1')).toBe(false)
+    await vi.advanceTimersByTimeAsync(10)
+    expect(program.isReachable('agent-1')).toBe(true)
+  })
+
   it('takes nothing from a time that an earlier incarnation of the agent has told', async () => {
     await start(1, 1)
     const { handlers } = first(fleet.agents).program
--- a/packages/rehearsal/tests/fleet-scale.test.ts
+++ b/packages/rehearsal/tests/fleet-scale.test.ts
@@ -1,19 +1,17 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import type { CallName } from '@baobabpost/fleet-calls'
-import { createFleet, type Fleet, type FleetJob, type Sending } from '@baobabpost/rehearsal'
+import { createFleet, playDeskLoad, type DeskLoad, type Fleet } from '@baobabpost/rehearsal'
 
-const SIZE = { processor: 6_200, memory: 64, accelerators: 0 }
 const ENTRIES = 8
 const UPSTREAMS = [
   { speed: 0.7, processor: 64_000 }, { speed: 0.7, processor: 64_000 }, { speed: 1.7, processor: 96_000 }
 ]
 
 /** What a load brought to callers, and what the processes spent on each other. */
-interface Load {
-  readonly inTime: number
-  readonly calls: Readonly<Partial<Record<CallName, number>>>
+interface Load extends DeskLoad {
+  readonly callsPerJob: Readonly<Partial<Record<CallName, number>>>
+  /** Watches a second of an entry without work. */
   readonly idleWatches: number
-  readonly violations: readonly string[]
 }
 
 function createLargeFleet (upstreams: number): Fleet {
@@ -26,45 +24,20 @@
   })
 }
 
-/** Plays two seconds of jobs of three kinds, with a seeded order, after ten quiet seconds. */
+/** Plays two seconds of the desk's load after ten quiet seconds. */
 async function play (upstreams: number, jobsPerSecond: number): Promise<Load> {
   const fleet = createLargeFleet(upstreams)
   const { callCounts } = fleet.network
-  await vi.advanceTimersByTimeAsync(5_000)
+  const advance = (milliseconds: number): Promise<unknown> => vi.advanceTimersByTimeAsync(milliseconds)
+  await advance(5_000)
   callCounts.clear()
-  await vi.advanceTimersByTimeAsync(5_000)
+  await advance(5_000)
   const idleWatches = (callCounts.get('watch') ?? 0) / 5 / ENTRIES
   callCounts.clear()
-  let seed = 17
-  const random = (): number => {
-    seed = (seed * 16_807) % 2_147_483_647
-    return seed / 2_147_483_647
-  }
-  const sent: Array<{ sending: Sending, job: FleetJob, at: number }> = []
-  for (let number = 0; number < jobsPerSecond * 2; number += 1) {
-    const kind = random()
-    const [base, tasks, priority] = kind < 0.24 ? [86, 8, 0] : kind < 0.29 ? [1_286, 4, 2] : [286, 2, 1]
-    const milliseconds = base * (0.7 + 0.6 * random())
-    const job: FleetJob = {
-      id: number.toString(16).padStart(16, '0'),
-      work: { milliseconds, size: SIZE },
-      taskCount: tasks,
-      priority,
-      estimateMilliseconds: milliseconds * (0.7 + 0.6 * random())
-    }
-    const entry = fleet.entries[Math.floor(ENTRIES * random() ** 1.5)]
-    if (entry !== undefined) sent.push({ sending: fleet.send(entry, job), job, at: performance.now() })
-    await vi.advanceTimersByTimeAsync(1_000 / jobsPerSecond)
-  }
-  await vi.advanceTimersByTimeAsync(2_500)
-  let inTime = 0
-  for (const { sending, job, at } of sent) {
-    const objective = 1.6 * job.work.milliseconds + 60
-    if (sending.answer?.kind === 'completed' && sending.answeredAt - at <= objective) inTime += 1
-  }
-  const calls: Partial<Record<CallName, number>> = {}
-  for (const [name, count] of callCounts) calls[name] = count / sent.length
-  return { inTime: inTime / sent.length, calls, idleWatches, violations: fleet.ledger.violations }
+  const load = await playDeskLoad(fleet, { jobsPerSecond, seconds: 2, settleMilliseconds: 2_500, advance })
+  const callsPerJob: Partial<Record<CallName, number>> = {}
+  for (const [name, count] of callCounts) callsPerJob[name] = count / load.jobs
+  return { ...load, callsPerJob, idleWatches }
 }
 
 beforeEach(() => {
@@ -84,8 +57,8 @@
     const load = await play(30, 240)
     expect(load.violations).toEqual([])
     expect(load.inTime).toBeGreaterThan(0.98)
-    expect(load.calls.start).toBeLessThan(2)
-    expect(load.calls.watch).toBeLessThan(3)
+    expect(load.callsPerJob.start).toBeLessThan(2)
+    expect(load.callsPerJob.watch).toBeLessThan(3)
     expect(load.idleWatches).toBeLessThan(IDLE_WATCHES_PER_SECOND)
   })
 })
--- a/packages/rehearsal/tests/placement-load.test.ts
+++ b/packages/rehearsal/tests/placement-load.test.ts
@@ -1,8 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { expectedWait, Placement, type PlacementChoice, type PlacementQuestion } from '@baobabpost/dispatching'
-import { createFleet, type FleetJob, type Sending } from '@baobabpost/rehearsal'
+import { createFleet, playDeskLoad, type DeskLoad } from '@baobabpost/rehearsal'
 
-const SIZE = { processor: 6_200, memory: 64, accelerators: 0 }
 /** Unlike upstreams, as on the lending desk: speed and room. */
 const UPSTREAMS = [
   { speed: 0.6, processor: 64_000 }, { speed: 1, processor: 64_000 }, { speed: 1.6, processor: 96_000 }
@@ -24,16 +23,8 @@
   }
 }
 
-interface Load {
-  /** Share of jobs that were answered within their objective. */
-  readonly inTime: number
-  readonly refused: number
-  readonly answered: number
-  readonly violations: readonly string[]
-}
-
-/** Plays three seconds of jobs of three kinds at three entries, with a seeded order. */
-async function play (jobsPerSecond: number, placement?: () => Placement): Promise<Load> {
+/** Plays three seconds of the desk's load at three entries. */
+async function play (jobsPerSecond: number, placement?: () => Placement): Promise<DeskLoad> {
   const fleet = createFleet({
     entries: 3,
     upstreams: Array.from({ length: 9 }, (_, index) => {
@@ -42,42 +33,9 @@
     }),
     ...(placement === undefined ? {} : { placement })
   })
-  await vi.advanceTimersByTimeAsync(2_000)
-  let seed = 17
-  const random = (): number => {
-    seed = (seed * 16_807) % 2_147_483_647
-    return seed / 2_147_483_647
-  }
-  const sent: Array<{ sending: Sending, job: FleetJob, at: number }> = []
-  const count = Math.round(jobsPerSecond * 3)
-  for (let number = 0; number < count; number += 1) {
-    const kind = random()
-    const [base, tasks, priority] = kind < 0.24 ? [86, 8, 0] : kind < 0.29 ? [1_286, 4, 2] : [286, 2, 1]
-    const milliseconds = base * (0.7 + 0.6 * random())
-    const job: FleetJob = {
-      id: number.toString(16).padStart(16, '0'),
-      work: { milliseconds, size: SIZE },
-      taskCount: tasks,
-      priority,
-      estimateMilliseconds: milliseconds * (0.7 + 0.6 * random())
-    }
-    const entry = fleet.entries[Math.floor(3 * random() ** 1.5)]
-    if (entry !== undefined) sent.push({ sending: fleet.send(entry, job), job, at: performance.now() })
-    await vi.advanceTimersByTimeAsync(1_000 / jobsPerSecond)
-  }
-  await vi.advanceTimersByTimeAsync(6_000)
-  let inTime = 0
-  let refused = 0
-  let answered = 0
-  for (const { sending, job, at } of sent) {
-    if (sending.answer !== undefined) answered += 1
-    if (sending.answer?.kind === 'refused') refused += 1
-    const objective = 1.6 * job.work.milliseconds + 60
-    if (sending.answer?.kind === 'completed' && sending.answeredAt - at <= objective) inTime += 1
-  }
-  return {
-    inTime: inTime / sent.length, refused, answered: answered / sent.length, violations: fleet.ledger.violations
-  }
+  const advance = (milliseconds: number): Promise<unknown> => vi.advanceTimersByTimeAsync(milliseconds)
+  await advance(2_000)
+  return playDeskLoad(fleet, { jobsPerSecond, seconds: 3, settleMilliseconds: 6_000, advance })
 }
 
 beforeEach(() => {
