List an answer after the runs that ended in the same millisecond

Cause: job explain and the tests of a site ordered the lines of several processes by time alone. An answer and the completion that it rests on often fall into one millisecond, and the order of the files then decided which came last; two tests failed for it now and then.

--- a/packages/command-line/src/job-trace.ts
+++ b/packages/command-line/src/job-trace.ts
@@ -1,5 +1,5 @@
 /** Finds the log lines of a job and derives the cause of its outcome from them. */
-import { LOG_EVENTS, type LogEvent } from '@baobabpost/common'
+import { compareLogLines, LOG_EVENTS, type LogEvent } from '@baobabpost/common'
 
 /** One log line of a job. */
 export interface JobTraceStep {
@@ -146,6 +146,6 @@
     if (step !== undefined) steps.push(step)
   }
   if (steps.length === 0) return undefined
-  steps.sort((left, right) => left.at - right.at)
+  steps.sort(compareLogLines)
   return { job, steps, cause: findCause(steps) }
 }
--- a/packages/command-line/tests/job-trace.test.ts
+++ b/packages/command-line/tests/job-trace.test.ts
@@ -47,6 +47,16 @@
     expect(trace?.cause.detail).toContain(detail)
   })
 
+  // Lines of two processes with the same millisecond were listed in the order of the files, so that a job could seem to
+  // have been answered before its last run ended.
+  it('lists an answer after the runs that ended in the same millisecond', () => {
+    const lines = [RECEIVED, SENT, jobAnswered(200, 'completed'), runEnded('done')]
+    for (const ordered of [lines, lines.toReversed()]) {
+      const events = traceJob(ordered, JOB)?.steps.map(({ event }) => event)
+      expect(events).toEqual(['job received', 'job sent', 'run ended', 'job answered'])
+    }
+  })
+
   it('accepts lines with a prefix, and skips lines of other jobs and lines that are not events', () => {
     const otherJobLine = jobAnswered(100, 'refused', 'no room').replaceAll(JOB, '00000000000000aa')
     const ignoredLines = [otherJobLine, `${JOB} {"time":`, `{"message":"another","job":"${JOB}"}`, `{"message":"job answered","job":"x","note":"${JOB}"}`]
