Read the store by progress, and ask one peer at a time

The reader began again from the start for ever, and asked all peers for the whole record after each failed read; the copies filled the links that calls need. Change: an answer of the store is given up when no byte came for a second. While the store can not be read, one peer at a time is asked, with the version in force, and answers only with a newer one.

--- a/packages/fleet-calls/src/call-client.ts
+++ b/packages/fleet-calls/src/call-client.ts
@@ -4,7 +4,7 @@
 import { createJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
 import { CallError } from './call-error.js'
 import { CALL_PATH } from './call-server.js'
-import { CALLS, type CallAnswer, type CallName, type CallParameters } from './calls.js'
+import { CALLS, idleTimeoutOf, type CallAnswer, type CallName, type CallParameters } from './calls.js'
 
 /** Idle time after which a connection is closed; shorter than the server's, which could close it during a call. */
 const IDLE_TIMEOUT_MILLISECONDS = 30_000
@@ -62,7 +62,7 @@
   let lastId = 0
 
   function post (
-    address: string, body: string, timeoutMilliseconds: number
+    address: string, body: string, timeoutMilliseconds: number, idleTimeoutMilliseconds: number | undefined
   ): Promise<{ status: number, body: string }> {
     const separator = address.lastIndexOf(':')
     return new Promise((resolve, reject) => {
@@ -74,9 +74,10 @@
         path: CALL_PATH,
         headers: { 'content-length': Buffer.byteLength(body) }
       })
-      const timer = setTimeout(() => {
-        outgoing.destroy(new CallError('unanswered', `no answer within ${timeoutMilliseconds} ms`))
-      }, timeoutMilliseconds)
+      const timeOutAfter = (milliseconds: number): ReturnType<typeof setTimeout> => setTimeout(() => {
+        outgoing.destroy(new CallError('unanswered', `no answer within ${milliseconds} ms`))
+      }, milliseconds)
+      let timer = timeOutAfter(timeoutMilliseconds)
       outgoing.on('error', (failure: NodeJS.ErrnoException) => {
         clearTimeout(timer)
         if (failure instanceof CallError) return reject(failure)
@@ -85,7 +86,12 @@
       outgoing.on('response', incoming => {
         let text = ''
         incoming.setEncoding('utf8')
-        incoming.on('data', (chunk: string) => { text += chunk })
+        incoming.on('data', (chunk: string) => {
+          text += chunk
+          if (idleTimeoutMilliseconds === undefined) return
+          clearTimeout(timer)
+          timer = timeOutAfter(idleTimeoutMilliseconds)
+        })
         incoming.on('end', () => {
           clearTimeout(timer)
           resolve({ status: incoming.statusCode ?? 0, body: text })
@@ -105,7 +111,7 @@
     ) => {
       lastId += 1
       const body = JSON.stringify(createJSONRPCRequest(lastId, name, parameters))
-      const answer = await post(address, body, timeoutMilliseconds)
+      const answer = await post(address, body, timeoutMilliseconds, idleTimeoutOf(name))
       return readAnswer(name, answer.status, answer.body) as CallAnswer<Name>
     },
     close: () => { agent.destroy() }
--- a/packages/fleet-calls/src/entry-messages.ts
+++ b/packages/fleet-calls/src/entry-messages.ts
@@ -19,11 +19,14 @@
 export type AnnounceAnswer = typeof AnnounceAnswer.Type
 
 /** Asks an entry for its current configuration. */
-export const AskConfiguration = Schema.Struct({})
+export const AskConfiguration = Schema.Struct({
+  /** Version that the asking entry has; absent if it has none. */
+  version: Schema.optionalKey(Schema.Number)
+})
 export type AskConfiguration = typeof AskConfiguration.Type
 
 export const AskConfigurationAnswer = Schema.Struct({
-  /** Text of the configuration record; absent if the entry has none. */
+  /** Text of the configuration record; absent if the entry has none that is newer. */
   record: Schema.optionalKey(Schema.String)
 })
 export type AskConfigurationAnswer = typeof AskConfigurationAnswer.Type
