Tell a process only of the members that it lacks

Change: an announcement carries a digest of the live members that its sender knows and the revision that the entry told it last. The answer is empty where the digests agree, and else lists what changed since. An entry announces itself to four known entries in 2 s, each in turn, so that its rate does not grow with the fleet. A restarted process, or one at another address, is told of everything again.

--- a/packages/fleet-calls/src/call-server.ts
+++ b/packages/fleet-calls/src/call-server.ts
@@ -51,7 +51,7 @@
  * 413 if the body is too large, 500 for a fault in the server.
  *
  * @example
- * createCallServer({ announce: ({ member }) => ({ members: fleet.add(member) }) }, logger).listen(7720, '10.1.0.13')
+ * createCallServer({ announce: parameters => directory.handleAnnounce(parameters) }, logger).listen(7720, '10.1.0.13')
  */
 export function createCallServer (handlers: CallHandlers, logger: EventLogger): Server {
   const methods = createMethods(handlers, logger)
--- a/packages/fleet-calls/src/create-fleet-directory.ts
+++ b/packages/fleet-calls/src/create-fleet-directory.ts
@@ -2,6 +2,7 @@
 import type { EventLogger } from '@baobabpost/common'
 import type { CallClient } from './call-client.js'
 import type { Announce, AnnounceAnswer, Member } from './entry-messages.js'
+import { createMemberTable } from './member-table.js'
 
 /** Interval of an agent's announcements to entries without recent contact, and of all to unknown addresses. */
 const ANNOUNCE_INTERVAL_MILLISECONDS = 500
@@ -9,12 +10,16 @@
 const STARTUP_ANNOUNCE_INTERVAL_MILLISECONDS = 100
 /** Length of the startup phase; processes of a fleet that start together have found each other by its end. */
 const STARTUP_MILLISECONDS = 8_000
-/** Interval of an entry's announcements to known entries. */
+/** Interval in which an entry announces itself to `ENTRIES_PER_INTERVAL` known entries, each in turn. */
 const ENTRY_ANNOUNCE_INTERVAL_MILLISECONDS = 2_000
+/** Bounds an entry's announcements: their rate does not grow with the number of entries. */
+const ENTRIES_PER_INTERVAL = 4
 /** Timeout of an announcement. */
 const ANNOUNCE_TIMEOUT_MILLISECONDS = 400
-/** Time since its last announcement after which a member is no longer reported to others. */
-const MAXIMUM_MEMBER_AGE_MILLISECONDS = 20_000
+/** Least time since its last announcement after which a member is no longer reported to others. */
+const MINIMUM_MEMBER_AGE_MILLISECONDS = 20_000
+/** Intervals between its announcements that a live member may miss. */
+const MISSED_ANNOUNCEMENTS = 3
 
 /** Directory of the fleet's members. */
 export interface FleetDirectory {
@@ -29,6 +34,8 @@
 
 export interface FleetDirectoryOptions {
   readonly self: Member
+  /** Differs at each start of this process. */
+  readonly incarnation: string
   /** Addresses of possible entries, as `IP:PORT`. */
   readonly seeds: readonly string[]
   readonly client: CallClient
@@ -41,9 +48,11 @@
   readonly hasRecentContact: (member: string) => boolean
 }
 
-interface KnownMember {
-  member: Member
-  lastSeenAt: number
+/** Last announcement to an address. */
+interface Announcement {
+  readonly at: number
+  /** Revision up to which the entry at the address has told its members; undefined before its first answer. */
+  readonly told: { readonly directory: string, readonly revision: number } | undefined
 }
 
 /**
@@ -51,81 +60,81 @@
  *
  * @example
  * const seeds = ['10.1.0.13:7720']
- * const directory = createFleetDirectory({ self, seeds, client, logger, now, onMember, hasRecentContact })
+ * const directory = createFleetDirectory({
+ *   self, incarnation, seeds, client, logger, now, onMember, hasRecentContact
+ * })
  */
 export function createFleetDirectory (options: FleetDirectoryOptions): FleetDirectory {
   const { self, client, now } = options
   const startedAt = now()
-  const members = new Map<string, KnownMember>()
-  const announcedAt = new Map<string, number>()
+  const table = createMemberTable({
+    self,
+    incarnation: options.incarnation,
+    maximumAge: () => Math.max(MINIMUM_MEMBER_AGE_MILLISECONDS, MISSED_ANNOUNCEMENTS * entryAnnounceInterval()),
+    hasRecentContact: options.hasRecentContact
+  })
+  /** Names of the known entries by address. */
+  const entryNames = new Map<string, string>()
+  const announcements = new Map<string, Announcement>()
   const pendingAddresses = new Set<string>()
 
   function addMember (member: Member): void {
-    if (member.name === self.name) return
-    const known = members.get(member.name)
-    if (known !== undefined && known.member.address === member.address) return
-    members.set(member.name, { member, lastSeenAt: now() })
+    if (!table.add(member, now())) return
+    if (member.role === 'entry') {
+      for (const [address, name] of entryNames) if (name === member.name) entryNames.delete(address)
+      entryNames.set(member.address, member.name)
+    }
     options.logger.info('member found', { member: member.name, memberRole: member.role, address: member.address })
     options.onMember(member)
   }
 
-  function handleAnnounce ({ member }: Announce): AnnounceAnswer {
-    addMember(member)
-    const known = members.get(member.name)
-    if (known !== undefined) known.lastSeenAt = now()
-    const reportedMembers: Member[] = [self]
-    for (const other of members.values()) {
-      if (
-        now() - other.lastSeenAt > MAXIMUM_MEMBER_AGE_MILLISECONDS && !options.hasRecentContact(other.member.name)
-      ) continue
-      if (other.member.role === 'entry' || member.role === 'entry') reportedMembers.push(other.member)
-    }
-    return { members: reportedMembers }
+  function handleAnnounce (announce: Announce): AnnounceAnswer {
+    addMember(announce.member)
+    table.markSeen(announce.member.name, now())
+    return table.answer(announce, now())
   }
 
   function entryAddresses (): string[] {
     const addresses = new Set(options.seeds)
-    for (const { member } of members.values()) {
-      if (member.role === 'entry') addresses.add(member.address)
-    }
+    for (const { address } of table.withRole('entry')) addresses.add(address)
     addresses.delete(self.address)
     return [...addresses]
   }
 
-  function entryNameAt (address: string): string | undefined {
-    for (const { member } of members.values()) {
-      if (member.role === 'entry' && member.address === address) return member.name
-    }
-    return undefined
-  }
-
   async function announceTo (address: string): Promise<void> {
+    const last = announcements.get(address)
     pendingAddresses.add(address)
+    let told = last?.told
     try {
-      const answer = await client.call(address, 'announce', { member: self }, ANNOUNCE_TIMEOUT_MILLISECONDS)
+      const answer = await client.call(address, 'announce', {
+        member: self, digest: table.digestFor(self.role, now()), ...(told === undefined ? {} : { since: told })
+      }, ANNOUNCE_TIMEOUT_MILLISECONDS)
+      told = { directory: answer.directory, revision: answer.revision }
       for (const member of answer.members) addMember(member)
     } catch (failure) {
       options.logger.debug('announcement got no answer', { address, reason: String(failure) })
     } finally {
       pendingAddresses.delete(address)
-      announcedAt.set(address, now())
+      announcements.set(address, { at: now(), told })
     }
   }
 
+  /** Interval of this entry's announcements to one known entry. */
+  function entryAnnounceInterval (): number {
+    return ENTRY_ANNOUNCE_INTERVAL_MILLISECONDS * Math.max(1, entryNames.size / ENTRIES_PER_INTERVAL)
+  }
+
   function announceInterval (entry: string | undefined): number {
     if (entry === undefined && now() - startedAt < STARTUP_MILLISECONDS) return STARTUP_ANNOUNCE_INTERVAL_MILLISECONDS
-    return self.role === 'entry' && entry !== undefined
-      ? ENTRY_ANNOUNCE_INTERVAL_MILLISECONDS
-      : ANNOUNCE_INTERVAL_MILLISECONDS
+    return self.role === 'entry' && entry !== undefined ? entryAnnounceInterval() : ANNOUNCE_INTERVAL_MILLISECONDS
   }
 
   function announce (): void {
     for (const address of entryAddresses()) {
       if (pendingAddresses.has(address)) continue
-      const name = entryNameAt(address)
+      const name = entryNames.get(address)
       if (name !== undefined && self.role === 'agent' && options.hasRecentContact(name)) continue
-      const interval = announceInterval(name)
-      if (now() - (announcedAt.get(address) ?? -Infinity) < interval) continue
+      if (now() - (announcements.get(address)?.at ?? -Infinity) < announceInterval(name)) continue
       announceTo(address).catch(() => {})
     }
   }
--- a/packages/fleet-calls/src/entry-messages.ts
+++ b/packages/fleet-calls/src/entry-messages.ts
@@ -11,11 +11,23 @@
 export type Member = typeof Member.Type
 
 /** Announces a process to an entry. */
-export const Announce = Schema.Struct({ member: Member })
+export const Announce = Schema.Struct({
+  member: Member,
+  /** Digest of the live members that the process knows, itself included; it lacks nothing if the entry's is equal. */
+  digest: Schema.Number,
+  /** Revision of the entry's table in its last answer to the process, absent before the first answer. */
+  since: Schema.optionalKey(Schema.Struct({ directory: Schema.String, revision: Schema.Number }))
+})
 export type Announce = typeof Announce.Type
 
-/** The members that the entry knows and the announced process needs. */
-export const AnnounceAnswer = Schema.Struct({ members: Schema.Array(Member) })
+/** The members that the announced process needs and lacks. */
+export const AnnounceAnswer = Schema.Struct({
+  /** Differs at each start of the entry, whose revisions begin anew. */
+  directory: Schema.String,
+  /** Revision of the entry's table; rises with each change. */
+  revision: Schema.Number,
+  members: Schema.Array(Member)
+})
 export type AnnounceAnswer = typeof AnnounceAnswer.Type
 
 /** Asks an entry for its current configuration. */
