Place tasks near, within the objective, and stop runs in batches

Cause: every entry chose the upstream with the earliest expected finish by views that are some 100 ms old, so all chose the same fast upstreams: one order in four came back, two of three left the failure domain, and large tasks found the fast upstreams taken. Runs were stopped by a call each and again every 250 ms, and unanswered starts were always sent twice, which kept a full link full. Change: ObjectivePlacement compares a few upstreams that meet the objective, of the entry's failure domain first, and leaves the fast ones to the tasks that need them; an order may wait 20 ms where its job has the time. Stops of an agent travel together, one call at a time, with a back-off.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -215,13 +215,14 @@
   ports.logger.warn('start got no answer', { agent: view.name, tasks: unconfirmed.length })
   // The agent gets no further work until it answers a call, which may be the stop sent here.
   view.isReachable = false
-  stopTasks(state, ports, unconfirmed)
+  stopTasks(state, unconfirmed, now)
 }
 
 export function handleStopAnswer (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, answer: StopAnswer, now: number
 ): void {
   applyAgentState(state, ports, view, answer, now)
+  state.stops.answered(view.name)
 }
 
 export function handleWatchFailure (ports: DispatcherPorts, view: AgentView, isRefused: boolean, now: number): void {
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -3,8 +3,8 @@
 import { isUsable, type AgentView } from './agent-view.js'
 import {
   LATE_PRIORITY_OFFSET, MAXIMUM_WAIT_EXTRA_MILLISECONDS, MAXIMUM_WAIT_FACTOR, MAXIMUM_WAIT_SHARE,
-  MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLOWNESS, PROBE_INTERVAL_MILLISECONDS,
-  RESERVED_CAPACITY_SHARE, RETRY_AFTER_MILLISECONDS
+  MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLACK_FACTOR, MINIMUM_SLOWNESS,
+  PROBE_INTERVAL_MILLISECONDS, RESERVED_CAPACITY_SHARE, RETRY_AFTER_MILLISECONDS, SHORT_WAIT_MILLISECONDS
 } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, PendingOrders } from './dispatcher-state.js'
 import { findEjectedAgents } from './ejection.js'
@@ -41,23 +41,72 @@
   return tasksAtAgent < step.maximumPerUpstream
 }
 
+/** Returns the time until the objective of a job, or 0 after it. */
+function remainingMillisecondsOf (job: Job, now: number): number {
+  return Math.max(0, job.request.arrivedAt + job.objectiveMilliseconds - now)
+}
+
+/** Agents of a service that may get work, by their distance from the entry. */
+interface AgentsByDistance {
+  /** Agents in the entry's failure domain. */
+  readonly near: readonly AgentView[]
+  readonly far: readonly AgentView[]
+}
+
+function agentsByDistance (state: DispatcherState, agents: readonly AgentView[]): AgentsByDistance {
+  const near: AgentView[] = []
+  const far: AgentView[] = []
+  for (const view of agents) (view.profile?.failureDomain === state.failureDomain ? near : far).push(view)
+  return { near, far }
+}
+
+/** Returns the agents that may run a task; those where it ended without success only if there are no others. */
+function candidatesFor (agents: readonly AgentView[], task: JobTask, job: Job): readonly AgentView[] {
+  const eligible = agents.filter(view => mayRun(view, task, job))
+  const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
+  return preferred.length > 0 ? preferred : eligible
+}
+
+/**
+ * Chooses an agent for a task: one of the entry's failure domain if the task can start there at once and end within the
+ * objective, otherwise the best of all.
+ */
+function chooseAgent (
+  state: DispatcherState,
+  job: Job,
+  task: JobTask,
+  agents: AgentsByDistance,
+  usedAgents: ReadonlySet<string>,
+  now: number
+): PlacementChoice | undefined {
+  const { request } = job
+  const remainingMilliseconds = remainingMillisecondsOf(job, now)
+  const choose = (candidates: readonly AgentView[]): PlacementChoice | undefined => state.placement.choose({
+    task,
+    priority: request.priority,
+    candidates,
+    usedAgents,
+    failureDomain: state.failureDomain,
+    remainingMilliseconds,
+    now
+  })
+  const near = candidatesFor(agents.near, task, job)
+  const nearChoice = choose(near)
+  const isInTime = nearChoice !== undefined && nearChoice.waitMilliseconds === 0 &&
+    nearChoice.finishMilliseconds <= remainingMilliseconds
+  if (isInTime || agents.far.length === 0) return nearChoice
+  return choose([...near, ...candidatesFor(agents.far, task, job)])
+}
+
 /** Chooses an agent for each of the given tasks and reserves capacity there; undefined if one has no candidate. */
 function planJob (
   state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: readonly AgentView[], now: number
 ): Map<JobTask, PlacementChoice> | undefined {
   const plan = new Map<JobTask, PlacementChoice>()
   const usedAgents = new Set<string>()
+  const byDistance = agentsByDistance(state, agents)
   for (const task of tasks) {
-    const eligible = agents.filter(view => mayRun(view, task, job))
-    const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
-    const choice = state.placement.choose({
-      task,
-      priority: job.request.priority,
-      candidates: preferred.length > 0 ? preferred : eligible,
-      usedAgents,
-      failureDomain: state.failureDomain,
-      now
-    })
+    const choice = chooseAgent(state, job, task, byDistance, usedAgents, now)
     if (choice === undefined) {
       releasePlan(plan)
       return undefined
@@ -90,19 +139,24 @@
 }
 
 /**
- * Returns the maximum wait of a task at its agent, in milliseconds. It is 0 where free capacity is expected: an agent
- * without any then refuses at once, and another agent can be tried.
+ * Returns the maximum wait of a task at its agent, in milliseconds. Where free capacity is expected it is short, and 0
+ * if the job has no time for it: an agent without any then refuses soon, and another agent can be tried.
+ *
+ * @param remainingMilliseconds - Time until the objective of the job.
  */
-function maximumWaitFor (choice: PlacementChoice): number {
-  return choice.waitMilliseconds === 0
-    ? 0
-    : MAXIMUM_WAIT_FACTOR * choice.waitMilliseconds + MAXIMUM_WAIT_EXTRA_MILLISECONDS
+function maximumWaitFor (choice: PlacementChoice, remainingMilliseconds: number): number {
+  if (choice.waitMilliseconds > 0) {
+    return MAXIMUM_WAIT_FACTOR * choice.waitMilliseconds + MAXIMUM_WAIT_EXTRA_MILLISECONDS
+  }
+  const slackMilliseconds = remainingMilliseconds - choice.finishMilliseconds
+  return slackMilliseconds >= MINIMUM_SLACK_FACTOR * SHORT_WAIT_MILLISECONDS ? SHORT_WAIT_MILLISECONDS : 0
 }
 
 function sendPlan (
   state: DispatcherState, ports: DispatcherPorts, job: Job, plan: ReadonlyMap<JobTask, PlacementChoice>, now: number
 ): void {
   const byAgent = new Map<string, PendingOrders>()
+  const remainingMilliseconds = remainingMillisecondsOf(job, now)
   for (const [task, choice] of plan) {
     const { agent } = choice
     task.lastRun += 1
@@ -110,7 +164,8 @@
     task.assignment = { agent: agent.name, incarnation: agent.incarnation, run: task.lastRun, sentAt: now }
     state.assigned.set(task.name, { job, task })
     const pending = byAgent.get(agent.name) ?? { view: agent, orders: [], maximumWaitMilliseconds: 0 }
-    pending.maximumWaitMilliseconds = Math.max(pending.maximumWaitMilliseconds, maximumWaitFor(choice))
+    const maximumWait = maximumWaitFor(choice, remainingMilliseconds)
+    pending.maximumWaitMilliseconds = Math.max(pending.maximumWaitMilliseconds, maximumWait)
     pending.orders.push({
       task: task.name, run: task.lastRun, size: task.step.size, estimateMilliseconds: task.step.estimateMilliseconds
     })
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -1,4 +1,5 @@
 /** Dispatcher of an entry. It reads no clock and opens no socket: times are passed in, and calls go through ports. */
+import { createRandom } from '@baobabpost/common'
 import type { Start, StartAnswer, StopAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
 import {
   endRunsOfUnresponsiveAgents, handleStartAnswer, handleStartFailure, handleStopAnswer, handleWatchAnswer,
@@ -12,10 +13,13 @@
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
 import { answerJob } from './job-completion.js'
-import { EarliestFinishPlacement, type Placement } from './placement.js'
+import { ObjectivePlacement } from './objective-placement.js'
+import type { Placement } from './placement.js'
+import { rankFor } from './preference.js'
+import { createStopQueue } from './stop-queue.js'
 
-/** Interval at which stops of runs without a report are sent again. */
-const STOP_REPEAT_MILLISECONDS = 250
+/** Number of seeds from which an incarnation of an entry draws its own. */
+const RANDOM_SEEDS = 2 ** 31
 
 /** Places the jobs of an entry. All times are on the entry's steady clock, in milliseconds. */
 export interface Dispatcher {
@@ -36,6 +40,7 @@
   startAnswered: (view: AgentView, start: Start, answer: StartAnswer, now: number) => void
   startFailed: (view: AgentView, start: Start, isRefused: boolean, now: number) => void
   stopAnswered: (view: AgentView, answer: StopAnswer, now: number) => void
+  stopFailed: (view: AgentView, now: number) => void
   /** Answers expired jobs, ends runs of unresponsive agents and assigns waiting jobs; to be called every few ms. */
   tick: (now: number) => void
   /** Whether any agent accepts work. */
@@ -64,20 +69,28 @@
  * dispatcher.submit(request, answer => { respond(answer) }, performance.now())
  */
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
+  const stops = createStopQueue({
+    send: (view, runs) => { ports.sendStop(view, { caller: callerFor(state, view), runs }) },
+    isWanted: (name, run) => {
+      const task = state.assigned.get(name)?.task
+      return task?.state === 'stopping' && task.assignment?.run === run
+    }
+  })
   const state: DispatcherState = {
     entry: options.entry,
     incarnation: options.incarnation,
     failureDomain: options.failureDomain,
-    placement: options.placement ?? new EarliestFinishPlacement(),
+    placement: options.placement ??
+      new ObjectivePlacement(createRandom(Math.floor(RANDOM_SEEDS * rankFor(options.entry, options.incarnation)))),
     agents: new Map(),
     jobs: new Map(),
     assigned: new Map(),
+    stops,
     waiting: [],
     lastAssignPassAt: 0
   }
   const ports: DispatcherPorts = options
   let lastTickAt: number | undefined
-  let lastStopRepeatAt = 0
 
   function submit (
     request: JobRequest, answer: (answer: JobAnswer) => void, now: number
@@ -119,20 +132,6 @@
     }
   }
 
-  /** Sends stops again whose call or report may have been lost. */
-  function repeatStops (now: number): void {
-    if (now - lastStopRepeatAt < STOP_REPEAT_MILLISECONDS) return
-    lastStopRepeatAt = now
-    for (const { task } of state.assigned.values()) {
-      if (task.state !== 'stopping' || task.assignment === undefined) continue
-      const view = state.agents.get(task.assignment.agent)
-      if (view === undefined || !view.isReachable) continue
-      ports.sendStop(view, {
-        caller: callerFor(state, view), runs: [{ task: task.name, run: task.assignment.run }]
-      })
-    }
-  }
-
   function tick (now: number): void {
     const wasPaused = lastTickAt !== undefined && now - lastTickAt > PROCESS_PAUSE_MILLISECONDS
     lastTickAt = now
@@ -143,7 +142,7 @@
     }
     endExpiredJobs(now)
     endRunsOfUnresponsiveAgents(state, ports, now)
-    repeatStops(now)
+    state.stops.flush(now)
     assignWaiting(state, ports, now)
   }
 
@@ -193,6 +192,7 @@
     },
     startFailed: (view, start, isRefused, now) => { handleStartFailure(state, ports, view, start, isRefused, now) },
     stopAnswered: (view, answer, now) => { handleStopAnswer(state, ports, view, answer, now) },
+    stopFailed: (view, now) => { state.stops.failed(view.name, now) },
     tick,
     isServing: () => {
       for (const view of state.agents.values()) {
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -31,6 +31,13 @@
  * choose the same upstream at once less often.
  */
 export const MAXIMUM_PREFERENCE_COST_MILLISECONDS = 5
+/**
+ * Maximum wait of a task at an agent where free capacity is expected: another entry may have taken it, and with several
+ * runs at an upstream one of them ends within about this time.
+ */
+export const SHORT_WAIT_MILLISECONDS = 20
+/** Least slack of a job for which its tasks may wait at such an agent, as a multiple of that wait. */
+export const MINIMUM_SLACK_FACTOR = 2
 /** Maximum wait of a task at an agent without free capacity, as a multiple of the expected wait. */
 export const MAXIMUM_WAIT_FACTOR = 2
 /** Time added to the multiple of the expected wait that a task may wait at an agent. */
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -4,12 +4,13 @@
 import type { AgentView } from './agent-view.js'
 import type { Job, JobTask } from './job.js'
 import type { Placement } from './placement.js'
+import type { StopQueue } from './stop-queue.js'
 
 /** Operations that the dispatcher needs from its environment. */
 export interface DispatcherPorts {
   /** Sends a start call; its result is passed to `startAnswered` or `startFailed`. */
   sendStart: (view: AgentView, start: Start) => void
-  /** Sends a stop call; its answer, if any, is passed to `stopAnswered`. */
+  /** Sends a stop call; its result is passed to `stopAnswered` or `stopFailed`. */
   sendStop: (view: AgentView, stop: Stop) => void
   readonly logger: EventLogger
 }
@@ -31,6 +32,7 @@
   readonly jobs: Map<string, Job>
   /** Tasks that are assigned or being stopped, by name. */
   readonly assigned: Map<string, TaskOfJob>
+  readonly stops: StopQueue
   /** Jobs with tasks that wait to be sent. */
   waiting: Job[]
   /** When the last pass over the waiting jobs began, on the entry's steady clock in milliseconds. */
--- a/packages/dispatching/src/ejection.ts
+++ b/packages/dispatching/src/ejection.ts
@@ -12,6 +12,7 @@
  * findEjectedAgents(views) // Set { 'agent-7' }
  */
 export function findEjectedAgents (views: readonly AgentView[]): Set<string> {
+  if (!views.some(view => view.load.failureShare >= EJECTION_FAILURE_SHARE)) return new Set()
   const ranked = [...views].sort((left, right) => right.load.failureShare - left.load.failureShare)
   const median = ranked[Math.floor(ranked.length / 2)]?.load.failureShare ?? 0
   const maximumEjected = Math.floor(views.length * MAXIMUM_EJECTED_SHARE)
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -7,6 +7,7 @@
   CALL_TIMEOUT_MILLISECONDS, WATCH_RETRY_MILLISECONDS, WATCH_TIMEOUT_MILLISECONDS
 } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
+import { createRetryBudget } from './retry-budget.js'
 
 /** Interval of the dispatcher's ticks; short compared with the shortest objective. */
 const TICK_MILLISECONDS = 20
@@ -50,10 +51,12 @@
 export function startEntryProgram (options: EntryProgramOptions): EntryProgram {
   const { logger, now } = options
   const client = options.client ?? createCallClient()
+  const repeats = createRetryBudget()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({ ...options, sendStart, sendStop })
 
   function sendStart (view: AgentView, start: Start): void {
+    repeats.record()
     attemptStart(view, start, START_ATTEMPTS).catch((failure: unknown) => {
       logger.error('start failed', { agent: view.name, reason: String(failure) })
     })
@@ -66,7 +69,7 @@
     } catch (failure) {
       if (!(failure instanceof CallError)) throw failure
       const isRefused = isRefusal(failure)
-      if (!isRefused && attempts > 1) return attemptStart(view, start, attempts - 1)
+      if (!isRefused && attempts > 1 && repeats.take()) return attemptStart(view, start, attempts - 1)
       // An earlier attempt may have reached the agent although the connection is refused now.
       dispatcher.startFailed(view, start, isRefused && attempts === START_ATTEMPTS, now())
     }
@@ -75,7 +78,10 @@
   function sendStop (view: AgentView, stop: Stop): void {
     client.call(view.address, 'stop', stop, CALL_TIMEOUT_MILLISECONDS).then(
       answer => { dispatcher.stopAnswered(view, answer, now()) },
-      (failure: unknown) => { logger.warn('stop got no answer', { agent: view.name, reason: String(failure) }) }
+      (failure: unknown) => {
+        logger.warn('stop got no answer', { agent: view.name, reason: String(failure) })
+        dispatcher.stopFailed(view, now())
+      }
     )
   }
 
--- a/packages/dispatching/src/job-completion.ts
+++ b/packages/dispatching/src/job-completion.ts
@@ -1,5 +1,4 @@
 /** Completion of jobs: final answers, stops of runs that are no longer needed, and resubmitted jobs. */
-import type { AgentView } from './agent-view.js'
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import type { Job, JobAnswer, JobTask } from './job.js'
 
@@ -19,30 +18,20 @@
     objective: Math.round(job.objectiveMilliseconds)
   })
   job.answer(answer)
-  stopTasks(state, ports, job.tasks)
+  stopTasks(state, job.tasks, now)
   settleJob(state, job)
 }
 
 /** Marks unsent tasks as done and sends stops for assigned ones, whose results arrive as reports. */
-export function stopTasks (
-  state: DispatcherState, ports: DispatcherPorts, tasks: readonly JobTask[]
-): void {
-  const byAgent = new Map<AgentView, Array<{ task: string, run: number }>>()
+export function stopTasks (state: DispatcherState, tasks: readonly JobTask[], now: number): void {
   for (const task of tasks) {
     if (task.state === 'waiting' || task.state === 'blocked') task.state = 'done'
     if (task.state !== 'assigned' || task.assignment === undefined) continue
     task.state = 'stopping'
     const view = state.agents.get(task.assignment.agent)
-    if (view === undefined) continue
-    const runs = byAgent.get(view) ?? []
-    runs.push({ task: task.name, run: task.assignment.run })
-    byAgent.set(view, runs)
-  }
-  for (const [view, runs] of byAgent) {
-    ports.sendStop(view, {
-      caller: { entry: state.entry, incarnation: state.incarnation, heardAt: view.lastAgentClock }, runs
-    })
+    if (view !== undefined) state.stops.add(view, task.name, task.assignment.run)
   }
+  state.stops.flush(now)
 }
 
 /** Removes a job that is answered and has no assigned task. A resubmission that waits for this is then queued. */
--- /dev/null
+++ b/packages/dispatching/src/objective-placement.ts
@@ -0,0 +1,101 @@
+/** Placement that keeps fast upstreams for the tasks that need them, and spreads the entries' choices. */
+import { ENTRY_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import type { Random } from '@baobabpost/common'
+import type { AgentView } from './agent-view.js'
+import {
+  EarliestFinishPlacement, estimateChoice, utilization, Placement, type PlacementChoice, type PlacementRequest
+} from './placement.js'
+
+/** Number of upstreams that are compared for a task. */
+const COMPARED_UPSTREAMS = 12
+/** Number of further tasks for which an upstream should have capacity, since its reported capacity may be outdated. */
+const HEADROOM_TASKS = 2
+/** Margin of the expected run time, as a share of it: the spread of an upstream's recent run times. */
+const RUN_TIME_MARGIN_SHARE = 0.15
+/** Margin for what an answer takes beside the run: its order, its listing and its report. */
+const ANSWER_MARGIN_MILLISECONDS = 25
+/** Cost of the upstream that the entry prefers least, as a share of its capacity. */
+const PREFERENCE_COST = 1
+/** Cost of a view as old as the entry lease, as a share of the upstream's capacity: its free capacity is uncertain. */
+const STALENESS_COST = 0.3
+/** Cost of an upstream that finishes immediately when all of the objective is left, as a share of its capacity. */
+const SPEED_COST = 0.2
+
+/**
+ * Compares a few upstreams, drawn at random from those that have free capacity and meet the job's objective, and takes
+ * the one with the lowest cost: busy, unfamiliar and needlessly fast upstreams cost more. Where none meets the
+ * objective the earliest finish decides.
+ *
+ * It answers the load of many entries whose views of the upstreams are outdated: choosing the best upstream by such
+ * views sends the tasks of all entries to the same fast upstreams, which refuse them.
+ */
+export class ObjectivePlacement extends Placement {
+  readonly #random: Random
+  readonly #fallback = new EarliestFinishPlacement()
+
+  constructor (random: Random) {
+    super()
+    this.#random = random
+  }
+
+  override choose (request: PlacementRequest): PlacementChoice | undefined {
+    const used: PlacementChoice[] = []
+    const roomy: PlacementChoice[] = []
+    const tight: PlacementChoice[] = []
+    for (const view of request.candidates) {
+      const choice = estimateChoice(view, request)
+      if (!meetsObjective(choice, request)) continue
+      if (freeAfter(choice, request) < HEADROOM_TASKS * request.task.step.size.processor) tight.push(choice)
+      else if (request.usedAgents.has(view.name)) used.push(choice)
+      else roomy.push(choice)
+    }
+    // One call starts all tasks of a job at an agent, so an agent that has one of them gets more while it has capacity.
+    const inTime = [used, roomy, tight].find(({ length }) => length > 0) ?? []
+    let best: PlacementChoice | undefined
+    let bestCost = Infinity
+    for (const choice of this.#draw(inTime)) {
+      const cost = costOf(choice, request)
+      if (cost >= bestCost) continue
+      best = choice
+      bestCost = cost
+    }
+    return best ?? this.#fallback.choose(request)
+  }
+
+  /** Draws choices without repetition, and reorders the given ones. */
+  #draw (choices: PlacementChoice[]): PlacementChoice[] {
+    const count = Math.min(COMPARED_UPSTREAMS, choices.length)
+    for (let position = 0; position < count; position += 1) {
+      const drawn = position + this.#random.below(choices.length - position)
+      const choice = choices[drawn] as PlacementChoice
+      choices[drawn] = choices[position] as PlacementChoice
+      choices[position] = choice
+    }
+    return choices.slice(0, count)
+  }
+}
+
+function meetsObjective (choice: PlacementChoice, request: PlacementRequest): boolean {
+  if (choice.waitMilliseconds > 0) return false
+  const runMilliseconds = choice.finishMilliseconds * (1 + RUN_TIME_MARGIN_SHARE)
+  return runMilliseconds + ANSWER_MARGIN_MILLISECONDS <= request.remainingMilliseconds
+}
+
+/** Returns the processor that is left at an agent once it has the task, in thousandths of a core. */
+function freeAfter ({ agent }: PlacementChoice, request: PlacementRequest): number {
+  return agent.load.free.processor - agent.unconfirmedSize.processor - request.task.step.size.processor
+}
+
+function ageShare (view: AgentView, now: number): number {
+  return Math.min(1, Math.max(0, (now - view.lastContactAt) / ENTRY_LEASE_MILLISECONDS))
+}
+
+function costOf ({ agent, finishMilliseconds }: PlacementChoice, request: PlacementRequest): number {
+  const { rack } = request.task.step
+  const isFarFromData = rack !== undefined && agent.profile?.labels.includes(rack) !== true
+  return utilization(agent) +
+    SPEED_COST * Math.max(0, 1 - finishMilliseconds / request.remainingMilliseconds) +
+    STALENESS_COST * ageShare(agent, request.now) +
+    PREFERENCE_COST * agent.preference +
+    (isFarFromData ? 1 : 0)
+}
--- a/packages/dispatching/src/placement.ts
+++ b/packages/dispatching/src/placement.ts
@@ -17,6 +17,8 @@
   readonly usedAgents: ReadonlySet<string>
   /** Failure domain of the entry. */
   readonly failureDomain: string
+  /** Time from now in which the task must end for its job to meet its objective; 0 if it can not any more. */
+  readonly remainingMilliseconds: number
   /** Current time on the entry's steady clock, in milliseconds. */
   readonly now: number
 }
@@ -56,7 +58,8 @@
   return load.releaseRate > 0 ? missingProcessor / load.releaseRate : UNKNOWN_WAIT_MILLISECONDS
 }
 
-function estimateChoice (view: AgentView, request: PlacementRequest): PlacementChoice {
+/** Returns the choice of an upstream for a task, with the times expected there. */
+export function estimateChoice (view: AgentView, request: PlacementRequest): PlacementChoice {
   const { step } = request.task
   const waitMilliseconds = expectedWaitMilliseconds(view, step.size.processor, request.priority)
   const finishMilliseconds = waitMilliseconds + step.estimateMilliseconds * view.load.slowness
@@ -64,7 +67,7 @@
 }
 
 /** Share of an upstream's processor that is in use or reserved by this entry, 0 to 1. */
-function utilization (view: AgentView): number {
+export function utilization (view: AgentView): number {
   const capacity = view.profile?.capacity.processor ?? 0
   if (capacity <= 0) return 1
   return Math.min(1, Math.max(0, 1 - (view.load.free.processor - view.unconfirmedSize.processor) / capacity))
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -74,6 +74,8 @@
   readonly upstreams: ReadonlyArray<{ readonly capacity: Size, readonly speed: number }>
   readonly placement?: () => Placement
   readonly logger?: EventLogger
+  /** Number of failure domains, over which entries and agents are dealt in turn; 1 by default. */
+  readonly failureDomains?: number
 }
 
 function pause (milliseconds: number): Promise<void> {
@@ -127,17 +129,22 @@
   const logger = options.logger ?? silentLogger
   const network = createMemoryNetwork()
   const runLog = createRunLog(now)
+  const entryDomains = new Map<string, number>()
   let incarnationCount = 0
 
+  function domainAt (index: number): string {
+    return `domain-${index % (options.failureDomains ?? 1) + 1}`
+  }
+
   function launchEntry (name: string, address: string): Pick<FleetEntry, 'program' | 'processState'> {
     incarnationCount += 1
     const processState: ProcessState = { isKilled: false }
     const program = startEntryProgram({
       entry: name,
       incarnation: String(incarnationCount),
-      failureDomain: 'domain-1',
+      failureDomain: domainAt(entryDomains.get(name) ?? 0),
       client: killableClient(network.clientAt(address), processState),
-      logger,
+      logger: { ...logger, info: (event, fields) => { logger.info(event, { entry: name, ...fields }) } },
       now,
       ...(options.placement === undefined ? {} : { placement: options.placement() })
     })
@@ -173,12 +180,19 @@
     const name = `agent-${index + 1}`
     const address = `10.1.0.${index + 1}:7720`
     const standIn = createLeasedUpstream({
-      name: `upstream-${index + 1}`, service: SERVICE, capacity, speed, now, observer: runLog
+      name: `upstream-${index + 1}`,
+      service: SERVICE,
+      failureDomain: domainAt(index),
+      capacity,
+      speed,
+      now,
+      observer: runLog
     })
     return { name, address, standIn, ...launchAgent(address, standIn) }
   })
   const entries: FleetEntry[] = Array.from({ length: options.entries }, (_, index) => {
     const name = `entry-${index + 1}`
+    entryDomains.set(name, index)
     const address = `10.2.0.${index + 1}:7720`
     return { name, address, ...launchEntry(name, address) }
   })
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -53,6 +53,8 @@
 export interface LeasedUpstreamOptions {
   readonly name: string
   readonly service: string
+  /** `domain-1` by default. */
+  readonly failureDomain?: string
   readonly capacity: Size
   /** Divisor of run times: 2 runs tasks in half the time. */
   readonly speed: number
@@ -217,7 +219,7 @@
         instance: { id: options.name, startedAt },
         sequence,
         service: options.service,
-        failureDomain: 'domain-1',
+        failureDomain: options.failureDomain ?? 'domain-1',
         capacity: options.capacity,
         labels: [],
         isDraining: draining
