--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -2,8 +2,10 @@
 
 /** Share of its objective for which a job may wait at the entry for free capacity; a later refusal is of no use. */
 export const MAXIMUM_WAIT_SHARE = 0.22
-/** Time-out of a start or stop call. */
+/** Timeout of a start or stop call while answers come at once. */
 export const CALL_TIMEOUT_MILLISECONDS = 150
+/** Longest timeout of a start or stop call: an order that is older than the entry lease is refused in any case. */
+export const MAXIMUM_CALL_TIMEOUT_MILLISECONDS = 400
 /** Maximum wait of a watch call to an agent with tasks of this entry: half of the entry lease. */
 export const BUSY_WATCH_MILLISECONDS = 280
 /** Maximum wait of a watch call to an agent without tasks of this entry, for each known agent of the fleet. */
@@ -13,8 +15,6 @@
  * with the fleet only once the upper bound is reached, and unresponsive agents are still noticed within seconds.
  */
 export const IDLE_WATCH_BOUNDS_MILLISECONDS = { minimum: 600, maximum: 4_000 }
-/** Time beyond its maximum wait after which a watch call times out. */
-export const WATCH_TIMEOUT_MILLISECONDS = 150
 /** Pause between watch calls to an agent that does not answer. */
 export const WATCH_RETRY_MILLISECONDS = 100
 /** Cost of an upstream in another failure domain, as response time: traffic between failure domains is expensive. */
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -3,9 +3,8 @@
 import { CallError, createCallClient, type CallClient, type Start, type Stop } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import { createDispatcher, type Dispatcher } from './create-dispatcher.js'
-import {
-  CALL_TIMEOUT_MILLISECONDS, WATCH_RETRY_MILLISECONDS, WATCH_TIMEOUT_MILLISECONDS
-} from './dispatch-limits.js'
+import { createCallTiming } from './call-timing.js'
+import { WATCH_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
 import { createRetryBudget } from './retry-budget.js'
 
@@ -52,6 +51,7 @@
   const { logger, now } = options
   const client = options.client ?? createCallClient()
   const repeats = createRetryBudget()
+  const timing = createCallTiming()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({ ...options, sendStart, sendStop })
 
@@ -63,12 +63,15 @@
   }
 
   async function attemptStart (view: AgentView, start: Start, attempts: number): Promise<void> {
+    const sentAt = now()
     try {
-      const answer = await client.call(view.address, 'start', start, CALL_TIMEOUT_MILLISECONDS)
+      const answer = await client.call(view.address, 'start', start, timing.timeout())
+      timing.record(now() - sentAt)
       dispatcher.startAnswered(view, start, answer, now())
     } catch (failure) {
       if (!(failure instanceof CallError)) throw failure
       const isRefused = isRefusal(failure)
+      if (!isRefused) timing.record(now() - sentAt)
       if (!isRefused && attempts > 1 && repeats.take()) return attemptStart(view, start, attempts - 1)
       // An earlier attempt may have reached the agent although the connection is refused now.
       dispatcher.startFailed(view, start, isRefused && attempts === START_ATTEMPTS, now())
@@ -76,7 +79,7 @@
   }
 
   function sendStop (view: AgentView, stop: Stop): void {
-    client.call(view.address, 'stop', stop, CALL_TIMEOUT_MILLISECONDS).then(
+    client.call(view.address, 'stop', stop, timing.timeout()).then(
       answer => { dispatcher.stopAnswered(view, answer, now()) },
       (failure: unknown) => {
         logger.warn('stop got no answer', { agent: view.name, reason: String(failure) })
@@ -90,7 +93,7 @@
     while (!status.isClosed) {
       const parameters = dispatcher.nextWatch(view)
       try {
-        const timeout = parameters.waitMilliseconds + WATCH_TIMEOUT_MILLISECONDS
+        const timeout = parameters.waitMilliseconds + timing.timeout()
         const answer = await client.call(view.address, 'watch', parameters, timeout)
         answeredAt = now()
         dispatcher.watchAnswered(view, answer, answeredAt)
--- a/packages/dispatching/src/index.ts
+++ b/packages/dispatching/src/index.ts
@@ -1,5 +1,6 @@
 /** Dispatcher of an entry: places tasks on agents, moves them after failures, and answers or refuses jobs. */
 export * from './agent-view.js'
+export * from './call-timing.js'
 export * from './create-dispatcher.js'
 export * from './ejection.js'
 export * from './entry-program.js'
