--- a/packages/dispatching/tests/call-timing.test.ts
+++ b/packages/dispatching/tests/call-timing.test.ts
@@ -8,8 +8,8 @@
     expect(timing.timeout()).toBe(150)
   })
 
-  // A large record filled an entry's link for 1.4 s: all calls were given up after 150 ms although their answers were on
-  // their way, and their connections and repeats kept the link full for ten seconds more.
+  // A large record filled an entry's link for 1.4 s: all calls were given up after 150 ms although their answers were
+  // on their way, and their connections and repeats kept the link full for ten seconds more.
   it('rises when every answer is late, and falls again', () => {
     const timing = createCallTiming()
     for (let call = 0; call < 20; call += 1) timing.record(150)
