Try a bounded number of waiting jobs in each pass

Cause: a pass, one in 8 ms, planned all tasks of every waiting job anew against every agent: 50 waiting jobs took a small entry of 0.24 core longer than the pause between two passes. A plan counted only sent tasks against the maximum of a step on one upstream. Change: a pass tries 16 jobs, the first ones in order and the others in turn, looks the agents of a service up once, and gives a plan up with the first task that can't end within the objective. Planned tasks count for the maximum. job-plan.ts holds the planning.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -4,11 +4,12 @@
   type RunReport, type Start, type StartAnswer, type StopAnswer, type Verdict, type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
-import { addWaiting, releaseReservation } from './assignments.js'
+import { addWaiting } from './assignments.js'
 import { BUSY_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
 import type { Job, JobTask } from './job.js'
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
+import { releaseReservation } from './job-plan.js'
 
 /** Applies the agent state at the head of an answer. Load and profile of an answer older than the view are ignored. */
 function applyAgentState (
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -1,15 +1,17 @@
 /** Assigns the waiting tasks of jobs to agents, and refuses or abandons jobs that can't be done in time. */
-import { addSizes, EMPTY_SIZE, fitsInto, type CallingEntry } from '@baobabpost/fleet-calls'
-import { isUsable, type AgentView } from './agent-view.js'
+import type { CallingEntry } from '@baobabpost/fleet-calls'
+import type { AgentView } from './agent-view.js'
 import {
-  LATE_PRIORITY_OFFSET, MAXIMUM_WAIT_EXTRA_MILLISECONDS, MAXIMUM_WAIT_FACTOR, MAXIMUM_WAIT_SHARE,
-  MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLACK_FACTOR, MINIMUM_SLOWNESS,
-  PROBE_INTERVAL_MILLISECONDS, RESERVED_CAPACITY_SHARE, RETRY_AFTER_MILLISECONDS, SHORT_WAIT_MILLISECONDS
+  LATE_PRIORITY_OFFSET, MAXIMUM_ATTEMPTS_PER_PASS, MAXIMUM_WAIT_EXTRA_MILLISECONDS, MAXIMUM_WAIT_FACTOR,
+  MAXIMUM_WAIT_SHARE, MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLACK_FACTOR,
+  MINIMUM_SLOWNESS, RESERVED_CAPACITY_SHARE, RETRY_AFTER_MILLISECONDS, SHORT_WAIT_MILLISECONDS
 } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, PendingOrders } from './dispatcher-state.js'
-import { findEjectedAgents } from './ejection.js'
 import { mayHaveRun, type Job, type JobTask } from './job.js'
 import { answerJob } from './job-completion.js'
+import {
+  agentsFor, planTask, planWithinObjective, remainingMillisecondsOf, type AgentsByDistance, type JobPlan
+} from './job-plan.js'
 import type { PlacementChoice } from './placement.js'
 
 /** Returns the `caller` parameter of a call from this entry to an agent. */
@@ -17,127 +19,6 @@
   return { entry: state.entry, incarnation: state.incarnation, heardAt: view.lastAgentClock }
 }
 
-/** Returns the usable agents of a service; ejected ones only when a probe is due. */
-function agentsFor (state: DispatcherState, service: string, now: number): AgentView[] {
-  const usable: AgentView[] = []
-  for (const view of state.agents.values()) {
-    if (isUsable(view) && view.profile?.service === service) usable.push(view)
-  }
-  const ejected = findEjectedAgents(usable)
-  if (ejected.size === 0) return usable
-  return usable.filter(view => !ejected.has(view.name) || now - view.lastSentAt >= PROBE_INTERVAL_MILLISECONDS)
-}
-
-function mayRun (view: AgentView, task: JobTask, job: Job): boolean {
-  const { profile } = view
-  const { step } = task
-  if (profile === undefined || !fitsInto(step.size, profile.capacity)) return false
-  if (step.label !== undefined && !profile.labels.includes(step.label)) return false
-  if (step.maximumPerUpstream === undefined) return true
-  let tasksAtAgent = 0
-  for (const other of job.tasks) {
-    if (other.stepNumber === task.stepNumber && other.assignment?.agent === view.name) tasksAtAgent += 1
-  }
-  return tasksAtAgent < step.maximumPerUpstream
-}
-
-/** Returns the time until the objective of a job, or 0 after it. */
-function remainingMillisecondsOf (job: Job, now: number): number {
-  return Math.max(0, job.request.arrivedAt + job.objectiveMilliseconds - now)
-}
-
-/** Agents of a service that may get work, by their distance from the entry. */
-interface AgentsByDistance {
-  /** Agents in the entry's failure domain. */
-  readonly near: readonly AgentView[]
-  readonly far: readonly AgentView[]
-}
-
-function agentsByDistance (state: DispatcherState, agents: readonly AgentView[]): AgentsByDistance {
-  const near: AgentView[] = []
-  const far: AgentView[] = []
-  for (const view of agents) (view.profile?.failureDomain === state.failureDomain ? near : far).push(view)
-  return { near, far }
-}
-
-/** Returns the agents that may run a task; those where it ended without success only if there are no others. */
-function candidatesFor (agents: readonly AgentView[], task: JobTask, job: Job): readonly AgentView[] {
-  const eligible = agents.filter(view => mayRun(view, task, job))
-  const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
-  return preferred.length > 0 ? preferred : eligible
-}
-
-/**
- * Chooses an agent for a task: one of the entry's failure domain if the task can start there at once and end within the
- * objective, otherwise the best of all.
- */
-function chooseAgent (
-  state: DispatcherState,
-  job: Job,
-  task: JobTask,
-  agents: AgentsByDistance,
-  usedAgents: ReadonlySet<string>,
-  now: number
-): PlacementChoice | undefined {
-  const { request } = job
-  const remainingMilliseconds = remainingMillisecondsOf(job, now)
-  const choose = (candidates: readonly AgentView[]): PlacementChoice | undefined => state.placement.choose({
-    task,
-    priority: request.priority,
-    candidates,
-    usedAgents,
-    failureDomain: state.failureDomain,
-    remainingMilliseconds,
-    now
-  })
-  const near = candidatesFor(agents.near, task, job)
-  const nearChoice = choose(near)
-  const isInTime = nearChoice !== undefined && nearChoice.waitMilliseconds === 0 &&
-    nearChoice.finishMilliseconds <= remainingMilliseconds
-  if (isInTime || agents.far.length === 0) return nearChoice
-  return choose([...near, ...candidatesFor(agents.far, task, job)])
-}
-
-/** Chooses an agent for each of the given tasks and reserves capacity there; undefined if one has no candidate. */
-function planJob (
-  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: readonly AgentView[], now: number
-): Map<JobTask, PlacementChoice> | undefined {
-  const plan = new Map<JobTask, PlacementChoice>()
-  const usedAgents = new Set<string>()
-  const byDistance = agentsByDistance(state, agents)
-  for (const task of tasks) {
-    const choice = chooseAgent(state, job, task, byDistance, usedAgents, now)
-    if (choice === undefined) {
-      releasePlan(plan)
-      return undefined
-    }
-    plan.set(task, choice)
-    usedAgents.add(choice.agent.name)
-    choice.agent.unconfirmedSize = addSizes(choice.agent.unconfirmedSize, task.step.size)
-  }
-  return plan
-}
-
-/** Releases the reservations of a plan that is not carried out. */
-function releasePlan (plan: ReadonlyMap<JobTask, PlacementChoice>): void {
-  for (const [task, { agent }] of plan) releaseReservation(agent, task)
-}
-
-/** Releases the reservation of a task at an agent. */
-export function releaseReservation (view: AgentView, task: JobTask): void {
-  const { size } = task.step
-  view.unconfirmedSize = addSizes(view.unconfirmedSize, {
-    processor: -size.processor, memory: -size.memory, accelerators: -size.accelerators
-  })
-  if (view.unconfirmedSize.processor < 1) view.unconfirmedSize = EMPTY_SIZE
-}
-
-function longestFinishMilliseconds (plan: ReadonlyMap<JobTask, PlacementChoice>): number {
-  let longest = 0
-  for (const { finishMilliseconds } of plan.values()) longest = Math.max(longest, finishMilliseconds)
-  return longest
-}
-
 /**
  * Returns the maximum wait of a task at its agent, in milliseconds. Where free capacity is expected it is short, and 0
  * if the job has no time for it: an agent without any then refuses soon, and another agent can be tried.
@@ -153,7 +34,7 @@
 }
 
 function sendPlan (
-  state: DispatcherState, ports: DispatcherPorts, job: Job, plan: ReadonlyMap<JobTask, PlacementChoice>, now: number
+  state: DispatcherState, ports: DispatcherPorts, job: Job, plan: JobPlan, now: number
 ): void {
   const byAgent = new Map<string, PendingOrders>()
   const remainingMilliseconds = remainingMillisecondsOf(job, now)
@@ -202,15 +83,16 @@
   ports: DispatcherPorts,
   job: Job,
   due: readonly JobTask[],
-  agents: readonly AgentView[],
+  agents: AgentsByDistance,
   now: number
 ): void {
-  const plan = new Map<JobTask, PlacementChoice>()
+  const plan: JobPlan = new Map()
   for (const task of due) {
-    const agentsWithSpareCapacity = agents.filter(view => hasSpareCapacity(view, task))
-    const taskPlan = planJob(state, job, [task], agentsWithSpareCapacity, now)
-    const choice = taskPlan?.get(task)
-    if (choice !== undefined) plan.set(task, choice)
+    const agentsWithSpareCapacity = {
+      near: agents.near.filter(view => hasSpareCapacity(view, task)),
+      far: agents.far.filter(view => hasSpareCapacity(view, task))
+    }
+    planTask(state, job, task, agentsWithSpareCapacity, plan, now)
   }
   if (plan.size > 0) sendPlan(state, ports, job, plan, now)
 }
@@ -235,25 +117,29 @@
   answerJob(state, ports, job, { kind: 'refused', reason, retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS }, now)
 }
 
+/** Abandons a job whose waiting tasks can not end before its deadline. Returns whether it did. */
+function abandonIfHopeless (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
+  const waiting = job.tasks.filter(task => task.state === 'waiting')
+  if (waiting.length === 0) return false
+  if (now + minimumRemainingMilliseconds(waiting) <= job.request.deadlineAt) return false
+  abandonJob(state, ports, job, 'no room before its deadline', now)
+  return true
+}
+
 /** Tries to send the waiting tasks of a job. Returns whether the job has no waiting tasks left. */
-function assignJob (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
+function assignJob (
+  state: DispatcherState, ports: DispatcherPorts, job: Job, agents: AgentsByDistance, now: number
+): boolean {
   const { request } = job
   const waiting = job.tasks.filter(task => task.state === 'waiting')
-  if (job.isAnswered || waiting.length === 0) return true
-  if (now + minimumRemainingMilliseconds(waiting) > request.deadlineAt) {
-    abandonJob(state, ports, job, 'no room before its deadline', now)
-    return true
-  }
   const due = waiting.filter(task => task.notBefore <= now)
-  if (due.length === 0) return false
-  const agents = agentsFor(state, request.service, now)
+  if (due.length === 0) return waiting.length === 0
   if (!job.isLate) {
-    const plan = planJob(state, job, due, agents, now)
-    if (plan !== undefined && now + longestFinishMilliseconds(plan) <= request.arrivedAt + job.objectiveMilliseconds) {
+    const plan = planWithinObjective(state, job, due, agents, now)
+    if (plan !== undefined) {
       sendPlan(state, ports, job, plan, now)
       return due.length === waiting.length
     }
-    if (plan !== undefined) releasePlan(plan)
     if (now - request.arrivedAt < MAXIMUM_WAIT_SHARE * job.objectiveMilliseconds) return false
     job.isLate = true
     if (!mayHaveRun(job) && countWaitingLateJobs(state) > MAXIMUM_WAITING_LATE_JOBS) {
@@ -277,7 +163,11 @@
 /** Tries to send a new job at once, unless other jobs that can still meet their objective are waiting. */
 export function assignNewJob (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): void {
   const isBehindOthers = state.waiting.some(other => !other.isLate && !other.isAnswered)
-  if (isBehindOthers || !assignJob(state, ports, job, now)) state.waiting.push(job)
+  if (!isBehindOthers) {
+    if (abandonIfHopeless(state, ports, job, now)) return
+    if (assignJob(state, ports, job, agentsFor(state, job.request.service, now), now)) return
+  }
+  state.waiting.push(job)
 }
 
 /** Assigns the waiting jobs unless the last pass was too recent; the next tick does it in that case. */
@@ -285,16 +175,51 @@
   if (now - state.lastAssignPassAt >= MINIMUM_ASSIGN_INTERVAL_MILLISECONDS) assignWaiting(state, ports, now)
 }
 
-/** Tries to send all waiting jobs: late ones last, otherwise by priority, then by arrival. */
+/** Orders jobs: late ones last, otherwise by priority, then by arrival. */
+function compareJobs (left: Job, right: Job): number {
+  return Number(left.isLate) - Number(right.isLate) ||
+    left.request.priority - right.request.priority ||
+    left.request.arrivedAt - right.request.arrivedAt
+}
+
+/**
+ * Chooses the jobs that a pass tries to send: the first ones in order, and as many of the others, each in turn, so that
+ * a job which finds room is not held up behind large ones that don't.
+ */
+function jobsToTry (state: DispatcherState, ordered: readonly Job[]): ReadonlySet<Job> {
+  if (ordered.length <= MAXIMUM_ATTEMPTS_PER_PASS) return new Set(ordered)
+  const firstCount = MAXIMUM_ATTEMPTS_PER_PASS / 2
+  const others = ordered.slice(firstCount)
+  const tried = new Set(ordered.slice(0, firstCount))
+  for (let count = 0; count < firstCount; count += 1) {
+    tried.add(others[(state.nextTurn + count) % others.length] as Job)
+  }
+  state.nextTurn = (state.nextTurn + firstCount) % others.length
+  return tried
+}
+
+/**
+ * Tries to send waiting jobs, a bounded number in each pass: during a burst hundreds of jobs wait, and trying each of
+ * them every few milliseconds would leave an entry no time for the answers that bring free capacity.
+ */
 export function assignWaiting (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   if (state.waiting.length === 0) return
   state.lastAssignPassAt = now
-  const ordered = [...state.waiting].sort((left, right) =>
-    Number(left.isLate) - Number(right.isLate) ||
-    left.request.priority - right.request.priority ||
-    left.request.arrivedAt - right.request.arrivedAt)
+  const ordered = [...state.waiting].sort(compareJobs)
   state.waiting = []
-  const remaining = ordered.filter(job => !assignJob(state, ports, job, now))
+  const tried = jobsToTry(state, ordered)
+  const agentsByService = new Map<string, AgentsByDistance>()
+  const remaining: Job[] = []
+  for (const job of ordered) {
+    if (job.isAnswered || abandonIfHopeless(state, ports, job, now)) continue
+    if (tried.has(job)) {
+      const { service } = job.request
+      const agents = agentsByService.get(service) ?? agentsFor(state, service, now)
+      agentsByService.set(service, agents)
+      if (assignJob(state, ports, job, agents, now)) continue
+    }
+    remaining.push(job)
+  }
   state.waiting = [...remaining, ...state.waiting]
 }
 
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -87,6 +87,7 @@
     assigned: new Map(),
     stops,
     waiting: [],
+    nextTurn: 0,
     lastAssignPassAt: 0
   }
   const ports: DispatcherPorts = options
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -62,6 +62,8 @@
 export const PROBE_INTERVAL_MILLISECONDS = 500
 /** Minimum interval between two passes over the waiting jobs; without it every answer of an agent causes a pass. */
 export const MINIMUM_ASSIGN_INTERVAL_MILLISECONDS = 8
+/** Maximum number of waiting jobs that a pass tries to send; half of them are the first ones in order. */
+export const MAXIMUM_ATTEMPTS_PER_PASS = 16
 /** Pause before a task is sent again after an agent answered that it is still stopping another run of the task. */
 export const BUSY_RETRY_MILLISECONDS = 30
 /** Time after a refusal before which the caller is asked not to retry. */
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -35,6 +35,8 @@
   readonly stops: StopQueue
   /** Jobs with tasks that wait to be sent. */
   waiting: Job[]
+  /** Position, among the waiting jobs behind the first ones, of the next job that a pass tries. */
+  nextTurn: number
   /** When the last pass over the waiting jobs began, on the entry's steady clock in milliseconds. */
   lastAssignPassAt: number
 }
--- /dev/null
+++ b/packages/dispatching/src/job-plan.ts
@@ -0,0 +1,137 @@
+/** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
+import { addSizes, EMPTY_SIZE, fitsInto } from '@baobabpost/fleet-calls'
+import { isUsable, type AgentView } from './agent-view.js'
+import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
+import type { DispatcherState } from './dispatcher-state.js'
+import { findEjectedAgents } from './ejection.js'
+import type { Job, JobTask } from './job.js'
+import type { PlacementChoice } from './placement.js'
+
+/** Agents of a service that may get work, by their distance from the entry. */
+export interface AgentsByDistance {
+  /** Agents in the entry's failure domain. */
+  readonly near: readonly AgentView[]
+  readonly far: readonly AgentView[]
+}
+
+/** Tasks with the agents chosen for them, where capacity is reserved. */
+export type JobPlan = Map<JobTask, PlacementChoice>
+
+/** Returns the usable agents of a service; ejected ones only when a probe is due. */
+export function agentsFor (state: DispatcherState, service: string, now: number): AgentsByDistance {
+  const usable: AgentView[] = []
+  for (const view of state.agents.values()) {
+    if (isUsable(view) && view.profile?.service === service) usable.push(view)
+  }
+  const ejected = findEjectedAgents(usable)
+  const near: AgentView[] = []
+  const far: AgentView[] = []
+  for (const view of usable) {
+    if (ejected.has(view.name) && now - view.lastSentAt < PROBE_INTERVAL_MILLISECONDS) continue
+    if (view.profile?.failureDomain === state.failureDomain) near.push(view)
+    else far.push(view)
+  }
+  return { near, far }
+}
+
+/** Counts the tasks of a step that are assigned to an agent or planned there. */
+function countTasksAt (view: AgentView, stepNumber: number, job: Job, plan: JobPlan): number {
+  let count = 0
+  for (const other of job.tasks) {
+    if (other.stepNumber !== stepNumber) continue
+    if (other.assignment?.agent === view.name || plan.get(other)?.agent === view) count += 1
+  }
+  return count
+}
+
+function mayRun (view: AgentView, task: JobTask, job: Job, plan: JobPlan): boolean {
+  const { profile } = view
+  const { step } = task
+  if (profile === undefined || !fitsInto(step.size, profile.capacity)) return false
+  if (step.label !== undefined && !profile.labels.includes(step.label)) return false
+  if (step.maximumPerUpstream === undefined) return true
+  return countTasksAt(view, task.stepNumber, job, plan) < step.maximumPerUpstream
+}
+
+/** Returns the time until the objective of a job, or 0 after it. */
+export function remainingMillisecondsOf (job: Job, now: number): number {
+  return Math.max(0, job.request.arrivedAt + job.objectiveMilliseconds - now)
+}
+
+/** Returns the agents that may run a task; those where it ended without success only if there are no others. */
+function candidatesFor (agents: readonly AgentView[], task: JobTask, job: Job, plan: JobPlan): readonly AgentView[] {
+  const eligible = agents.filter(view => mayRun(view, task, job, plan))
+  const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
+  return preferred.length > 0 ? preferred : eligible
+}
+
+/**
+ * Chooses an agent for a task: one of the entry's failure domain if the task can start there at once and end within the
+ * objective, otherwise the best of all.
+ */
+function chooseAgent (
+  state: DispatcherState, job: Job, task: JobTask, agents: AgentsByDistance, plan: JobPlan, now: number
+): PlacementChoice | undefined {
+  const { request } = job
+  const remainingMilliseconds = remainingMillisecondsOf(job, now)
+  const usedAgents = new Set<string>()
+  for (const { agent } of plan.values()) usedAgents.add(agent.name)
+  const choose = (candidates: readonly AgentView[]): PlacementChoice | undefined => state.placement.choose({
+    task,
+    priority: request.priority,
+    candidates,
+    usedAgents,
+    failureDomain: state.failureDomain,
+    remainingMilliseconds,
+    now
+  })
+  const near = candidatesFor(agents.near, task, job, plan)
+  const nearChoice = choose(near)
+  const isInTime = nearChoice !== undefined && nearChoice.waitMilliseconds === 0 &&
+    nearChoice.finishMilliseconds <= remainingMilliseconds
+  if (isInTime || agents.far.length === 0) return nearChoice
+  return choose([...near, ...candidatesFor(agents.far, task, job, plan)])
+}
+
+/**
+ * Adds a task to a plan and reserves capacity for it.
+ *
+ * @returns the choice; undefined if no agent may run the task, which is then not added.
+ */
+export function planTask (
+  state: DispatcherState, job: Job, task: JobTask, agents: AgentsByDistance, plan: JobPlan, now: number
+): PlacementChoice | undefined {
+  const choice = chooseAgent(state, job, task, agents, plan, now)
+  if (choice === undefined) return undefined
+  plan.set(task, choice)
+  choice.agent.unconfirmedSize = addSizes(choice.agent.unconfirmedSize, task.step.size)
+  return choice
+}
+
+/**
+ * Plans tasks of a job so that all of them end within its objective, and reserves capacity for them.
+ *
+ * @returns undefined as soon as one of them can't, without any reservation.
+ */
+export function planWithinObjective (
+  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: AgentsByDistance, now: number
+): JobPlan | undefined {
+  const plan: JobPlan = new Map()
+  const remainingMilliseconds = remainingMillisecondsOf(job, now)
+  for (const task of tasks) {
+    const choice = planTask(state, job, task, agents, plan, now)
+    if (choice !== undefined && choice.finishMilliseconds <= remainingMilliseconds) continue
+    for (const [planned, { agent }] of plan) releaseReservation(agent, planned)
+    return undefined
+  }
+  return plan
+}
+
+/** Releases the reservation of a task at an agent. */
+export function releaseReservation (view: AgentView, task: JobTask): void {
+  const { size } = task.step
+  view.unconfirmedSize = addSizes(view.unconfirmedSize, {
+    processor: -size.processor, memory: -size.memory, accelerators: -size.accelerators
+  })
+  if (view.unconfirmedSize.processor < 1) view.unconfirmedSize = EMPTY_SIZE
+}
