Refuse at once what an entry can not carry

Measured: on a rig of one entry the jobs in time at 1, 2 and 4 times its capacity are at least 0.9 of its peak; without the rate under 0.1 at twice the capacity; nobody is refused below it (6 tests).

--- a/packages/dispatching/src/call-timing.ts
+++ b/packages/dispatching/src/call-timing.ts
@@ -11,6 +11,8 @@
   record: (milliseconds: number) => void
   /** Timeout of the next call, in milliseconds. */
   timeout: () => number
+  /** Moving average of the durations, in milliseconds. */
+  average: () => number
 }
 
 /**
@@ -27,6 +29,7 @@
   let averageMilliseconds = 0
   return {
     record: milliseconds => { averageMilliseconds += DURATION_WEIGHT * (milliseconds - averageMilliseconds) },
+    average: () => averageMilliseconds,
     timeout: () => Math.min(
       MAXIMUM_CALL_TIMEOUT_MILLISECONDS, Math.max(CALL_TIMEOUT_MILLISECONDS, TIMEOUT_FACTOR * averageMilliseconds))
   }
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -3,6 +3,7 @@
 import { CallError, createCallClient, type CallClient, type Start, type Stop } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import { createDispatcher, type Dispatcher } from './create-dispatcher.js'
+import { createAdmissionRate } from './admission-rate.js'
 import { createCallTiming } from './call-timing.js'
 import { WATCH_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
@@ -20,6 +21,8 @@
   readonly dispatcher: Dispatcher
   /** Adds an agent and begins to watch it, or updates its address. */
   agentFound: (name: string, address: string) => void
+  /** Whether a job that arrives now is accepted; the entry refuses what its own processor and link do not carry. */
+  admits: () => boolean
   /** Whether the agent is known and answers calls. */
   isReachable: (name: string) => boolean
   close: () => void
@@ -52,6 +55,7 @@
   const client = options.client ?? createCallClient()
   const repeats = createRetryBudget()
   const timing = createCallTiming()
+  const admissionRate = createAdmissionRate()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({ ...options, sendStart, sendStop })
 
@@ -105,7 +109,13 @@
     }
   }
 
-  const ticks = setInterval(() => { dispatcher.tick(now()) }, TICK_MILLISECONDS)
+  let tickedAt = now()
+  const ticks = setInterval(() => {
+    const loopDelay = now() - tickedAt - TICK_MILLISECONDS
+    tickedAt = now()
+    admissionRate.observe(Math.max(loopDelay, timing.average()), tickedAt)
+    dispatcher.tick(tickedAt)
+  }, TICK_MILLISECONDS)
 
   return {
     dispatcher,
@@ -114,6 +124,7 @@
       if (view === undefined) return
       watch(view).catch((failure: unknown) => { logger.error('watch failed', { agent: name, reason: String(failure) }) })
     },
+    admits: () => admissionRate.admit(now()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
         if (view.name === name) return view.isReachable
--- a/packages/dispatching/src/index.ts
+++ b/packages/dispatching/src/index.ts
@@ -1,4 +1,5 @@
 /** Dispatcher of an entry: places tasks on agents, moves them after failures, and answers or refuses jobs. */
+export * from './admission-rate.js'
 export * from './agent-view.js'
 export * from './call-timing.js'
 export * from './create-dispatcher.js'
--- /dev/null
+++ b/packages/dispatching/tests/admission-rate.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from 'vitest'
+import { createAdmissionRate } from '@baobabpost/dispatching'
+
+/** Work of the entry for one job: 20 jobs a second are its capacity. */
+const WORK_MILLISECONDS = 50
+/** Time after which an answer is too late for its caller. */
+const OBJECTIVE_MILLISECONDS = 500
+const SECONDS = 60
+
+interface Outcome {
+  /** Jobs a second that were answered within the objective. */
+  readonly goodput: number
+  /** Share of the jobs that were refused, at once. */
+  readonly refused: number
+}
+
+/** Plays a load on an entry that does the work of one job after the other. */
+function play (jobsPerSecond: number, isLimited: boolean): Outcome {
+  const rate = createAdmissionRate()
+  const queue: number[] = []
+  let freeAt = 0
+  let inTime = 0
+  let refused = 0
+  let offered = 0
+  for (let now = 0; now < SECONDS * 1_000; now += 10) {
+    while (offered < now * jobsPerSecond / 1_000) {
+      offered += 1
+      if (isLimited && !rate.admit(now)) refused += 1
+      else queue.push(now)
+    }
+    while (queue[0] !== undefined && freeAt <= now) {
+      const arrivedAt = queue.shift() ?? 0
+      freeAt = Math.max(freeAt, arrivedAt, now) + WORK_MILLISECONDS
+      if (freeAt - arrivedAt <= OBJECTIVE_MILLISECONDS) inTime += 1
+    }
+    rate.observe(queue.length * WORK_MILLISECONDS, now)
+  }
+  return { goodput: inTime / SECONDS, refused: refused / offered }
+}
+
+describe('an entry with more callers than it can serve', () => {
+  const peak = play(19, true).goodput
+
+  // Every job was accepted: after a few seconds of an overload each one waited behind all others, and its answer came
+  // after its caller had left.
+  it.each([1, 2, 4])('serves nine tenths of its peak at %s times its capacity', factor => {
+    expect(play(20 * factor, true).goodput).toBeGreaterThanOrEqual(0.9 * peak)
+  })
+
+  it('serves almost nobody without a limit', () => {
+    expect(play(40, false).goodput).toBeLessThan(0.1 * peak)
+  })
+
+  it('refuses nobody below its capacity', () => {
+    expect(play(18, true).refused).toBe(0)
+  })
+
+  it('takes a single pause for no overload', () => {
+    const rate = createAdmissionRate()
+    for (let now = 0; now < 2_000; now += 20) rate.observe(now === 1_000 ? 400 : 2, now)
+    expect(rate.admit(2_000)).toBe(true)
+    expect(rate.admit(2_000)).toBe(true)
+  })
+})
