--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -29,8 +29,8 @@
 
 /**
  * Creates a rate without a limit. It falls by a factor while the entry's work is late, and rises slowly otherwise, so
- * that it settles at what the processor and the link carry. It answers the load of more callers than an entry can serve:
- * without it every job is late, and the answers to all of them come after their callers have left.
+ * that it settles at what the processor and the link carry. It answers the load of more callers than an entry can
+ * serve: without it every job is late, and the answers to all of them come after their callers have left.
  *
  * @example
  * const rate = createAdmissionRate()
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -29,6 +29,8 @@
    * @returns a function to call when the caller has disconnected; it stops the job.
    */
   submit: (request: JobRequest, answer: (answer: JobAnswer) => void, now: number) => (now: number) => void
+  /** Whether a job with this id is open here; a submission of it then continues or replaces work that may have run. */
+  knows: (id: string) => boolean
   /** Cancels a job. Returns whether it was known. */
   cancel: (id: string, now: number) => boolean
   /** Adds an agent, or updates the address of a known one. Returns the view of an agent that was added. */
@@ -173,6 +175,7 @@
 
   return {
     submit,
+    knows: id => state.jobs.has(id),
     cancel,
     agentFound,
     agentForgotten: name => { state.agents.delete(name) },
