Don't limit an entry for work that no job caused

Cause: a process that has just started, or reads a large record, does its work late without any job. The admission rate took that for an overload by jobs and began at the lowest rate, two jobs a second. Change: the rate begins only where at least ten jobs a second were accepted. Measured: the new test fails on the code before and passes now (7 passed).

--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -11,6 +11,8 @@
 const OVERLOADED_INTERVALS = 2
 /** Factor by which the rate falls in each interval of an overload. */
 const DECREASE_FACTOR = 0.9
+/** Rate of accepted jobs, in jobs a second, under which they can not be the cause of an overload. */
+const LEAST_CAUSING_RATE = 10
 /** Share by which the rate rises in each interval without overload. */
 const INCREASE_SHARE = 0.03
 /** Lowest rate, in jobs a second: some jobs must be accepted to see that the overload has ended. */
@@ -51,7 +53,8 @@
   function endInterval (): void {
     const perSecond = 1_000 / INTERVAL_MILLISECONDS
     overloadedIntervals = longestDelay > OVERLOAD_DELAY_MILLISECONDS ? overloadedIntervals + 1 : 0
-    if (overloadedIntervals >= OVERLOADED_INTERVALS) {
+    const isCausedByJobs = rate !== undefined || admitted * perSecond >= LEAST_CAUSING_RATE
+    if (overloadedIntervals >= OVERLOADED_INTERVALS && isCausedByJobs) {
       rate = Math.max(MINIMUM_JOBS_PER_SECOND, DECREASE_FACTOR * (rate ?? admitted * perSecond))
     } else if (rate !== undefined && overloadedIntervals === 0) {
       rate += Math.max(1, INCREASE_SHARE * rate)
--- a/packages/dispatching/tests/admission-rate.test.ts
+++ b/packages/dispatching/tests/admission-rate.test.ts
@@ -55,6 +55,18 @@
     expect(play(18, true).refused).toBe(0)
   })
 
+  // A process that has just started does its first work late without any job; it would have begun with the lowest rate.
+  it('does not limit the jobs of an entry that was slow before it had any', () => {
+    const rate = createAdmissionRate()
+    for (let now = 0; now < 1_000; now += 20) rate.observe(250, now)
+    let admitted = 0
+    for (let now = 1_000; now < 2_000; now += 20) {
+      rate.observe(2, now)
+      if (rate.admit(now)) admitted += 1
+    }
+    expect(admitted).toBe(50)
+  })
+
   it('takes a single pause for no overload', () => {
     const rate = createAdmissionRate()
     for (let now = 0; now < 2_000; now += 20) rate.observe(now === 1_000 ? 400 : 2, now)
