Send an ejected upstream one task as a probe

Cause: since agents are looked up once for a pass, every job of a pass sent its tasks to an ejected upstream whose probe was due; before it was all tasks of one job. Change: an ejected agent gets one task within the interval of probes. The admission rate rises by 8 % in 100 ms (3 %). Measured: the test of the probes fails on the code before and passes now; dispatching 25 passed.

--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -14,7 +14,7 @@
 /** Rate of accepted jobs, in jobs a second, under which they can not be the cause of an overload. */
 const LEAST_CAUSING_RATE = 10
 /** Share by which the rate rises in each interval without overload. */
-const INCREASE_SHARE = 0.03
+const INCREASE_SHARE = 0.08
 /** Lowest rate, in jobs a second: some jobs must be accepted to see that the overload has ended. */
 const MINIMUM_JOBS_PER_SECOND = 2
 /** Time whose jobs may be accepted at once after a gap. */
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -89,6 +89,7 @@
   const plan: JobPlan = new Map()
   for (const task of due) {
     const agentsWithSpareCapacity = {
+      ejected: agents.ejected,
       near: agents.near.filter(view => hasSpareCapacity(view, task)),
       far: agents.far.filter(view => hasSpareCapacity(view, task))
     }
@@ -165,7 +166,7 @@
   const isBehindOthers = state.waiting.some(other => !other.isLate && !other.isAnswered)
   if (!isBehindOthers) {
     if (abandonIfHopeless(state, ports, job, now)) return
-    if (assignJob(state, ports, job, agentsFor(state, job.request.service, now), now)) return
+    if (assignJob(state, ports, job, agentsFor(state, job.request.service), now)) return
   }
   state.waiting.push(job)
 }
@@ -214,7 +215,7 @@
     if (job.isAnswered || abandonIfHopeless(state, ports, job, now)) continue
     if (tried.has(job)) {
       const { service } = job.request
-      const agents = agentsByService.get(service) ?? agentsFor(state, service, now)
+      const agents = agentsByService.get(service) ?? agentsFor(state, service)
       agentsByService.set(service, agents)
       if (assignJob(state, ports, job, agents, now)) continue
     }
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -12,13 +12,15 @@
   /** Agents in the entry's failure domain. */
   readonly near: readonly AgentView[]
   readonly far: readonly AgentView[]
+  /** Names of the ejected ones among them, which get one task at a time as a probe. */
+  readonly ejected: ReadonlySet<string>
 }
 
 /** Tasks with the agents chosen for them, where capacity is reserved. */
 export type JobPlan = Map<JobTask, PlacementChoice>
 
-/** Returns the usable agents of a service; ejected ones only when a probe is due. */
-export function agentsFor (state: DispatcherState, service: string, now: number): AgentsByDistance {
+/** Returns the usable agents of a service. */
+export function agentsFor (state: DispatcherState, service: string): AgentsByDistance {
   const usable: AgentView[] = []
   for (const view of state.agents.values()) {
     if (isUsable(view) && view.profile?.service === service) usable.push(view)
@@ -27,11 +29,10 @@
   const near: AgentView[] = []
   const far: AgentView[] = []
   for (const view of usable) {
-    if (ejected.has(view.name) && now - view.lastSentAt < PROBE_INTERVAL_MILLISECONDS) continue
     if (view.profile?.failureDomain === state.failureDomain) near.push(view)
     else far.push(view)
   }
-  return { near, far }
+  return { near, far, ejected }
 }
 
 /** Counts the tasks of a step that are assigned to an agent or planned there. */
@@ -58,9 +59,19 @@
   return Math.max(0, job.request.arrivedAt + job.objectiveMilliseconds - now)
 }
 
+/** Whether an ejected agent may get a task as a probe: none was sent or planned there within the interval of probes. */
+function isProbeDue (view: AgentView, plan: JobPlan, now: number): boolean {
+  if (now - view.lastSentAt < PROBE_INTERVAL_MILLISECONDS) return false
+  for (const { agent } of plan.values()) if (agent === view) return false
+  return true
+}
+
 /** Returns the agents that may run a task; those where it ended without success only if there are no others. */
-function candidatesFor (agents: readonly AgentView[], task: JobTask, job: Job, plan: JobPlan): readonly AgentView[] {
-  const eligible = agents.filter(view => mayRun(view, task, job, plan))
+function candidatesFor (
+  agents: readonly AgentView[], ejected: ReadonlySet<string>, task: JobTask, job: Job, plan: JobPlan, now: number
+): readonly AgentView[] {
+  const eligible = agents.filter(view =>
+    mayRun(view, task, job, plan) && (!ejected.has(view.name) || isProbeDue(view, plan, now)))
   const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
   return preferred.length > 0 ? preferred : eligible
 }
@@ -85,12 +96,12 @@
     remainingMilliseconds,
     now
   })
-  const near = candidatesFor(agents.near, task, job, plan)
+  const near = candidatesFor(agents.near, agents.ejected, task, job, plan, now)
   const nearChoice = choose(near)
   const isInTime = nearChoice !== undefined && nearChoice.waitMilliseconds === 0 &&
     nearChoice.finishMilliseconds <= remainingMilliseconds
   if (isInTime || agents.far.length === 0) return nearChoice
-  return choose([...near, ...candidatesFor(agents.far, task, job, plan)])
+  return choose([...near, ...candidatesFor(agents.far, agents.ejected, task, job, plan, now)])
 }
 
 /**
--- a/packages/dispatching/tests/assignments.test.ts
+++ b/packages/dispatching/tests/assignments.test.ts
@@ -111,6 +111,23 @@
   })
 })
 
+describe('an ejected upstream', () => {
+  // The agents were looked up once for a pass: every job of the pass sent its tasks to the ejected upstream as a probe.
+  it('gets one task as a probe in a pass', () => {
+    const { dispatcher, starts } = createEntry(6, FULL)
+    for (let number = 0; number < 8; number += 1) submit(dispatcher, number, STEP)
+    for (const view of dispatcher.agents()) {
+      const isEjected = view.name === 'agent-1'
+      view.load = { ...EMPTY, failureShare: isEjected ? 0.9 : 0 }
+      view.lastSentAt = -1_000
+    }
+    dispatcher.tick(20)
+    const probes = starts.filter(({ agent }) => agent === 'agent-1').map(({ start }) => start.orders.length)
+    expect(probes).toEqual([1])
+    expect(starts.reduce((total, { start }) => total + start.orders.length, 0)).toBe(16)
+  })
+})
+
 describe('a step with a maximum number of tasks on one upstream', () => {
   // Only tasks that had been sent were counted, so that one plan could put all of a step on one upstream.
   it('is spread within one plan', () => {
