Let the admission rate recover within a second or two

Cause: after a large record had passed the link, an entry of 33 jobs a second refused callers for three seconds more, since its rate had fallen to two jobs a second and rose by one in 100 ms. Change: it falls to five at least and rises by two or more.

--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -15,8 +15,10 @@
 const LEAST_CAUSING_RATE = 10
 /** Share by which the rate rises in each interval without overload. */
 const INCREASE_SHARE = 0.08
+/** Least rise of the rate in such an interval, in jobs a second. */
+const LEAST_INCREASE = 2
 /** Lowest rate, in jobs a second: some jobs must be accepted to see that the overload has ended. */
-const MINIMUM_JOBS_PER_SECOND = 2
+const MINIMUM_JOBS_PER_SECOND = 5
 /** Time whose jobs may be accepted at once after a gap. */
 const BURST_MILLISECONDS = 200
 /** Multiple of the offered jobs from which the rate limits nothing any more. */
@@ -57,7 +59,7 @@
     if (overloadedIntervals >= OVERLOADED_INTERVALS && isCausedByJobs) {
       rate = Math.max(MINIMUM_JOBS_PER_SECOND, DECREASE_FACTOR * (rate ?? admitted * perSecond))
     } else if (rate !== undefined && overloadedIntervals === 0) {
-      rate += Math.max(1, INCREASE_SHARE * rate)
+      rate += Math.max(LEAST_INCREASE, INCREASE_SHARE * rate)
       if (rate > UNLIMITED_FACTOR * offered * perSecond && offered > 0) rate = undefined
     }
     longestDelay = 0
