Log when an entry begins and ends to limit its jobs

Cause: a caller refused by an overloaded entry left no line that says why the entry counted as overloaded. Two functions gave the age of a view. Change: 'admission limited' and 'admission not limited any more' with the delays of the loop and of the calls; one function for the age.

--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -29,6 +29,8 @@
   observe: (delayMilliseconds: number, now: number) => void
   /** Whether a job that arrives now is accepted. */
   admit: (now: number) => boolean
+  /** Jobs a second that are accepted; undefined without a limit. */
+  limit: () => number | undefined
 }
 
 /**
@@ -75,6 +77,7 @@
       endInterval()
       intervalEndsAt = now + INTERVAL_MILLISECONDS
     },
+    limit: () => rate,
     admit: now => {
       offered += 1
       if (rate !== undefined) {
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -109,11 +109,21 @@
     }
   }
 
+  function observeDelays (loopDelay: number, at: number): void {
+    const wasLimited = admissionRate.limit() !== undefined
+    admissionRate.observe(Math.max(loopDelay, timing.average()), at)
+    const limit = admissionRate.limit()
+    if (wasLimited === (limit !== undefined)) return
+    const delays = { loopDelay: Math.round(loopDelay), callDelay: Math.round(timing.average()) }
+    if (limit === undefined) logger.info('admission not limited any more', delays)
+    else logger.warn('admission limited', { ...delays, jobsPerSecond: Math.round(limit) })
+  }
+
   let tickedAt = now()
   const ticks = setInterval(() => {
     const loopDelay = now() - tickedAt - TICK_MILLISECONDS
     tickedAt = now()
-    admissionRate.observe(Math.max(loopDelay, timing.average()), tickedAt)
+    observeDelays(loopDelay, tickedAt)
     dispatcher.tick(tickedAt)
   }, TICK_MILLISECONDS)
 
--- a/packages/dispatching/src/objective-placement.ts
+++ b/packages/dispatching/src/objective-placement.ts
@@ -1,9 +1,8 @@
 /** Placement that keeps fast upstreams for the tasks that need them, and spreads the entries' choices. */
-import { ENTRY_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
 import type { Random } from '@baobabpost/common'
-import type { AgentView } from './agent-view.js'
 import {
-  EarliestFinishPlacement, estimateChoice, utilization, Placement, type PlacementChoice, type PlacementRequest
+  EarliestFinishPlacement, estimateChoice, Placement, staleness, utilization, type PlacementChoice,
+  type PlacementRequest
 } from './placement.js'
 
 /** Number of upstreams that are compared for a task. */
@@ -86,16 +85,12 @@
   return agent.load.free.processor - agent.unconfirmedSize.processor - request.task.step.size.processor
 }
 
-function ageShare (view: AgentView, now: number): number {
-  return Math.min(1, Math.max(0, (now - view.lastContactAt) / ENTRY_LEASE_MILLISECONDS))
-}
-
 function costOf ({ agent, finishMilliseconds }: PlacementChoice, request: PlacementRequest): number {
   const { rack } = request.task.step
   const isFarFromData = rack !== undefined && agent.profile?.labels.includes(rack) !== true
   return utilization(agent) +
     SPEED_COST * Math.max(0, 1 - finishMilliseconds / request.remainingMilliseconds) +
-    STALENESS_COST * ageShare(agent, request.now) +
+    STALENESS_COST * staleness(agent, request.now) +
     PREFERENCE_COST * agent.preference +
     (isFarFromData ? 1 : 0)
 }
--- a/packages/dispatching/src/placement.ts
+++ b/packages/dispatching/src/placement.ts
@@ -74,7 +74,7 @@
 }
 
 /** Age of an agent view as a share of the entry lease, 0 to 1. */
-function staleness (view: AgentView, now: number): number {
+export function staleness (view: AgentView, now: number): number {
   return Math.min(1, Math.max(0, (now - view.lastContactAt) / ENTRY_LEASE_MILLISECONDS))
 }
 
