Log repeated start orders and skipped heartbeats

Change: 'start repeated' names the run number, the attempt, why the last order failed and whether the upstream leaves; 'heartbeat skipped: out of date' names both sequence numbers; 'upstream drains' names the heartbeat. No decision changes.

--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -13,14 +13,29 @@
   return instance.id === knownInstance.id && instance.startedAt === knownInstance.startedAt
 }
 
+function logSkipped (state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat): void {
+  ports.logger.warn('heartbeat skipped: out of date', {
+    upstream: heartbeat.instance.id,
+    bornAt: heartbeat.instance.startedAt,
+    sequence: heartbeat.sequence,
+    knownBornAt: state.instance?.startedAt,
+    knownSequence: state.heartbeat?.sequence,
+    draining: heartbeat.isDraining
+  })
+}
+
 /** Applies a heartbeat. Heartbeats of an earlier instance, and those that arrive out of order, are ignored. */
 export function handleHeartbeat (
   state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat, now: number
 ): void {
   const knownInstance = state.instance
-  if (knownInstance !== undefined && isOlderInstance(heartbeat.instance, knownInstance)) return
+  if (knownInstance !== undefined && isOlderInstance(heartbeat.instance, knownInstance)) {
+    return logSkipped(state, ports, heartbeat)
+  }
   const isKnownInstance = knownInstance !== undefined && isSameInstance(heartbeat.instance, knownInstance)
-  if (isKnownInstance && state.heartbeat !== undefined && heartbeat.sequence <= state.heartbeat.sequence) return
+  if (isKnownInstance && state.heartbeat !== undefined && heartbeat.sequence <= state.heartbeat.sequence) {
+    return logSkipped(state, ports, heartbeat)
+  }
   if (!isKnownInstance) {
     ports.logger.info('upstream found', { upstream: heartbeat.instance.id, bornAt: heartbeat.instance.startedAt, service: heartbeat.service, processor: heartbeat.capacity.processor, labels: heartbeat.labels.join(' ') })
     state.instance = heartbeat.instance
@@ -29,7 +44,10 @@
   const wasDraining = state.heartbeat?.isDraining ?? false
   state.heartbeat = heartbeat
   state.hasDeparted = false
-  if (heartbeat.isDraining && !wasDraining) ports.logger.info('upstream drains', { upstream: heartbeat.instance.id })
+  if (heartbeat.isDraining && !wasDraining) {
+    const { id, startedAt } = heartbeat.instance
+    ports.logger.info('upstream drains', { upstream: id, bornAt: startedAt, sequence: heartbeat.sequence })
+  }
   startWaitingRuns(state, ports, now)
 }
 
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -108,6 +108,14 @@
   }
   const isRetryPointless = record.runNumberAttempts > MAXIMUM_RUN_NUMBER_ATTEMPTS || now > record.session.leaseUntil
   if (isRetryPointless) return endRun(state, ports, record, 'not-started', refusal, now)
+  ports.logger.info('start repeated', {
+    task: record.order.task,
+    run: record.upstreamRunNumber,
+    attempt: record.runNumberAttempts,
+    reason: refusal,
+    milliseconds: Math.round(now - record.orderedAt),
+    draining: state.heartbeat?.isDraining
+  })
   record.orderedAt = now
   sendStart(state, ports, record, now)
 }
