--- /dev/null
+++ b/packages/runs/tests/registry-under-test.ts
@@ -0,0 +1,105 @@
+/** A run registry with recorded orders, whose upstream the test plays. */
+import { silentLogger } from '@baobabpost/common'
+import type { StartAnswer, WatchAnswer } from '@baobabpost/fleet-calls'
+import {
+  createRunRegistry, type Listing, type OrderOutcome, type RunRecord, type RunRegistry, type StartOrder, type StopOrder,
+  type UpstreamHeartbeat
+} from '@baobabpost/runs'
+
+export const TASK = '5c0e7a21d94b36f8.0.0.0'
+const SIZE = { processor: 1_000, memory: 64, accelerators: 0 }
+
+/** A registry, and the orders that it has sent. */
+export interface RegistryUnderTest {
+  readonly registry: RunRegistry
+  readonly starts: Array<{ readonly record: RunRecord, readonly order: StartOrder }>
+  readonly stops: Array<{ readonly record: RunRecord, readonly order: StopOrder }>
+  /** Advances the time by `milliseconds` and returns it. */
+  advance: (milliseconds: number) => number
+  /** Requests a listing and answers it a millisecond later; without runs by default. */
+  list: (listing?: Partial<Listing>) => void
+  answerLastStart: (outcome: OrderOutcome) => void
+  answerLastStop: (outcome: OrderOutcome) => void
+  /** Orders the task from the only entry. */
+  order: (run: number) => StartAnswer
+  /** Returns what the entry is told. */
+  watch: () => WatchAnswer
+}
+
+/** Returns a heartbeat of the first instance, which is ready, with the given fields replaced. */
+export function heartbeat (fields: Partial<UpstreamHeartbeat> = {}): UpstreamHeartbeat {
+  return {
+    instance: { id: 'i-1', startedAt: 1_000 },
+    sequence: 1,
+    service: 'desk',
+    failureDomain: 'domain-1',
+    capacity: { processor: 32_000, memory: 131_072, accelerators: 0 },
+    labels: ['a'],
+    isDraining: false,
+    ...fields
+  }
+}
+
+function last<Item> (items: readonly Item[]): Item {
+  const item = items[items.length - 1]
+  if (item === undefined) throw new Error('expected an order, got none')
+  return item
+}
+
+/** Creates a registry that has heard nothing of its upstream yet. */
+export function createRegistryUnderTest (): RegistryUnderTest {
+  let now = 10_000
+  const starts: RegistryUnderTest['starts'] = []
+  const stops: RegistryUnderTest['stops'] = []
+  const registry = createRunRegistry({
+    incarnation: 'agent-1',
+    fencingToken: 7,
+    logger: silentLogger,
+    sendStart: (record, order) => { starts.push({ record, order }) },
+    sendStop: (record, order) => { stops.push({ record, order }) },
+    stopUnknownRun: () => {},
+    listImmediately: () => {},
+    wake: () => {}
+  })
+  /** The entry that calls; its lease begins with its second call. */
+  const caller = () => ({ entry: 'entry-1', incarnation: 'entry-1-1', heardAt: now })
+
+  function watch (): WatchAnswer {
+    const request = { caller: caller(), acknowledged: 0, profileVersion: 0, waitMilliseconds: 0 }
+    return registry.answerWatch(registry.beginWatch(request, now), request, now)
+  }
+
+  watch()
+  return {
+    registry,
+    starts,
+    stops,
+    advance: milliseconds => { now += milliseconds; return now },
+    list: (listing = {}) => {
+      const requestedAt = now
+      const order = registry.nextListOrder(0, requestedAt)
+      now += 1
+      registry.handleListAnswer({
+        outcome: 'taken', clock: now, listing: { startedAt: 1_000, running: [], ended: [], ...listing }
+      }, order.fencingToken, requestedAt, now)
+    },
+    answerLastStart: outcome => {
+      const { record, order } = last(starts)
+      now += 1
+      registry.handleStartAnswer(record, { outcome, clock: outcome === 'unanswered' ? undefined : now }, order.fencingToken, now)
+    },
+    answerLastStop: outcome => {
+      const { record, order } = last(stops)
+      now += 1
+      registry.handleStopAnswer(record, { outcome, clock: now }, order.fencingToken, now)
+    },
+    order: run => registry.answerStart({
+      caller: caller(),
+      specification: '{}',
+      priority: 0,
+      patienceMilliseconds: 50,
+      orders: [{ task: TASK, run, size: SIZE, estimateMilliseconds: 100 }]
+    }, now),
+    watch
+  }
+}
