Ask every condition of a start before each order, also a repeated one

Cause: whether a run may start was asked when an order was admitted and when a waiting run started, but not by retryStart, on none of its ways (fenced, old run number, late, no answer). An order without an answer was repeated for up to six attempts, seconds after the upstream had said that it leaves, or after the agent itself had begun to shut down. Change: orderStart is the one function that sends a start order, and it asks isAccepting; first and repeated orders pass it. A run that may not start any more ends as not started, so that its entry sends the task elsewhere at once.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -25,7 +25,7 @@
   'peer gave no configuration': 'An entry did not answer a request for its configuration: `address`, `reason`',
   'this process stood still': 'The process was paused; messages that arrived during the pause are handled first',
   'run ordered': 'The agent ordered the upstream to start a run: `task`, `run`, `entry`, `waited` ms in the queue of the agent, `free` thousandths of a core left',
-  'start repeated': 'The agent sends another start order for a run that has not started: `task`, `run` (its number at the upstream), `attempt`, `reason` why the last order failed, `milliseconds` since that order, `draining` if the upstream leaves',
+  'start repeated': 'The agent sends another start order for a run that has not started: `task`, `run` (its number at the upstream), `attempt`, `reason` why the last order failed, `milliseconds` since that order',
   'run ended': 'A run ended at the upstream: `task`, `run`, `entry`, `outcome`, `reason`, `milliseconds`',
   'run stands still': 'A run is stopped because it stalled: `task`, `run`, `percent`, `milliseconds` without progress',
   'stopping a run that is not in the book': 'The upstream runs a task that is not in the run registry of the agent: `task`, `run`, `phase`',
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -120,6 +120,7 @@
     state: 'waiting',
     upstreamRunNumber: order.run,
     runNumberAttempts: 0,
+    lastRefusal: '',
     orderedAt: 0,
     isConfirmed: false,
     percent: 0,
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,8 +1,10 @@
 /** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
 import { fitsInto, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
 import { FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS } from './run-limits.js'
-import { reserveCapacity, endRun, freeCapacity, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
-import type { RunRecord } from './run-record.js'
+import {
+  reserveCapacity, endRun, freeCapacity, type RunRegistryPorts, type RunRegistryState
+} from './run-registry-state.js'
+import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import type { OrderAnswer } from './upstream.js'
 
 /** Stop reason of a run whose start order got no answer: the run is stopped only to be started again. */
@@ -21,12 +23,32 @@
   return clock === undefined ? undefined : clock + RUN_LEASE_MILLISECONDS
 }
 
-/** Sends the start order of a run whose capacity is reserved. */
-export function sendStart (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
+/**
+ * Sends a start order, unless no run may start here any more; then the run ends. First and repeated orders both go out
+ * here, so that a condition of a start can't hold for one and be forgotten for the other.
+ */
+function orderStart (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
+  if (!isAccepting(state, now)) return endRun(state, ports, record, 'not-started', 'not-accepting', now)
+  const isRepeated = record.orderedAt > 0
+  if (!hasReservedCapacity(record)) reserveCapacity(state, record)
+  const { task, run } = record.order
+  if (isRepeated) {
+    ports.logger.info('start repeated', {
+      task,
+      run: record.upstreamRunNumber,
+      attempt: record.runNumberAttempts,
+      reason: record.lastRefusal,
+      milliseconds: Math.round(now - record.orderedAt)
+    })
+  } else {
+    const waited = Math.round(now - record.acceptedAt)
+    ports.logger.info('run ordered', { task, run, entry: record.session.entry, waited, free: freeCapacity(state).processor })
+  }
   record.state = 'ordered'
+  record.orderedAt = now
   record.absenceConclusiveFrom = undefined
   ports.sendStart(record, {
-    task: record.order.task,
+    task,
     run: record.upstreamRunNumber,
     specification: record.specification,
     fencingToken: state.fencingToken,
@@ -39,22 +61,8 @@
 export function startWaitingRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   const isAcceptingRuns = isAccepting(state, now)
   for (const record of [...state.queue.inOrder()]) {
-    if (!isAcceptingRuns) {
-      endRun(state, ports, record, 'not-started', 'not-accepting', now)
-    } else if (fitsInto(record.order.size, freeCapacity(state))) {
-      reserveCapacity(state, record)
-      ports.logger.info('run ordered', {
-        task: record.order.task,
-        run: record.order.run,
-        entry: record.session.entry,
-        waited: Math.round(now - record.acceptedAt),
-        free: freeCapacity(state).processor
-      })
-      record.orderedAt = now
-      sendStart(state, ports, record, now)
-    } else if (now > record.waitDeadline) {
-      endRun(state, ports, record, 'not-started', 'no-room', now)
-    }
+    if (!isAcceptingRuns || fitsInto(record.order.size, freeCapacity(state))) orderStart(state, ports, record, now)
+    else if (now > record.waitDeadline) endRun(state, ports, record, 'not-started', 'no-room', now)
   }
 }
 
@@ -96,8 +104,8 @@
 }
 
 /**
- * Sends a start order again that was not carried out, unless its run is no longer wanted, the attempts are used up or
- * the entry's lease has expired.
+ * Repeats a start order that was not carried out, unless its run is no longer wanted, the attempts are used up, the
+ * entry's lease has expired or no run may start here any more.
  */
 export function retryStart (
   state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, refusal: string, now: number
@@ -108,16 +116,8 @@
   }
   const isRetryPointless = record.runNumberAttempts > MAXIMUM_RUN_NUMBER_ATTEMPTS || now > record.session.leaseUntil
   if (isRetryPointless) return endRun(state, ports, record, 'not-started', refusal, now)
-  ports.logger.info('start repeated', {
-    task: record.order.task,
-    run: record.upstreamRunNumber,
-    attempt: record.runNumberAttempts,
-    reason: refusal,
-    milliseconds: Math.round(now - record.orderedAt),
-    draining: state.heartbeat?.isDraining
-  })
-  record.orderedAt = now
-  sendStart(state, ports, record, now)
+  record.lastRefusal = refusal
+  orderStart(state, ports, record, now)
 }
 
 /** Handles the answer to a start order. */
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -33,6 +33,8 @@
   /** Run number used at the upstream: the entry's, or a higher one if the upstream has already seen that. */
   upstreamRunNumber: number
   runNumberAttempts: number
+  /** Why the last start order was not carried out; empty before the first repetition. */
+  lastRefusal: string
   /** Agent time of the last start order; 0 before the first. */
   orderedAt: number
   /** Whether the upstream has confirmed that the run started. */
