Keep nothing that one instance of an upstream said for the next

Cause: a listing that named a later start replaced the instance and kept its last heartbeat. The new instance counts its heartbeats from 1, so they were skipped as out of order until they passed the old number; until then its capacity, labels and readiness were those of the former instance. The clock of an answer for the former instance was taken for the new one. The class is knowledge about one instance, kept in fields beside the instance, that outlives it. Change: all that is known of one instance is one object, UpstreamState, and beginInstance replaces it as a whole. Nothing starts before the first heartbeat of an instance. Clock readings are recorded only once the answer is known to be of the current instance. An upstream that can't be reached keeps what it said, since the same instance may answer again.

--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -55,18 +55,6 @@
   const state = createRunRegistryState(options.incarnation, options.fencingToken)
   const ports: RunRegistryPorts = options
 
-  /**
-   * Records the upstream's clock. A forward jump means that the VM was suspended; the agent's clock stopped for that
-   * time, so the entry leases are shortened by it.
-   */
-  function recordClock (clock: number | undefined, now: number): void {
-    if (clock === undefined) return
-    const suspendedMilliseconds = state.clock.recordReading(clock, now)
-    if (suspendedMilliseconds === 0) return
-    ports.logger.warn('this VM was suspended', { milliseconds: Math.round(suspendedMilliseconds) })
-    for (const session of state.sessions.values()) session.leaseUntil -= suspendedMilliseconds
-  }
-
   function refreshProfile (now: number): void {
     const digest = JSON.stringify({ ...describeProfile(state, now), version: 0 })
     if (digest === state.profileDigest) return
@@ -86,7 +74,7 @@
   }
 
   function listingWaitMilliseconds (): number {
-    if (state.unansweredListings > 0 || state.phase !== 'serving') return 0
+    if (state.upstream.unansweredListings > 0 || state.upstream.phase !== 'serving') return 0
     return state.runs.size > 0 ? LIST_WAIT_MILLISECONDS : IDLE_LIST_WAIT_MILLISECONDS
   }
 
@@ -97,26 +85,23 @@
     hasUpdates: (session, watch) => hasUrgentReport(session) || watch.profileVersion !== state.profileVersion,
     answerWatch: (session, watch, now) => answerWatch(state, session, watch, now),
     handleStartAnswer: (record, answer, usedFencingToken, now) => {
-      recordClock(answer.clock, now)
       handleStartAnswer(state, ports, record, answer, usedFencingToken, now)
     },
     handleStopAnswer: (record, answer, usedFencingToken, now) => {
-      recordClock(answer.clock, now)
       handleStopAnswer(state, ports, record, answer, usedFencingToken, now)
     },
     nextListOrder: (waitMilliseconds, now) => {
-      const isRenewing = state.phase === 'serving' && state.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS
-      if (isRenewing) state.leaseRequestedAt = now
+      const isRenewing = state.upstream.phase === 'serving' && state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS
+      if (isRenewing) state.upstream.leaseRequestedAt = now
       return {
         fencingToken: state.fencingToken,
         leaseUntil: isRenewing ? leaseUntil(state, now) : undefined,
-        acknowledgedCompletion: state.lastCompletionNumber,
+        acknowledgedCompletion: state.upstream.lastCompletionNumber,
         waitMilliseconds,
-        instance: state.instance
+        instance: state.upstream.instance
       }
     },
     handleListAnswer: (answer, usedFencingToken, requestedAt, now) => {
-      recordClock(answer.clock, now)
       handleListAnswer(state, ports, answer, usedFencingToken, requestedAt, now)
       refreshProfile(now)
     },
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -41,7 +41,7 @@
 
 /** Returns the upstream's profile for the entries. */
 export function describeProfile (state: RunRegistryState, now: number): UpstreamProfile {
-  const { heartbeat } = state
+  const { heartbeat } = state.upstream
   return {
     version: state.profileVersion,
     service: heartbeat?.service ?? '',
@@ -57,7 +57,7 @@
   let rate = 0
   for (const { state: runState, order } of state.runs.values()) {
     if (runState === 'waiting') continue
-    rate += order.size.processor / Math.max(1, order.estimateMilliseconds * state.observations.slowness())
+    rate += order.size.processor / Math.max(1, order.estimateMilliseconds * state.upstream.observations.slowness())
   }
   return rate
 }
@@ -71,8 +71,8 @@
     free: freeCapacity(state),
     waiting: state.queue.waitingProcessor(),
     releaseRate: roundToThousandths(releaseRate(state)),
-    slowness: roundToThousandths(state.observations.slowness()),
-    failureShare: roundToThousandths(state.observations.failureShare())
+    slowness: roundToThousandths(state.upstream.observations.slowness()),
+    failureShare: roundToThousandths(state.upstream.observations.failureShare())
   }
 }
 
--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -1,6 +1,6 @@
 /** Handles the upstream's heartbeats and its deregistration. */
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
-import { forgetInstance } from './listings.js'
+import { beginInstance, endUpstreamRuns } from './listings.js'
 import { startWaitingRuns } from './orders.js'
 import type { UpstreamInstance, UpstreamHeartbeat } from './upstream.js'
 
@@ -9,8 +9,9 @@
     instance.startedAt < knownInstance.startedAt
 }
 
+/** Whether two identities name one instance; a listing names an instance without its id. */
 function isSameInstance (instance: UpstreamInstance, knownInstance: UpstreamInstance): boolean {
-  return instance.id === knownInstance.id && instance.startedAt === knownInstance.startedAt
+  return (instance.id === knownInstance.id || knownInstance.id === '') && instance.startedAt === knownInstance.startedAt
 }
 
 function logSkipped (state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat): void {
@@ -18,33 +19,42 @@
     upstream: heartbeat.instance.id,
     bornAt: heartbeat.instance.startedAt,
     sequence: heartbeat.sequence,
-    knownBornAt: state.instance?.startedAt,
-    knownSequence: state.heartbeat?.sequence,
+    knownBornAt: state.upstream.instance?.startedAt,
+    knownSequence: state.upstream.heartbeat?.sequence,
     draining: heartbeat.isDraining
   })
 }
 
+/** Makes the instance of a heartbeat the known one. */
+function findInstance (
+  state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat, now: number
+): void {
+  const { instance: knownInstance } = state.upstream
+  const { instance, service, capacity, labels } = heartbeat
+  if (knownInstance === undefined || isSameInstance(instance, knownInstance)) state.upstream.instance = instance
+  else beginInstance(state, ports, instance, 'another life of the upstream', now)
+  if (state.upstream.heartbeat !== undefined) return
+  ports.logger.info('upstream found', {
+    upstream: instance.id, bornAt: instance.startedAt, service, processor: capacity.processor, labels: labels.join(' ')
+  })
+}
+
 /** Applies a heartbeat. Heartbeats of an earlier instance, and those that arrive out of order, are ignored. */
 export function handleHeartbeat (
   state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat, now: number
 ): void {
-  const knownInstance = state.instance
+  const { instance: knownInstance } = state.upstream
   if (knownInstance !== undefined && isOlderInstance(heartbeat.instance, knownInstance)) {
     return logSkipped(state, ports, heartbeat)
   }
-  const isKnownInstance = knownInstance !== undefined && isSameInstance(heartbeat.instance, knownInstance)
-  if (isKnownInstance && state.heartbeat !== undefined && heartbeat.sequence <= state.heartbeat.sequence) {
+  findInstance(state, ports, heartbeat, now)
+  const { heartbeat: lastHeartbeat } = state.upstream
+  if (lastHeartbeat !== undefined && heartbeat.sequence <= lastHeartbeat.sequence) {
     return logSkipped(state, ports, heartbeat)
   }
-  if (!isKnownInstance) {
-    ports.logger.info('upstream found', { upstream: heartbeat.instance.id, bornAt: heartbeat.instance.startedAt, service: heartbeat.service, processor: heartbeat.capacity.processor, labels: heartbeat.labels.join(' ') })
-    state.instance = heartbeat.instance
-    if (knownInstance !== undefined) forgetInstance(state, ports, 'another life of the upstream', now)
-  }
-  const wasDraining = state.heartbeat?.isDraining ?? false
-  state.heartbeat = heartbeat
-  state.hasDeparted = false
-  if (heartbeat.isDraining && !wasDraining) {
+  state.upstream.heartbeat = heartbeat
+  state.upstream.hasDeparted = false
+  if (heartbeat.isDraining && lastHeartbeat?.isDraining !== true) {
     const { id, startedAt } = heartbeat.instance
     ports.logger.info('upstream drains', { upstream: id, bornAt: startedAt, sequence: heartbeat.sequence })
   }
@@ -53,8 +63,8 @@
 
 /** Handles the deregistration of an upstream: its runs are lost. */
 export function handleDeparture (state: RunRegistryState, ports: RunRegistryPorts, id: string, now: number): void {
-  if (state.instance?.id !== id || state.hasDeparted) return
-  state.hasDeparted = true
+  if (state.upstream.instance?.id !== id || state.upstream.hasDeparted) return
   ports.logger.info('upstream left', { upstream: id })
-  forgetInstance(state, ports, 'the upstream left', now)
+  endUpstreamRuns(state, ports, 'the upstream left', now)
+  state.upstream.hasDeparted = true
 }
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -1,37 +1,48 @@
 /** Handles the upstream's listings: completions, progress of runs, and unknown runs. */
 import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
 import { MAXIMUM_UNANSWERED_LISTINGS, STALL_TIMEOUT_MILLISECONDS } from './run-limits.js'
-import { endRun, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import type { RunRecord } from './run-record.js'
-import type { ListAnswer, ListedCompletion, Listing } from './upstream.js'
+import type { ListAnswer, ListedCompletion, Listing, UpstreamInstance } from './upstream.js'
+import { createUpstreamState } from './upstream-state.js'
 
-/** Ends all runs of an instance of the upstream that is gone, and prepares for the next instance. */
-export function forgetInstance (state: RunRegistryState, ports: RunRegistryPorts, reason: string, now: number): void {
+/**
+ * Ends all runs of an upstream that is gone or can't be reached, and takes control of it anew. What the instance said
+ * of itself stays known, since the same instance may answer again.
+ */
+export function endUpstreamRuns (state: RunRegistryState, ports: RunRegistryPorts, reason: string, now: number): void {
   for (const record of [...state.runs.values()]) {
     if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
     else endRun(state, ports, record, 'lost', reason, now)
   }
-  state.phase = 'unfenced'
+  const { instance } = state.upstream
+  state.upstream.phase = 'unfenced'
+  // An instance that doesn't report its start can't be told from the next one.
+  if (instance?.startedAt === undefined) state.upstream = createUpstreamState(instance)
   // Delayed orders to the earlier instance may reach the next one, which has not seen a fencing token yet.
   state.fencingToken += 1
-  state.lastCompletionNumber = 0
-  state.lastListingClock = 0
-  state.clock.reset()
-  state.observations.reset()
   ports.logger.warn('upstream life ended', { reason })
 }
 
+/** Ends all runs of the known instance of the upstream; nothing that is known of it is kept for the next one. */
+export function beginInstance (
+  state: RunRegistryState, ports: RunRegistryPorts, instance: UpstreamInstance, reason: string, now: number
+): void {
+  endUpstreamRuns(state, ports, reason, now)
+  state.upstream = createUpstreamState(instance)
+}
+
 function handleCompletion (
   state: RunRegistryState, ports: RunRegistryPorts, completion: ListedCompletion, now: number
 ): void {
-  if (completion.number <= state.lastCompletionNumber) return
-  state.lastCompletionNumber = completion.number
+  if (completion.number <= state.upstream.lastCompletionNumber) return
+  state.upstream.lastCompletionNumber = completion.number
   const record = state.runs.get(completion.task)
   if (record === undefined || record.state === 'waiting' || record.upstreamRunNumber !== completion.run) return
   const estimateMilliseconds = record.order.estimateMilliseconds
-  if (completion.kind === 'done') state.observations.recordDone(now - record.orderedAt, estimateMilliseconds)
-  if (completion.kind === 'failed') state.observations.recordFailure()
+  if (completion.kind === 'done') state.upstream.observations.recordDone(now - record.orderedAt, estimateMilliseconds)
+  if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
 
@@ -81,8 +92,8 @@
     const record = state.runs.get(task)
     if (record !== undefined && record.state !== 'waiting' && record.upstreamRunNumber === run) continue
     unknownRunCount += 1
-    ports.logger.warn('stopping a run that is not in the book', { task, run, phase: state.phase })
-    ports.stopUnknownRun({ task, run, fencingToken: state.fencingToken, instance: state.instance })
+    ports.logger.warn('stopping a run that is not in the book', { task, run, phase: state.upstream.phase })
+    ports.stopUnknownRun({ task, run, fencingToken: state.fencingToken, instance: state.upstream.instance })
   }
   return unknownRunCount
 }
@@ -96,7 +107,7 @@
       record.percent = Math.max(percent, record.percent)
       record.lastProgressAt = now
     } else if (now - record.lastProgressAt > STALL_TIMEOUT_MILLISECONDS) {
-      state.observations.recordFailure()
+      state.upstream.observations.recordFailure()
       ports.logger.warn('run stands still', { task, run, percent, milliseconds: Math.round(now - record.lastProgressAt) })
       stopRun(state, ports, record, 'stands still', now)
     }
@@ -109,36 +120,49 @@
  * @returns whether the listing is from the known instance.
  */
 function reconcileInstance (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): boolean {
-  const knownStart = state.instance?.startedAt
-  if (listing.startedAt === undefined || knownStart === undefined || listing.startedAt === knownStart) return true
-  if (listing.startedAt > knownStart) {
-    state.instance = { id: state.instance?.id ?? '', startedAt: listing.startedAt }
-    forgetInstance(state, ports, 'the upstream was started again', now)
+  const { instance } = state.upstream
+  const { startedAt } = listing
+  if (startedAt === undefined || startedAt === instance?.startedAt) return true
+  const listedInstance = { id: instance?.id ?? '', startedAt }
+  if (instance?.startedAt === undefined) {
+    state.upstream.instance = listedInstance
+    return true
   }
+  if (startedAt > instance.startedAt) beginInstance(state, ports, listedInstance, 'the upstream was started again', now)
   return false
 }
 
 /** Stops the runs of an earlier incarnation of the agent; once a listing has none, the upstream serves. */
 function clearEarlierRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): void {
-  for (const ended of listing.ended) state.lastCompletionNumber = Math.max(state.lastCompletionNumber, ended.number)
+  const { upstream } = state
+  for (const { number } of listing.ended) {
+    upstream.lastCompletionNumber = Math.max(upstream.lastCompletionNumber, number)
+  }
   if (stopUnknownRuns(state, ports, listing) > 0) {
-    state.phase = 'clearing'
+    state.upstream.phase = 'clearing'
     return
   }
-  state.phase = 'serving'
+  state.upstream.phase = 'serving'
   state.isCleared = true
   ports.logger.info('upstream serves', { fence: state.fencingToken })
 }
 
 function applyListing (
-  state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, clock: number, requestedAt: number, now: number
+  state: RunRegistryState,
+  ports: RunRegistryPorts,
+  listing: Listing,
+  reading: number | undefined,
+  requestedAt: number,
+  now: number
 ): void {
   if (!reconcileInstance(state, ports, listing, now)) return
-  state.lastListingAt = now
+  recordUpstreamClock(state, ports, reading, now)
+  const clock = reading ?? 0
+  state.upstream.lastListingAt = now
   // Answers on two connections may arrive out of order: running runs are then outdated; completions are numbered.
-  const isOutOfOrder = clock < state.lastListingClock
-  state.lastListingClock = Math.max(clock, state.lastListingClock)
-  if (state.phase !== 'serving') {
+  const isOutOfOrder = clock < state.upstream.lastListingClock
+  state.upstream.lastListingClock = Math.max(clock, state.upstream.lastListingClock)
+  if (state.upstream.phase !== 'serving') {
     if (!isOutOfOrder) clearEarlierRuns(state, ports, listing)
     return
   }
@@ -160,24 +184,24 @@
 ): void {
   if (answer.outcome === 'fenced') return raiseFencingToken(state, ports, usedFencingToken)
   if (answer.outcome === 'unreachable') {
-    if (state.phase !== 'unfenced') forgetInstance(state, ports, 'nothing listens at the upstream', now)
+    if (state.upstream.phase !== 'unfenced') endUpstreamRuns(state, ports, 'nothing listens at the upstream', now)
     return
   }
   if (answer.listing === undefined) {
-    state.unansweredListings += 1
-    if (state.unansweredListings === MAXIMUM_UNANSWERED_LISTINGS) {
-      ports.logger.warn('upstream does not answer', { listings: state.unansweredListings })
+    state.upstream.unansweredListings += 1
+    if (state.upstream.unansweredListings === MAXIMUM_UNANSWERED_LISTINGS) {
+      ports.logger.warn('upstream does not answer', { listings: state.upstream.unansweredListings })
     }
-    return forgetExpiredInstance(state, ports, now)
+    return endExpiredRuns(state, ports, now)
   }
-  state.unansweredListings = 0
-  applyListing(state, ports, answer.listing, answer.clock ?? 0, requestedAt, now)
+  state.upstream.unansweredListings = 0
+  applyListing(state, ports, answer.listing, answer.clock, requestedAt, now)
   startWaitingRuns(state, ports, now)
 }
 
 /** Ends all runs of an unresponsive upstream once their lease has expired even on a slow clock. */
-function forgetExpiredInstance (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
-  if (state.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || state.phase === 'unfenced') return
-  if (now - state.leaseRequestedAt < RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS) return
-  forgetInstance(state, ports, 'the run lease ended without an answer', now)
+function endExpiredRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  if (state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || state.upstream.phase === 'unfenced') return
+  if (now - state.upstream.leaseRequestedAt < RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS) return
+  endUpstreamRuns(state, ports, 'the run lease ended without an answer', now)
 }
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -2,7 +2,7 @@
 import { fitsInto, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
 import { FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS } from './run-limits.js'
 import {
-  reserveCapacity, endRun, freeCapacity, type RunRegistryPorts, type RunRegistryState
+  reserveCapacity, endRun, freeCapacity, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState
 } from './run-registry-state.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import type { OrderAnswer } from './upstream.js'
@@ -12,14 +12,14 @@
 
 /** Whether new runs may be accepted and started. */
 export function isAccepting (state: RunRegistryState, now: number): boolean {
-  if (state.isShuttingDown || state.hasDeparted || state.phase !== 'serving') return false
-  if (state.heartbeat === undefined || state.heartbeat.isDraining) return false
-  return now - state.lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
+  if (state.isShuttingDown || state.upstream.hasDeparted || state.upstream.phase !== 'serving') return false
+  if (state.upstream.heartbeat === undefined || state.upstream.heartbeat.isDraining) return false
+  return now - state.upstream.lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
 }
 
 /** Returns the end of a run lease renewed now, on the upstream's clock; undefined while that clock is unknown. */
 export function leaseUntil (state: RunRegistryState, now: number): number | undefined {
-  const clock = state.clock.timeAt(now)
+  const clock = state.upstream.clock.timeAt(now)
   return clock === undefined ? undefined : clock + RUN_LEASE_MILLISECONDS
 }
 
@@ -53,7 +53,7 @@
     specification: record.specification,
     fencingToken: state.fencingToken,
     leaseUntil: leaseUntil(state, now),
-    instance: state.instance
+    instance: state.upstream.instance
   })
 }
 
@@ -83,7 +83,10 @@
 
 function sendStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord): void {
   ports.sendStop(record, {
-    task: record.order.task, run: record.upstreamRunNumber, fencingToken: state.fencingToken, instance: state.instance
+    task: record.order.task,
+    run: record.upstreamRunNumber,
+    fencingToken: state.fencingToken,
+    instance: state.upstream.instance
   })
 }
 
@@ -130,6 +133,7 @@
   now: number
 ): void {
   if (state.runs.get(record.order.task) !== record) return
+  recordUpstreamClock(state, ports, answer.clock, now)
   switch (answer.outcome) {
     case 'taken':
       record.isConfirmed = true
@@ -152,7 +156,7 @@
     case 'invalid':
     case 'other-life':
     case 'unreachable':
-      state.observations.recordFailure()
+      state.upstream.observations.recordFailure()
       endRun(state, ports, record, 'not-started', answer.outcome, now)
   }
 }
@@ -167,6 +171,7 @@
   now: number
 ): void {
   if (state.runs.get(record.order.task) !== record) return
+  recordUpstreamClock(state, ports, answer.clock, now)
   switch (answer.outcome) {
     case 'other-life':
     case 'unreachable':
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -2,12 +2,11 @@
 import type { EventLogger } from '@baobabpost/common'
 import { addSizes, EMPTY_SIZE, subtractSizes, type RunOutcome, type Size } from '@baobabpost/fleet-calls'
 import { addReport, type EntrySession } from './entry-session.js'
-import { createObservations, type Observations } from './observations.js'
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
-import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
 import { TOMBSTONE_RETENTION_MILLISECONDS } from './run-limits.js'
-import type { StartOrder, StopOrder, UpstreamInstance, UpstreamHeartbeat } from './upstream.js'
+import type { StartOrder, StopOrder } from './upstream.js'
+import { createUpstreamState, type UpstreamState } from './upstream-state.js'
 
 /** Actions that the run registry requests from the agent program. */
 export interface RunRegistryPorts {
@@ -24,15 +23,6 @@
   readonly logger: EventLogger
 }
 
-/**
- * Progress of the agent in taking control of the current instance of its upstream.
- *
- * - `unfenced`: orders of an earlier incarnation of the agent may still be carried out;
- * - `clearing`: the fencing token is in force, and runs of an earlier incarnation are being stopped;
- * - `serving`: all runs at the upstream are in the registry.
- */
-export type UpstreamPhase = 'unfenced' | 'clearing' | 'serving'
-
 export interface RunRegistryState {
   readonly incarnation: string
   /** Runs by task. */
@@ -40,29 +30,14 @@
   readonly queue: RunQueue
   /** Newest session of each entry, by the entry's name. */
   readonly sessions: Map<string, EntrySession>
-  readonly clock: UpstreamClock
-  readonly observations: Observations
   /** Orders that must not be accepted again, with the agent time at which the tombstone expires; oldest first. */
   readonly tombstones: Map<string, number>
   reserved: Size
-  heartbeat: UpstreamHeartbeat | undefined
-  instance: UpstreamInstance | undefined
-  phase: UpstreamPhase
+  /** The current instance of the upstream. */
+  upstream: UpstreamState
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
   isCleared: boolean
   fencingToken: number
-  /** Number of the last completion that was processed. */
-  lastCompletionNumber: number
-  /** Agent time of the last listing; 0 before the first. */
-  lastListingAt: number
-  /** Highest clock of the upstream in a listing, in milliseconds. */
-  lastListingClock: number
-  /** Number of consecutive unanswered listings. */
-  unansweredListings: number
-  /** Agent time of the last list order that renewed the run lease. */
-  leaseRequestedAt: number
-  /** Whether the upstream has deregistered. */
-  hasDeparted: boolean
   /** Whether the agent is in its graceful shutdown. */
   isShuttingDown: boolean
   profileVersion: number
@@ -81,21 +56,11 @@
     runs: new Map(),
     queue: createRunQueue(),
     sessions: new Map(),
-    clock: createUpstreamClock(),
-    observations: createObservations(),
     tombstones: new Map(),
     reserved: EMPTY_SIZE,
-    heartbeat: undefined,
-    instance: undefined,
-    phase: 'unfenced',
+    upstream: createUpstreamState(undefined),
     isCleared: false,
     fencingToken,
-    lastCompletionNumber: 0,
-    lastListingAt: 0,
-    lastListingClock: 0,
-    unansweredListings: 0,
-    leaseRequestedAt: 0,
-    hasDeparted: false,
     isShuttingDown: false,
     profileVersion: 1,
     profileDigest: ''
@@ -120,9 +85,23 @@
   return state.tombstones.has(tombstoneKey(session, task, run))
 }
 
+/**
+ * Records a reading of the upstream's clock. A forward jump means that the VM was suspended; the agent's clock stopped
+ * for that time, so the entry leases are shortened by it.
+ */
+export function recordUpstreamClock (
+  state: RunRegistryState, ports: RunRegistryPorts, clock: number | undefined, now: number
+): void {
+  if (clock === undefined) return
+  const suspendedMilliseconds = state.upstream.clock.recordReading(clock, now)
+  if (suspendedMilliseconds === 0) return
+  ports.logger.warn('this VM was suspended', { milliseconds: Math.round(suspendedMilliseconds) })
+  for (const session of state.sessions.values()) session.leaseUntil -= suspendedMilliseconds
+}
+
 /** Capacity of the upstream that is not reserved. */
 export function freeCapacity (state: RunRegistryState): Size {
-  return subtractSizes(state.heartbeat?.capacity ?? EMPTY_SIZE, state.reserved)
+  return subtractSizes(state.upstream.heartbeat?.capacity ?? EMPTY_SIZE, state.reserved)
 }
 
 /** Reserves capacity for a run whose start order is about to be sent. */
--- /dev/null
+++ b/packages/runs/src/upstream-state.ts
@@ -0,0 +1,61 @@
+/** What an agent knows of the current instance of its upstream. */
+import { createObservations, type Observations } from './observations.js'
+import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
+import type { UpstreamHeartbeat, UpstreamInstance } from './upstream.js'
+
+/**
+ * Progress of the agent in taking control of the current instance of its upstream.
+ *
+ * - `unfenced`: orders of an earlier incarnation of the agent may still be carried out;
+ * - `clearing`: the fencing token is in force, and runs of an earlier incarnation are being stopped;
+ * - `serving`: all runs at the upstream are in the registry.
+ */
+export type UpstreamPhase = 'unfenced' | 'clearing' | 'serving'
+
+/**
+ * Everything that an agent knows of one instance of its upstream. The next instance gets a new object: what one said,
+ * such as its capacity, its clock or that it leaves, tells nothing about another.
+ */
+export interface UpstreamState {
+  /** Undefined until a heartbeat or a listing names it; the id is empty until a heartbeat does. */
+  instance: UpstreamInstance | undefined
+  /** Newest heartbeat; nothing starts before the first one. */
+  heartbeat: UpstreamHeartbeat | undefined
+  /** Whether the upstream has deregistered. */
+  hasDeparted: boolean
+  phase: UpstreamPhase
+  readonly clock: UpstreamClock
+  readonly observations: Observations
+  /** Number of the last completion that was processed. */
+  lastCompletionNumber: number
+  /** Agent time of the last listing; 0 before the first. */
+  lastListingAt: number
+  /** Highest clock of the upstream in a listing, in milliseconds. */
+  lastListingClock: number
+  /** Number of consecutive unanswered listings. */
+  unansweredListings: number
+  /** Agent time of the last list order that renewed the run lease. */
+  leaseRequestedAt: number
+}
+
+/**
+ * Creates the state of an instance that has not been heard of, or of which only the identity is known.
+ *
+ * @example
+ * state.upstream = createUpstreamState({ id: 'i-7f3a91c2', startedAt: 1_791_652_171_802 })
+ */
+export function createUpstreamState (instance: UpstreamInstance | undefined): UpstreamState {
+  return {
+    instance,
+    heartbeat: undefined,
+    hasDeparted: false,
+    phase: 'unfenced',
+    clock: createUpstreamClock(),
+    observations: createObservations(),
+    lastCompletionNumber: 0,
+    lastListingAt: 0,
+    lastListingClock: 0,
+    unansweredListings: 0,
+    leaseRequestedAt: 0
+  }
+}
--- a/packages/runs/tests/leaving-upstream.test.ts
+++ b/packages/runs/tests/leaving-upstream.test.ts
@@ -70,4 +70,11 @@
     agent.registry.handleHeartbeat(heartbeat({ instance: secondInstance, capacity, labels: ['b'] }), agent.advance(1))
     expect(agent.watch().profile).toMatchObject({ capacity, labels: ['b'], accepting: true })
   })
+  it('gets no lease from the clock of its former instance, which answers late', () => {
+    agent.registry.handleHeartbeat(heartbeat({ instance: secondInstance }), agent.advance(1))
+    agent.list({ startedAt: secondInstance.startedAt }, 100)
+    agent.list({}, 900_000)
+    agent.order(1)
+    expect(agent.starts[0]?.order.leaseUntil).toBeLessThan(2_000)
+  })
 })
--- a/packages/runs/tests/registry-under-test.ts
+++ b/packages/runs/tests/registry-under-test.ts
@@ -16,8 +16,8 @@
   readonly stops: Array<{ readonly record: RunRecord, readonly order: StopOrder }>
   /** Advances the time by `milliseconds` and returns it. */
   advance: (milliseconds: number) => number
-  /** Requests a listing and answers it a millisecond later; without runs by default. */
-  list: (listing?: Partial<Listing>) => void
+  /** Requests a listing and answers it a millisecond later; without runs, and with the agent's time, by default. */
+  list: (listing?: Partial<Listing>, clock?: number) => void
   answerLastStart: (outcome: OrderOutcome) => void
   answerLastStop: (outcome: OrderOutcome) => void
   /** Orders the task from the only entry. */
@@ -75,12 +75,12 @@
     starts,
     stops,
     advance: milliseconds => { now += milliseconds; return now },
-    list: (listing = {}) => {
+    list: (listing = {}, clock) => {
       const requestedAt = now
       const order = registry.nextListOrder(0, requestedAt)
       now += 1
       registry.handleListAnswer({
-        outcome: 'taken', clock: now, listing: { startedAt: 1_000, running: [], ended: [], ...listing }
+        outcome: 'taken', clock: clock ?? now, listing: { startedAt: 1_000, running: [], ended: [], ...listing }
       }, order.fencingToken, requestedAt, now)
     },
     answerLastStart: outcome => {
