Acknowledge a heartbeat only if what it says is taken into account

Cause: every heartbeat that could be decoded was answered 200, also one that was skipped. An upstream that says it leaves relies on that answer: it is the promise that nothing starts there any more. A heartbeat of an ended instance was acknowledged and ignored; so was one that says 'draining' and was overtaken by an earlier 'ready' of the same instance. That an instance leaves is kept for the rest of its time, whatever the order in which its heartbeats arrive.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -34,7 +34,7 @@
   'upstream found': 'The first heartbeat of an upstream instance arrived: `upstream`, `bornAt`, `service`, `processor`, `labels`',
   'upstream serves': 'The upstream has no unknown runs and can get new ones: `fence` (the fencing token)',
   'upstream drains': 'The upstream accepts no new runs: `upstream`, `bornAt`, `sequence` of the heartbeat',
-  'heartbeat skipped: out of date': 'A heartbeat came after a later one: `upstream`, `bornAt` and `sequence` of the heartbeat, `knownBornAt` and `knownSequence` of the later one, `draining`',
+  'heartbeat skipped: out of date': 'A heartbeat came after a later one, or after a later start of the upstream: `upstream`, `bornAt` and `sequence` of the heartbeat, `knownBornAt` and `knownSequence` of the later one, `draining`',
   'upstream left': 'The upstream deregistered: `upstream`',
   'upstream life ended': 'An instance of the upstream ended, and all of its runs with it: `reason`',
   'upstream does not answer': 'The upstream did not answer several list requests in a row, and its lease is no longer renewed: number of `listings`',
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -25,7 +25,8 @@
 export interface AgentProgram {
   /** Handlers of the calls of entries. */
   readonly handlers: CallHandlers
-  handleHeartbeat: (report: UpstreamHeartbeat) => void
+  /** Returns whether the heartbeat may be acknowledged. */
+  handleHeartbeat: (report: UpstreamHeartbeat) => boolean
   handleDeparture: (id: string) => void
   /** Shuts down gracefully: refuses new runs, and resolves when all runs have ended or after the timeout. */
   stop: (timeoutMilliseconds: number) => Promise<void>
@@ -190,7 +191,7 @@
 
   return {
     handlers,
-    handleHeartbeat: heartbeat => { registry.handleHeartbeat(heartbeat, now()) },
+    handleHeartbeat: heartbeat => registry.handleHeartbeat(heartbeat, now()),
     handleDeparture: id => { registry.handleDeparture(id, now()) },
     stop,
     runCount: () => registry.runCount(),
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -23,7 +23,8 @@
   /** Returns the next list order, and records that it renews the run lease if it does. */
   nextListOrder: (waitMilliseconds: number, now: number) => ListOrder
   handleListAnswer: (answer: ListAnswer, usedFencingToken: number, requestedAt: number, now: number) => void
-  handleHeartbeat: (heartbeat: UpstreamHeartbeat, now: number) => void
+  /** Returns whether the heartbeat may be acknowledged. */
+  handleHeartbeat: (heartbeat: UpstreamHeartbeat, now: number) => boolean
   handleDeparture: (id: string, now: number) => void
   /** Applies expired entry leases and wait deadlines; called every few milliseconds. */
   tick: (now: number) => void
@@ -106,8 +107,9 @@
       refreshProfile(now)
     },
     handleHeartbeat: (heartbeat, now) => {
-      handleHeartbeat(state, ports, heartbeat, now)
+      const isTakenIn = handleHeartbeat(state, ports, heartbeat, now)
       refreshProfile(now)
+      return isTakenIn
     },
     handleDeparture: (id, now) => {
       handleDeparture(state, ports, id, now)
--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -39,26 +39,35 @@
   })
 }
 
-/** Applies a heartbeat. Heartbeats of an earlier instance, and those that arrive out of order, are ignored. */
+/**
+ * Applies a heartbeat. One of an earlier instance is ignored; of one that a later heartbeat overtook, only that the
+ * upstream leaves is used.
+ *
+ * @returns whether all that the heartbeat says is taken into account, so that it may be acknowledged.
+ */
 export function handleHeartbeat (
   state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat, now: number
-): void {
+): boolean {
   const { instance: knownInstance } = state.upstream
   if (knownInstance !== undefined && isOlderInstance(heartbeat.instance, knownInstance)) {
-    return logSkipped(state, ports, heartbeat)
+    logSkipped(state, ports, heartbeat)
+    return false
   }
   findInstance(state, ports, heartbeat, now)
-  const { heartbeat: lastHeartbeat } = state.upstream
-  if (lastHeartbeat !== undefined && heartbeat.sequence <= lastHeartbeat.sequence) {
-    return logSkipped(state, ports, heartbeat)
-  }
-  state.upstream.heartbeat = heartbeat
-  state.upstream.hasDeparted = false
-  if (heartbeat.isDraining && lastHeartbeat?.isDraining !== true) {
+  const { upstream } = state
+  if (heartbeat.isDraining && !upstream.isLeaving) {
+    upstream.isLeaving = true
     const { id, startedAt } = heartbeat.instance
     ports.logger.info('upstream drains', { upstream: id, bornAt: startedAt, sequence: heartbeat.sequence })
   }
+  if (upstream.heartbeat === undefined || heartbeat.sequence > upstream.heartbeat.sequence) {
+    upstream.heartbeat = heartbeat
+    upstream.hasDeparted = false
+  } else {
+    logSkipped(state, ports, heartbeat)
+  }
   startWaitingRuns(state, ports, now)
+  return true
 }
 
 /** Handles the deregistration of an upstream: its runs are lost. */
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -13,7 +13,7 @@
 /** Whether new runs may be accepted and started. */
 export function isAccepting (state: RunRegistryState, now: number): boolean {
   if (state.isShuttingDown || state.upstream.hasDeparted || state.upstream.phase !== 'serving') return false
-  if (state.upstream.heartbeat === undefined || state.upstream.heartbeat.isDraining) return false
+  if (state.upstream.heartbeat === undefined || state.upstream.isLeaving) return false
   return now - state.upstream.lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
 }
 
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -21,6 +21,8 @@
   instance: UpstreamInstance | undefined
   /** Newest heartbeat; nothing starts before the first one. */
   heartbeat: UpstreamHeartbeat | undefined
+  /** Whether any heartbeat of the instance said that it leaves, which it can't take back. */
+  isLeaving: boolean
   /** Whether the upstream has deregistered. */
   hasDeparted: boolean
   phase: UpstreamPhase
@@ -48,6 +50,7 @@
   return {
     instance,
     heartbeat: undefined,
+    isLeaving: false,
     hasDeparted: false,
     phase: 'unfenced',
     clock: createUpstreamClock(),
--- a/packages/runs/tests/leaving-upstream.test.ts
+++ b/packages/runs/tests/leaving-upstream.test.ts
@@ -45,6 +45,19 @@
   })
 })
 
+describe('a heartbeat', () => {
+  it('of an instance that ended is not acknowledged', () => {
+    agent.registry.handleHeartbeat(heartbeat({ instance: { id: 'i-2', startedAt: 9_000 } }), agent.advance(1))
+    expect(agent.registry.handleHeartbeat(heartbeat({ sequence: 2, isDraining: true }), agent.advance(1))).toBe(false)
+  })
+
+  it('that says that the upstream leaves counts also when a later one overtook it', () => {
+    agent.registry.handleHeartbeat(heartbeat({ sequence: 3 }), agent.advance(1))
+    expect(agent.registry.handleHeartbeat(heartbeat({ sequence: 2, isDraining: true }), agent.advance(1))).toBe(true)
+    expect(agent.order(1).verdicts).toEqual(['not-accepting'])
+  })
+})
+
 describe('an upstream that was started again in place', () => {
   const secondInstance = { id: 'i-1', startedAt: 5_000 }
 
