Count the lease that a start order renews before reporting runs lost

Cause: the lease of all runs at an upstream is renewed by list orders and by start orders, but only list orders were recorded as renewals. At an upstream that answers no more, a start order sent up to 700 ms after the last listing kept its runs alive after the agent had reported them lost, so that their tasks could run twice at once. Change: orderStart records the renewal; the time is named leaseRenewedAt.

--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -93,7 +93,7 @@
     },
     nextListOrder: (waitMilliseconds, now) => {
       const isRenewing = state.upstream.phase === 'serving' && state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS
-      if (isRenewing) state.upstream.leaseRequestedAt = now
+      if (isRenewing) state.upstream.leaseRenewedAt = now
       return {
         fencingToken: state.fencingToken,
         leaseUntil: isRenewing ? leaseUntil(state, now) : undefined,
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -202,6 +202,6 @@
 /** Ends all runs of an unresponsive upstream once their lease has expired even on a slow clock. */
 function endExpiredRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   if (state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || state.upstream.phase === 'unfenced') return
-  if (now - state.upstream.leaseRequestedAt < RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS) return
+  if (now - state.upstream.leaseRenewedAt < RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS) return
   endUpstreamRuns(state, ports, 'the run lease ended without an answer', now)
 }
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -47,6 +47,7 @@
   record.state = 'ordered'
   record.orderedAt = now
   record.absenceConclusiveFrom = undefined
+  state.upstream.leaseRenewedAt = now
   ports.sendStart(record, {
     task,
     run: record.upstreamRunNumber,
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -36,8 +36,8 @@
   lastListingClock: number
   /** Number of consecutive unanswered listings. */
   unansweredListings: number
-  /** Agent time of the last list order that renewed the run lease. */
-  leaseRequestedAt: number
+  /** Agent time of the last order that renewed the lease of all runs: a list or a start order. */
+  leaseRenewedAt: number
 }
 
 /**
@@ -59,6 +59,6 @@
     lastListingAt: 0,
     lastListingClock: 0,
     unansweredListings: 0,
-    leaseRequestedAt: 0
+    leaseRenewedAt: 0
   }
 }
--- a/packages/runs/tests/registry-under-test.ts
+++ b/packages/runs/tests/registry-under-test.ts
@@ -7,6 +7,8 @@
 } from '@baobabpost/runs'
 
 export const TASK = '5c0e7a21d94b36f8.0.0.0'
+/** Time from the request of a listing that is lost to the next request. */
+const LOST_LISTING_MILLISECONDS = 70
 const SIZE = { processor: 1_000, memory: 64, accelerators: 0 }
 
 /** A registry, and the orders that it has sent. */
@@ -20,8 +22,10 @@
   list: (listing?: Partial<Listing>, clock?: number) => void
   answerLastStart: (outcome: OrderOutcome) => void
   answerLastStop: (outcome: OrderOutcome) => void
-  /** Orders the task from the only entry. */
-  order: (run: number) => StartAnswer
+  /** Requests a listing, which times out. */
+  loseListing: () => void
+  /** Orders a task, by default `TASK`, from the only entry. */
+  order: (run: number, task?: string) => StartAnswer
   /** Returns what the entry is told. */
   watch: () => WatchAnswer
 }
@@ -83,6 +87,12 @@
         outcome: 'taken', clock: clock ?? now, listing: { startedAt: 1_000, running: [], ended: [], ...listing }
       }, order.fencingToken, requestedAt, now)
     },
+    loseListing: () => {
+      const requestedAt = now
+      const order = registry.nextListOrder(0, requestedAt)
+      now += LOST_LISTING_MILLISECONDS
+      registry.handleListAnswer({ outcome: 'unanswered', clock: undefined }, order.fencingToken, requestedAt, now)
+    },
     answerLastStart: outcome => {
       const { record, order } = last(starts)
       now += 1
@@ -93,12 +103,12 @@
       now += 1
       registry.handleStopAnswer(record, { outcome, clock: now }, order.fencingToken, now)
     },
-    order: run => registry.answerStart({
+    order: (run, task = TASK) => registry.answerStart({
       caller: caller(),
       specification: '{}',
       priority: 0,
       patienceMilliseconds: 50,
-      orders: [{ task: TASK, run, size: SIZE, estimateMilliseconds: 100 }]
+      orders: [{ task, run, size: SIZE, estimateMilliseconds: 100 }]
     }, now),
     watch
   }
