End the runs of an upstream that was started again once its next instance is fenced

Callers could get a task run twice at once: an order that was sent between the restart of an upstream in place and the listing that showed it was carried out by the next instance, while the agent reported its run lost and the entry sent the task elsewhere.

Cause: beginInstance ended all runs at once, and any listing, also one requested with the fencing token from before, set the upstream to serving. Change: the runs are displaced instead. They end when a listing requested with the raised token doesn't show them; the others are stopped first. Answers to their orders no longer count, since either instance may have given them. If the next instance never answers, they end with the lease, as before.

--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -171,7 +171,8 @@
     program: AgentProgram, standIn: LeasedUpstream, processState: ProcessState
   ): Promise<void> {
     while (!processState.isKilled) {
-      program.handleHeartbeat(standIn.report())
+      const heartbeat = standIn.report()
+      if (program.handleHeartbeat(heartbeat)) standIn.acknowledge(heartbeat)
       await pause(HEARTBEAT_MILLISECONDS)
     }
   }
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -36,6 +36,12 @@
 export interface UpstreamObserver {
   started: (upstream: string, task: string, overCapacity: boolean) => void
   ended: (upstream: string, task: string, kind: CompletionKind) => void
+  /**
+   * A start order was sent to an upstream that had said it leaves.
+   *
+   * @param milliseconds - Time since the heartbeat that said so was acknowledged.
+   */
+  orderedAfterLeaving: (upstream: string, task: string, milliseconds: number) => void
 }
 
 export interface LeasedUpstream {
@@ -44,7 +50,10 @@
   report: () => UpstreamHeartbeat
   /** Returns the current instance of the upstream. */
   instance: () => UpstreamInstance
+  /** From now on, heartbeats say that the upstream leaves; until it crashes. */
   setDraining: () => void
+  /** Records that an agent has acknowledged a heartbeat. */
+  acknowledge: (heartbeat: UpstreamHeartbeat) => void
   /** Ends all runs, loses all state and starts a new instance under the same identity. */
   crash: () => void
   runningCount: () => number
@@ -61,6 +70,8 @@
   /** Clock of the stand-in, in milliseconds. */
   readonly now: () => number
   readonly observer: UpstreamObserver
+  /** Whether each instance has an id of its own; by default an upstream keeps its id when it starts again. */
+  readonly changesId?: boolean
 }
 
 interface SimulatedRun {
@@ -90,6 +101,7 @@
   let startedAt = 1_000
   let sequence = 0
   let draining = false
+  let leavingAcknowledgedAt: number | undefined
   let fencingToken = 0
   let leaseUntil = 0
   let leaseTimer: ReturnType<typeof setTimeout> | undefined
@@ -206,17 +218,30 @@
     return { outcome: 'unanswered', clock: undefined }
   }
 
+  function instance (): UpstreamInstance {
+    return { id: options.changesId === true ? `${options.name}-${startedAt}` : options.name, startedAt }
+  }
+
+  /** Reports an order by the time at which it was sent: the stand-in itself may carry it out later. */
+  function checkLeaving (task: string): void {
+    if (leavingAcknowledgedAt === undefined) return
+    observer.orderedAfterLeaving(options.name, task, now() - leavingAcknowledgedAt)
+  }
+
   return {
     faults,
     upstream: {
-      start: (order, timeout) => deliver(() => ({ outcome: handleStart(order), clock: now() }), timeout, true),
+      start: (order, timeout) => {
+        checkLeaving(order.task)
+        return deliver(() => ({ outcome: handleStart(order), clock: now() }), timeout, true)
+      },
       stop: (order, timeout) => deliver(() => ({ outcome: handleStop(order), clock: now() }), timeout, true),
       list: (order, timeout) => deliver(() => handleList(order), timeout, false)
     },
     report: () => {
       sequence += 1
       return {
-        instance: { id: options.name, startedAt },
+        instance: instance(),
         sequence,
         service: options.service,
         failureDomain: options.failureDomain ?? 'domain-1',
@@ -225,11 +250,16 @@
         isDraining: draining
       }
     },
-    instance: () => ({ id: options.name, startedAt }),
+    instance,
     setDraining: () => { draining = true },
+    acknowledge: heartbeat => {
+      if (heartbeat.isDraining && heartbeat.instance.startedAt === startedAt) leavingAcknowledgedAt ??= now()
+    },
     crash: () => {
       for (const run of [...runningByTask.values()]) endRun(run, 'lapsed')
       startedAt += 1_000
+      draining = false
+      leavingAcknowledgedAt = undefined
       fencingToken = 0
       completions = []
       lastCompletionNumber = 0
--- a/packages/rehearsal/src/run-log.ts
+++ b/packages/rehearsal/src/run-log.ts
@@ -22,11 +22,12 @@
  * Creates an empty run log.
  *
  * @param now - Clock in milliseconds, for the times of violations.
+ * @param transitMilliseconds - Time for which an order to a leaving upstream may have been on its way.
  *
  * @example
  * const runLog = createRunLog(() => performance.now())
  */
-export function createRunLog (now: () => number): RunLog {
+export function createRunLog (now: () => number, transitMilliseconds = 0): RunLog {
   const upstreamByTask = new Map<string, string>()
   const startCounts = new Map<string, number>()
   const startedTasksByJob = new Map<string, Set<string>>()
@@ -61,6 +62,10 @@
       if (upstreamByTask.get(task) === upstream) upstreamByTask.delete(task)
       if (kind === 'done') doneTasks.add(task)
     },
+    orderedAfterLeaving: (upstream, task, milliseconds) => {
+      if (milliseconds <= transitMilliseconds) return
+      addViolation(`${task} is ordered at ${upstream} ${Math.round(milliseconds)} ms after that said it leaves`)
+    },
     answered: (job, answer, isInconclusive) => {
       if (isInconclusive) return
       answerCounts.set(answer.kind, (answerCounts.get(answer.kind) ?? 0) + 1)
--- a/packages/rehearsal/tests/fleet-faults.test.ts
+++ b/packages/rehearsal/tests/fleet-faults.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { createRandom } from '@baobabpost/common'
 import { createFleet, RESEND_MILLISECONDS, type Fleet, type FleetJob, type JobSubmission } from '@baobabpost/rehearsal'
 
 const SIZE = { processor: 6_000, memory: 64, accelerators: 0 }
@@ -322,6 +323,19 @@
     expect(draining.standIn.runningCount()).toBe(0)
   })
 
+  it.each([1, 2, 3])('orders nothing at upstreams that leave right after they were started again (seed %i)', async seed => {
+    await start(2, 4)
+    const random = createRandom(seed)
+    for (let round = 0; round < 8; round += 1) {
+      const { standIn } = fleet.agents[random.below(fleet.agents.length)] ?? first(fleet.agents)
+      standIn.crash()
+      standIn.setDraining()
+      await sendSteadily(40, 25, () => job(100, 2))
+      standIn.crash()
+    }
+    expect(fleet.runLog.violations).toEqual([])
+  })
+
   it('refuses jobs when there is no free capacity, and runs none of their tasks', async () => {
     await start(1, 1)
     const submissions = await sendSteadily(60, 5, () => job(300, 4))
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -25,12 +25,49 @@
   ports.logger.warn('upstream life ended', { reason })
 }
 
-/** Ends all runs of the known instance of the upstream; nothing that is known of it is kept for the next one. */
+/**
+ * Replaces the known instance of the upstream; nothing that is known of it is kept for the next one. An order that was
+ * under way may have reached either, so its run ends only once a listing of the next instance, with the raised fencing
+ * token in force there, shows that it is gone.
+ */
 export function beginInstance (
   state: RunRegistryState, ports: RunRegistryPorts, instance: UpstreamInstance, reason: string, now: number
 ): void {
-  endUpstreamRuns(state, ports, reason, now)
-  state.upstream = createUpstreamState(instance)
+  for (const record of [...state.runs.values()]) {
+    if (record.state === 'waiting') {
+      endRun(state, ports, record, 'not-started', reason, now)
+      continue
+    }
+    record.state = 'displaced'
+    record.stopReason = reason
+  }
+  const { leaseRenewedAt } = state.upstream
+  state.upstream = { ...createUpstreamState(instance), leaseRenewedAt }
+  state.fencingToken += 1
+  ports.logger.warn('upstream life ended', { reason })
+  ports.listImmediately()
+}
+
+/**
+ * Ends the displaced runs that a listing doesn't show, and stops the others.
+ *
+ * @returns the number of those that are left.
+ */
+function settleDisplacedRuns (
+  state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number
+): number {
+  const listedRuns = new Map(listing.running.map(({ task, run }) => [task, run]))
+  let remainingCount = 0
+  for (const record of [...state.runs.values()]) {
+    const { order: { task }, upstreamRunNumber: run } = record
+    if (listedRuns.get(task) !== run) {
+      endRun(state, ports, record, 'lost', record.stopReason, now)
+      continue
+    }
+    remainingCount += 1
+    ports.stopUnknownRun({ task, run, fencingToken: state.fencingToken, instance: state.upstream.instance })
+  }
+  return remainingCount
 }
 
 function handleCompletion (
@@ -132,13 +169,15 @@
   return false
 }
 
-/** Stops the runs of an earlier incarnation of the agent; once a listing has none, the upstream serves. */
-function clearEarlierRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): void {
-  const { upstream } = state
-  for (const { number } of listing.ended) {
-    upstream.lastCompletionNumber = Math.max(upstream.lastCompletionNumber, number)
-  }
-  if (stopUnknownRuns(state, ports, listing) > 0) {
+/**
+ * Stops the runs of an earlier incarnation of the agent, and those ordered before the upstream was started again; once
+ * a listing has none, the upstream serves.
+ */
+function clearEarlierRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
+  for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
+  const unknownCount = stopUnknownRuns(state, ports, listing)
+  const displacedCount = settleDisplacedRuns(state, ports, listing, now)
+  if (unknownCount + displacedCount > 0) {
     state.upstream.phase = 'clearing'
     return
   }
@@ -152,6 +191,7 @@
   ports: RunRegistryPorts,
   listing: Listing,
   reading: number | undefined,
+  usedFencingToken: number,
   requestedAt: number,
   now: number
 ): void {
@@ -163,7 +203,8 @@
   const isOutOfOrder = clock < state.upstream.lastListingClock
   state.upstream.lastListingClock = Math.max(clock, state.upstream.lastListingClock)
   if (state.upstream.phase !== 'serving') {
-    if (!isOutOfOrder) clearEarlierRuns(state, ports, listing)
+    // An earlier token leaves room for a delayed order to start after the listing.
+    if (!isOutOfOrder && usedFencingToken >= state.fencingToken) clearEarlierRuns(state, ports, listing, now)
     return
   }
   for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
@@ -173,6 +214,11 @@
   endMissingRuns(state, ports, new Map(listing.running.map(({ task, run }) => [task, run])), requestedAt, now)
 }
 
+/** Whether there is anything to give up when the upstream is gone. */
+function hasRunsOrControl (state: RunRegistryState): boolean {
+  return state.upstream.phase !== 'unfenced' || state.runs.size > 0
+}
+
 /** Handles the answer to a list order that was sent at `requestedAt`. */
 export function handleListAnswer (
   state: RunRegistryState,
@@ -184,7 +230,7 @@
 ): void {
   if (answer.outcome === 'fenced') return raiseFencingToken(state, ports, usedFencingToken)
   if (answer.outcome === 'unreachable') {
-    if (state.upstream.phase !== 'unfenced') endUpstreamRuns(state, ports, 'nothing listens at the upstream', now)
+    if (hasRunsOrControl(state)) endUpstreamRuns(state, ports, 'nothing listens at the upstream', now)
     return
   }
   if (answer.listing === undefined) {
@@ -195,13 +241,13 @@
     return endExpiredRuns(state, ports, now)
   }
   state.upstream.unansweredListings = 0
-  applyListing(state, ports, answer.listing, answer.clock, requestedAt, now)
+  applyListing(state, ports, answer.listing, answer.clock, usedFencingToken, requestedAt, now)
   startWaitingRuns(state, ports, now)
 }
 
 /** Ends all runs of an unresponsive upstream once their lease has expired even on a slow clock. */
 function endExpiredRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
-  if (state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || state.upstream.phase === 'unfenced') return
+  if (state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || !hasRunsOrControl(state)) return
   if (now - state.upstream.leaseRenewedAt < RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS) return
   endUpstreamRuns(state, ports, 'the run lease ended without an answer', now)
 }
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -72,6 +72,7 @@
   state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, reason: string, now: number
 ): void {
   if (record.state === 'waiting') return endRun(state, ports, record, 'not-started', reason, now)
+  if (record.state === 'displaced') return
   if (record.state === 'stopping') {
     record.stopReason = reason
     return
@@ -124,6 +125,11 @@
   orderStart(state, ports, record, now)
 }
 
+/** Whether the answer to an order for this run counts: the run has not ended, nor its instance of the upstream. */
+function isCurrent (state: RunRegistryState, record: RunRecord): boolean {
+  return state.runs.get(record.order.task) === record && record.state !== 'displaced'
+}
+
 /** Handles the answer to a start order. */
 export function handleStartAnswer (
   state: RunRegistryState,
@@ -133,7 +139,7 @@
   usedFencingToken: number,
   now: number
 ): void {
-  if (state.runs.get(record.order.task) !== record) return
+  if (!isCurrent(state, record)) return
   recordUpstreamClock(state, ports, answer.clock, now)
   switch (answer.outcome) {
     case 'taken':
@@ -171,7 +177,7 @@
   usedFencingToken: number,
   now: number
 ): void {
-  if (state.runs.get(record.order.task) !== record) return
+  if (!isCurrent(state, record)) return
   recordUpstreamClock(state, ports, answer.clock, now)
   switch (answer.outcome) {
     case 'other-life':
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -9,9 +9,10 @@
  * - `ordered`: the start order was sent;
  * - `unsure`: the start order got no answer; it may have been carried out, or may be later (unconfirmed);
  * - `running`: confirmed by the upstream;
- * - `stopping`: being stopped until its completion, or proof that it can't start.
+ * - `stopping`: being stopped until its completion, or proof that it can't start;
+ * - `displaced`: ordered before the upstream was started again; the order may have reached either instance.
  */
-export type RunState = 'waiting' | 'ordered' | 'unsure' | 'running' | 'stopping'
+export type RunState = 'waiting' | 'ordered' | 'unsure' | 'running' | 'stopping' | 'displaced'
 
 /** The runs of one start call; the entry is notified once all of them are done. */
 export interface RunGroup {
