--- a/packages/rehearsal/tests/fleet-faults.test.ts
+++ b/packages/rehearsal/tests/fleet-faults.test.ts
@@ -323,6 +323,20 @@
     expect(draining.standIn.runningCount()).toBe(0)
   })
 
+  it.each([1, 2, 3])('orders nothing at upstreams that leave one after the other while their orders get no answer (seed %i)', async seed => {
+    await start(2, 4)
+    const random = createRandom(seed)
+    for (const { standIn } of fleet.agents.slice(1)) {
+      standIn.faults.isOrderDelayed = () => random.below(10) < 7
+      await sendSteadily(8, 50, () => job(100, 4))
+      standIn.setDraining()
+      await sendSteadily(40, 50, () => job(100, 2))
+      standIn.faults.isOrderDelayed = () => false
+      standIn.crash()
+    }
+    expect(fleet.runLog.violations).toEqual([])
+  })
+
   it.each([1, 2, 3])('orders nothing at upstreams that leave right after they were started again (seed %i)', async seed => {
     await start(2, 4)
     const random = createRandom(seed)
