Refuse calls that were meant for an earlier incarnation of an agent

Callers could get a task run twice at once, or be told 'not run' of work that had run, after an agent was started again within the time in which an entry notices that.

Cause: an entry that had not heard of the restart sent starts, stops and acknowledgements for the earlier incarnation, and the new one took them as its own: it started the run, and when the entry learned of the restart it took all its runs there to have ended with the earlier incarnation and sent the task elsewhere; it reported a run that it didn't know as not started, though the upstream still ran it; it dropped its own reports by the other's numbers. The agent's clock, which is that of its process, told the two apart only while the new one was younger than the earlier had become. Change: an entry names the incarnation that it has heard of (heardFrom); an agent answers starts for another one with 'stale', and ignores the rest. An entry that names none is judged by the clock, as before.

--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -16,7 +16,9 @@
 
 /** Returns the `caller` parameter of a call from this entry to an agent. */
 export function callerFor (state: DispatcherState, view: AgentView): CallingEntry {
-  return { entry: state.entry, incarnation: state.incarnation, heardAt: view.lastAgentClock }
+  const { entry, incarnation } = state
+  const caller = { entry, incarnation, heardAt: view.lastAgentClock }
+  return view.incarnation === '' ? caller : { ...caller, heardFrom: view.incarnation }
 }
 
 /**
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -9,7 +9,9 @@
   /** Differs at each start of the entry. */
   incarnation: Schema.String,
   /** Agent's steady clock in the newest answer that the entry received, in milliseconds; 0 before the first. */
-  heardAt: Schema.Number
+  heardAt: Schema.Number,
+  /** Incarnation of the agent that gave that answer; absent before the first. */
+  heardFrom: Schema.optionalKey(Schema.String)
 })
 export type CallingEntry = typeof CallingEntry.Type
 
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -4,13 +4,21 @@
   type Start, type StartAnswer, type Stop, type StopAnswer, type Verdict, type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import {
-  acknowledgeReports, addReport, createSession, isFromEarlierAgentClock, renewSession, type EntrySession
+  acknowledgeReports, addReport, createSession, renewSession, type EntrySession
 } from './entry-session.js'
 import { isAccepting, startWaitingRuns, stopRun } from './orders.js'
 import { addTombstone, freeCapacity, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import type { RunGroup, RunRecord } from './run-record.js'
 
+/**
+ * Whether a call was meant for an earlier incarnation of this agent: its runs, report numbers and clock are not those
+ * of this one. The clock tells it for an entry that does not name the incarnation.
+ */
+function isForEarlierAgent (state: RunRegistryState, caller: CallingEntry, now: number): boolean {
+  return (caller.heardFrom ?? state.incarnation) !== state.incarnation || caller.heardAt > now
+}
+
 /**
  * Returns the session of a calling entry, with its lease renewed. The first call of a new incarnation opens a session
  * and stops the runs of the earlier incarnation.
@@ -20,7 +28,7 @@
 ): EntrySession {
   const known = state.sessions.get(caller.entry)
   if (known?.incarnation === caller.incarnation) {
-    renewSession(known, caller, now)
+    if (!isForEarlierAgent(state, caller, now)) renewSession(known, caller)
     return known
   }
   const session = createSession(caller)
@@ -106,7 +114,7 @@
   if (hasTombstone(state, session, order.task, order.run)) return 'stopped'
   // The order's own age counts, not the session's lease: other calls may have renewed that while the order was delayed.
   const { caller } = start
-  if (now >= caller.heardAt + ENTRY_LEASE_MILLISECONDS || isFromEarlierAgentClock(caller, now)) return 'stale'
+  if (now >= caller.heardAt + ENTRY_LEASE_MILLISECONDS || isForEarlierAgent(state, caller, now)) return 'stale'
   if (!isAccepting(state, now)) return 'not-accepting'
   if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
   const record: RunRecord = {
@@ -173,7 +181,9 @@
 /** Answers an entry's stop call. */
 export function answerStop (state: RunRegistryState, ports: RunRegistryPorts, stop: Stop, now: number): StopAnswer {
   const session = openSession(state, ports, stop.caller, now)
-  for (const { task, run } of stop.runs) {
+  // Whether a run of an earlier incarnation is gone is told by `cleared`.
+  const runs = isForEarlierAgent(state, stop.caller, now) ? [] : stop.runs
+  for (const { task, run } of runs) {
     const record = state.runs.get(task)
     if (record !== undefined && record.session === session && record.order.run === run) {
       stopRun(state, ports, record, 'asked for by its entry', now)
@@ -192,6 +202,6 @@
 /** Begins a watch: renews the entry's lease and drops acknowledged reports. */
 export function beginWatch (state: RunRegistryState, ports: RunRegistryPorts, watch: Watch, now: number): EntrySession {
   const session = openSession(state, ports, watch.caller, now)
-  acknowledgeReports(session, watch.acknowledged)
+  if (!isForEarlierAgent(state, watch.caller, now)) acknowledgeReports(session, watch.acknowledged)
   return session
 }
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -34,18 +34,12 @@
  * Renews an entry's lease, counted from the newest agent time that the entry has received.
  *
  * @example
- * renewSession(session, watch.caller, now)
+ * renewSession(session, watch.caller)
  */
-export function renewSession (session: EntrySession, caller: CallingEntry, now: number): void {
-  if (isFromEarlierAgentClock(caller, now)) return
+export function renewSession (session: EntrySession, caller: CallingEntry): void {
   session.leaseUntil = Math.max(session.leaseUntil, caller.heardAt + ENTRY_LEASE_MILLISECONDS)
 }
 
-/** Whether the agent time in a call is ahead of the agent's clock: it came from an earlier incarnation of the agent. */
-export function isFromEarlierAgentClock (caller: CallingEntry, now: number): boolean {
-  return caller.heardAt > now
-}
-
 /** Contents of a run report that has no sequence number yet. */
 export interface RunCompletion {
   readonly task: string
--- a/packages/runs/tests/registry-under-test.ts
+++ b/packages/runs/tests/registry-under-test.ts
@@ -24,10 +24,11 @@
   answerLastStop: (outcome: OrderOutcome) => void
   /** Requests a listing, which times out. */
   loseListing: () => void
-  /** Orders a task, by default `TASK`, from the only entry. */
-  order: (run: number, task?: string) => StartAnswer
-  /** Returns what the entry is told. */
-  watch: () => WatchAnswer
+  /** Orders a task, by default `TASK`, from the only entry, which has heard of the agent's incarnation `agent-1`. */
+  order: (run: number, task?: string, heardFrom?: string) => StartAnswer
+  stop: (run: number, heardFrom?: string) => void
+  /** Returns what the entry is told, after it has acknowledged reports. */
+  watch: (acknowledged?: number, heardFrom?: string) => WatchAnswer
 }
 
 /** Returns a heartbeat of the first instance, which is ready, with the given fields replaced. */
@@ -66,10 +67,10 @@
     wake: () => {}
   })
   /** The entry that calls; its lease begins with its second call. */
-  const caller = () => ({ entry: 'entry-1', incarnation: 'entry-1-1', heardAt: now })
+  const caller = (heardFrom = 'agent-1') => ({ entry: 'entry-1', incarnation: 'entry-1-1', heardAt: now, heardFrom })
 
-  function watch (): WatchAnswer {
-    const request = { caller: caller(), acknowledged: 0, profileVersion: 0, waitMilliseconds: 0 }
+  function watch (acknowledged = 0, heardFrom?: string): WatchAnswer {
+    const request = { caller: caller(heardFrom), acknowledged, profileVersion: 0, waitMilliseconds: 0 }
     return registry.answerWatch(registry.beginWatch(request, now), request, now)
   }
 
@@ -103,13 +104,14 @@
       now += 1
       registry.handleStopAnswer(record, { outcome, clock: now }, order.fencingToken, now)
     },
-    order: (run, task = TASK) => registry.answerStart({
-      caller: caller(),
+    order: (run, task = TASK, heardFrom) => registry.answerStart({
+      caller: caller(heardFrom),
       specification: '{}',
       priority: 0,
       patienceMilliseconds: 50,
       orders: [{ task, run, size: SIZE, estimateMilliseconds: 100 }]
     }, now),
+    stop: (run, heardFrom) => { registry.answerStop({ caller: caller(heardFrom), runs: [{ task: TASK, run }] }, now) },
     watch
   }
 }
