Ignore late answers of an agent's former incarnations

Callers could get a task run twice at once when an answer of an agent was held up on its way and the agent was started again meanwhile.

Cause: an entry took the incarnation in any answer for the agent's current one. A late answer of the former incarnation switched its view back, and with 'cleared' in it ended the runs of the next one, whose tasks were sent elsewhere while they ran. Change: a view keeps the former incarnations of its agent; an answer of one of them changes nothing. The simulated network delivers answers that are on their way when their sender ends, and the random faults cut entries off from agents.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -11,12 +11,18 @@
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
 import { releaseReservation } from './job-plan.js'
 
-/** Applies the agent state at the head of an answer. Load and profile of an answer older than the view are ignored. */
+/**
+ * Applies the agent state at the head of an answer. Load and profile of an answer older than the view are ignored.
+ *
+ * @returns whether the answer is from the agent's current incarnation; one of a former incarnation changes nothing.
+ */
 function applyAgentState (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, answer: StopAnswer, now: number
-): void {
+): boolean {
+  if (view.formerIncarnations.has(answer.incarnation)) return false
   if (view.incarnation !== answer.incarnation) {
     ports.logger.info('agent found', { agent: view.name, incarnation: answer.incarnation })
+    if (view.incarnation !== '') view.formerIncarnations.add(view.incarnation)
     view.incarnation = answer.incarnation
     view.incarnationSince = now
     view.mayHaveFormerRuns = true
@@ -28,11 +34,12 @@
   if (answer.cleared) endFormerRuns(state, ports, view, now)
   view.refusedSince = undefined
   view.isReachable = true
-  if (answer.clock < view.lastAgentClock) return
+  if (answer.clock < view.lastAgentClock) return true
   view.lastAgentClock = answer.clock
   view.lastContactAt = now
   view.load = answer.room
   if (answer.profile !== undefined) view.profile = answer.profile
+  return true
 }
 
 /** Ends all assignments to earlier incarnations of an agent. */
@@ -140,7 +147,7 @@
 export function handleWatchAnswer (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, answer: WatchAnswer, now: number
 ): void {
-  applyAgentState(state, ports, view, answer, now)
+  if (!applyAgentState(state, ports, view, answer, now)) return
   for (const report of answer.reports) {
     if (report.sequence <= view.acknowledgedSequence) continue
     view.acknowledgedSequence = report.sequence
@@ -188,7 +195,7 @@
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, start: Start, answer: StartAnswer, now: number
 ): void {
   releaseOrders(state, view, start)
-  applyAgentState(state, ports, view, answer, now)
+  if (!applyAgentState(state, ports, view, answer, now)) return
   for (const [position, { task, run }] of start.orders.entries()) {
     const assignedTask = assignmentOf(state, view, task, run)
     const verdict = answer.verdicts[position]
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -9,6 +9,8 @@
   readonly preference: number
   address: string
   incarnation: string
+  /** Incarnations before the current one; an answer of one of them comes late and counts no more. */
+  readonly formerIncarnations: Set<string>
   /** When the current incarnation first answered; the previous one had ended before that. */
   incarnationSince: number
   /** Whether runs of earlier incarnations may still be running. */
@@ -45,6 +47,7 @@
     preference: rankFor(entry, name),
     address,
     incarnation: '',
+    formerIncarnations: new Set(),
     incarnationSince: 0,
     mayHaveFormerRuns: false,
     profile: undefined,
--- a/packages/rehearsal/src/memory-network.ts
+++ b/packages/rehearsal/src/memory-network.ts
@@ -59,8 +59,9 @@
     if (handlers === undefined) throw new CallError('refused', 'connection refused: nothing listens at the address')
     const handle = handlers[name] as (parameters: unknown, connection: CallConnection) => unknown
     const answer: unknown = await handle(JSON.parse(JSON.stringify(parameters)), { onLost: () => {} })
-    await deliver(to, from)
     if (listeners.get(to) !== handlers) throw new CallError('unanswered', 'connection reset')
+    // An answer that is on its way arrives, also when its sender ends meanwhile.
+    await deliver(to, from)
     return JSON.parse(JSON.stringify(answer))
   }
 
--- a/packages/rehearsal/tests/random-faults.test.ts
+++ b/packages/rehearsal/tests/random-faults.test.ts
@@ -43,6 +43,11 @@
     standIn.faults.failsAll = true
     return () => { standIn.faults.failsAll = false }
   },
+  'entry cut off': (fleet, agent, random) => {
+    const entry = pick(random, fleet.entries)
+    fleet.network.cut(entry.address, agent.address)
+    return () => { fleet.network.heal(entry.address, agent.address) }
+  },
   'agent killed': (fleet, agent) => {
     if (agent.processState.isKilled) return () => {}
     fleet.killAgent(agent)
