Start nothing in a failure domain that an operator has evacuated

Cause: nothing read the operators' evacuation records. Change: entries read the records, keep the set of evacuated domains with its position in the log, and leave those domains out of their candidates; agents hear it with every call and at once by a call of its own, and refuse first and repeated orders.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -30,8 +30,12 @@
     view.lastAgentClock = 0
     view.profile = undefined
     view.unconfirmedSize = EMPTY_SIZE
+    view.isToldEvacuated = false
   }
   if (answer.cleared) endFormerRuns(state, ports, view, now)
+  if (answer.evacuations !== undefined && state.evacuations?.merge(answer.evacuations) === true) {
+    ports.evacuationsChanged?.(view.name)
+  }
   view.refusedSince = undefined
   view.isReachable = true
   if (answer.clock < view.lastAgentClock) return true
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -29,6 +29,8 @@
   refusedSince: number | undefined
   /** Total size of the tasks reserved or sent there whose start the agent has not answered yet. */
   unconfirmedSize: Size
+  /** Whether the agent was last told that its failure domain is evacuated; false for a new incarnation. */
+  isToldEvacuated: boolean
   /** When tasks were last sent there; spaces the probes of an ejected agent. */
   lastSentAt: number
 }
@@ -58,6 +60,7 @@
     isReachable: false,
     refusedSince: undefined,
     unconfirmedSize: EMPTY_SIZE,
+    isToldEvacuated: false,
     lastSentAt: 0
   }
 }
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -2,9 +2,9 @@
 import type { CallingEntry } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import {
-  LATE_PRIORITY_OFFSET, MAXIMUM_ATTEMPTS_PER_PASS, MAXIMUM_WAIT_EXTRA_MILLISECONDS, MAXIMUM_WAIT_FACTOR,
-  MAXIMUM_WAIT_SHARE, MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLACK_FACTOR,
-  MINIMUM_SLOWNESS, RESERVED_CAPACITY_SHARE, RETRY_AFTER_MILLISECONDS, SHORT_WAIT_MILLISECONDS
+  EVACUATED_RETRY_AFTER_MILLISECONDS, LATE_PRIORITY_OFFSET, MAXIMUM_ATTEMPTS_PER_PASS, MAXIMUM_WAIT_EXTRA_MILLISECONDS,
+  MAXIMUM_WAIT_FACTOR, MAXIMUM_WAIT_SHARE, MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS,
+  MINIMUM_SLACK_FACTOR, MINIMUM_SLOWNESS, RESERVED_CAPACITY_SHARE, RETRY_AFTER_MILLISECONDS, SHORT_WAIT_MILLISECONDS
 } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, PendingOrders } from './dispatcher-state.js'
 import { mayHaveRun, type Job, type JobTask } from './job.js'
@@ -17,8 +17,14 @@
 /** Returns the `caller` parameter of a call from this entry to an agent. */
 export function callerFor (state: DispatcherState, view: AgentView): CallingEntry {
   const { entry, incarnation } = state
-  const caller = { entry, incarnation, heardAt: view.lastAgentClock }
-  return view.incarnation === '' ? caller : { ...caller, heardFrom: view.incarnation }
+  const evacuations = state.evacuations?.state()
+  return {
+    entry,
+    incarnation,
+    heardAt: view.lastAgentClock,
+    ...(view.incarnation === '' ? {} : { heardFrom: view.incarnation }),
+    ...(evacuations === undefined ? {} : { evacuations })
+  }
 }
 
 /**
@@ -91,7 +97,7 @@
   const plan: JobPlan = new Map()
   for (const task of due) {
     const agentsWithSpareCapacity = {
-      ejected: agents.ejected,
+      ...agents,
       near: agents.near.filter(view => hasSpareCapacity(view, task)),
       far: agents.far.filter(view => hasSpareCapacity(view, task))
     }
@@ -115,9 +121,25 @@
 }
 
 /** Gives up a job: answers `refused` if none of its tasks can have run, otherwise `given-up`. */
-function abandonJob (state: DispatcherState, ports: DispatcherPorts, job: Job, reason: string, now: number): void {
+function abandonJob (
+  state: DispatcherState,
+  ports: DispatcherPorts,
+  job: Job,
+  reason: string,
+  now: number,
+  retryAfterMilliseconds = RETRY_AFTER_MILLISECONDS
+): void {
   if (mayHaveRun(job)) return answerJob(state, ports, job, { kind: 'given-up', reason }, now)
-  answerJob(state, ports, job, { kind: 'refused', reason, retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS }, now)
+  answerJob(state, ports, job, { kind: 'refused', reason, retryAfterMilliseconds }, now)
+}
+
+/** Abandons a job that waits for upstreams which are all evacuated. Returns whether it did. */
+function abandonIfEvacuated (
+  state: DispatcherState, ports: DispatcherPorts, job: Job, agents: AgentsByDistance, now: number
+): boolean {
+  if (!agents.areAllEvacuated || !job.tasks.some(task => task.state === 'waiting')) return false
+  abandonJob(state, ports, job, 'all failure domains are evacuated', now, EVACUATED_RETRY_AFTER_MILLISECONDS)
+  return true
 }
 
 /** Abandons a job whose waiting tasks can not end before its deadline. Returns whether it did. */
@@ -168,7 +190,8 @@
   const isBehindOthers = state.waiting.some(other => !other.isLate && !other.isAnswered)
   if (!isBehindOthers) {
     if (abandonIfHopeless(state, ports, job, now)) return
-    if (assignJob(state, ports, job, agentsFor(state, job.request.service), now)) return
+    const agents = agentsFor(state, job.request.service)
+    if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) return
   }
   state.waiting.push(job)
 }
@@ -219,7 +242,7 @@
       const { service } = job.request
       const agents = agentsByService.get(service) ?? agentsFor(state, service)
       agentsByService.set(service, agents)
-      if (assignJob(state, ports, job, agents, now)) continue
+      if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) continue
     }
     remaining.push(job)
   }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -1,11 +1,12 @@
 /** Dispatcher of an entry. It reads no clock and opens no socket: times are passed in, and calls go through ports. */
 import { createRandom } from '@baobabpost/common'
-import type { Start, StartAnswer, StopAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
+import type { EvacuationRegister, Start, StartAnswer, StopAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
 import {
   endRunsOfUnresponsiveAgents, handleStartAnswer, handleStartFailure, handleStopAnswer, handleWatchAnswer,
   handleWatchFailure
 } from './agent-answers.js'
 import { createAgentView, isUsable, type AgentView } from './agent-view.js'
+import { isEvacuated } from './job-plan.js'
 import { assignNewJob, assignWaitingIfDue, assignWaiting, callerFor } from './assignments.js'
 import {
   BUSY_WATCH_MILLISECONDS, IDLE_WATCH_BOUNDS_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT, PROCESS_PAUSE_MILLISECONDS
@@ -61,6 +62,8 @@
   readonly incarnation: string
   readonly failureDomain: string
   readonly placement?: Placement
+  /** Register of the evacuated failure domains, where evacuations are enabled. */
+  readonly evacuations?: EvacuationRegister
 }
 
 /**
@@ -84,6 +87,7 @@
     failureDomain: options.failureDomain,
     placement: options.placement ??
       new ObjectivePlacement(createRandom(Math.floor(RANDOM_SEEDS * rankFor(options.entry, options.incarnation)))),
+    evacuations: options.evacuations,
     agents: new Map(),
     jobs: new Map(),
     assigned: new Map(),
@@ -200,7 +204,7 @@
     tick,
     isServing: () => {
       for (const view of state.agents.values()) {
-        if (isUsable(view)) return true
+        if (isUsable(view) && !isEvacuated(state, view)) return true
       }
       return false
     },
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -68,5 +68,10 @@
 export const BUSY_RETRY_MILLISECONDS = 30
 /** Time after a refusal before which the caller is asked not to retry. */
 export const RETRY_AFTER_MILLISECONDS = 1_000
+/**
+ * Retry-After while all upstreams of a service are evacuated: an operator ends that, and an entry knows of it some
+ * seconds later at most.
+ */
+export const EVACUATED_RETRY_AFTER_MILLISECONDS = 5_000
 /** Gap between two ticks above which the process must have been paused. */
 export const PROCESS_PAUSE_MILLISECONDS = 300
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -1,6 +1,6 @@
 /** State of an entry's dispatcher and the operations that it needs from its environment. */
 import type { EventLogger } from '@baobabpost/common'
-import type { RunOrder, Start, Stop } from '@baobabpost/fleet-calls'
+import type { EvacuationRegister, RunOrder, Start, Stop } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import type { Job, JobTask } from './job.js'
 import type { Placement } from './placement.js'
@@ -12,6 +12,8 @@
   sendStart: (view: AgentView, start: Start) => void
   /** Sends a stop call; its result is passed to `stopAnswered` or `stopFailed`. */
   sendStop: (view: AgentView, stop: Stop) => void
+  /** Called after an agent has told newer evacuations; the change is logged. */
+  evacuationsChanged?: (source: string) => void
   readonly logger: EventLogger
 }
 
@@ -26,6 +28,8 @@
   readonly incarnation: string
   readonly failureDomain: string
   readonly placement: Placement
+  /** The evacuated failure domains; undefined where evacuations are not enabled. */
+  readonly evacuations: EvacuationRegister | undefined
   /** Agents by name. */
   readonly agents: Map<string, AgentView>
   /** Jobs without a final answer, or with tasks that still run, by identity. */
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -1,12 +1,15 @@
 /** Runs an entry's dispatcher: watches agents, sends calls to them, and ticks the dispatcher. */
 import type { EventLogger } from '@baobabpost/common'
-import { CallError, createCallClient, type CallClient, type Start, type Stop } from '@baobabpost/fleet-calls'
+import {
+  CallError, createCallClient, type CallClient, type EvacuationRegister, type EvacuationState, type Start, type Stop
+} from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import { createDispatcher, type Dispatcher } from './create-dispatcher.js'
 import { createAdmissionRate } from './admission-rate.js'
 import { createCallTiming } from './call-timing.js'
 import { WATCH_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
+import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
 
 /** Interval of the dispatcher's ticks; short compared with the shortest objective. */
@@ -23,6 +26,8 @@
   agentFound: (name: string, address: string) => void
   /** Whether a job that arrives now is accepted; the entry refuses what its own processor and link do not carry. */
   admits: () => boolean
+  /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
+  evacuationsChanged: (source: string) => void
   /** Whether the agent is known and answers calls. */
   isReachable: (name: string) => boolean
   close: () => void
@@ -33,6 +38,8 @@
   readonly incarnation: string
   readonly failureDomain: string
   readonly placement?: Placement
+  /** Register of the evacuated failure domains, where evacuations are enabled. */
+  readonly evacuations?: EvacuationRegister
   readonly client?: CallClient
   readonly logger: EventLogger
   /** Steady clock in milliseconds. */
@@ -57,7 +64,7 @@
   const timing = createCallTiming()
   const admissionRate = createAdmissionRate()
   const status = { isClosed: false }
-  const dispatcher = createDispatcher({ ...options, sendStart, sendStop })
+  const dispatcher = createDispatcher({ ...options, sendStart, sendStop, evacuationsChanged: logEvacuations })
 
   function sendStart (view: AgentView, start: Start): void {
     repeats.record()
@@ -109,6 +116,35 @@
     }
   }
 
+  function logEvacuations (source: string): void {
+    const state = options.evacuations?.state()
+    logger.info('evacuations changed', { domains: state?.domains.join(' '), position: state?.position, source })
+  }
+
+  function evacuationsChanged (source: string): void {
+    logEvacuations(source)
+    tellEvacuations()
+    dispatcher.tick(now())
+  }
+
+  function mergeEvacuations (state: EvacuationState, source: string): void {
+    if (options.evacuations?.merge(state) === true) evacuationsChanged(source)
+  }
+
+  const tellEvacuations = options.evacuations === undefined
+    ? () => {}
+    : createEvacuationNotices({
+      evacuations: options.evacuations,
+      agents: () => dispatcher.agents(),
+      tell: async (view, state) => {
+        const answer = await client.call(view.address, 'tellEvacuations', { evacuations: state }, timing.timeout())
+        return answer.evacuations
+      },
+      onNewer: mergeEvacuations,
+      logger,
+      now
+    })
+
   function observeDelays (loopDelay: number, at: number): void {
     const wasLimited = admissionRate.limit() !== undefined
     admissionRate.observe(Math.max(loopDelay, timing.average()), at)
@@ -125,6 +161,7 @@
     tickedAt = now()
     observeDelays(loopDelay, tickedAt)
     dispatcher.tick(tickedAt)
+    tellEvacuations()
   }, TICK_MILLISECONDS)
 
   return {
@@ -134,6 +171,7 @@
       if (view === undefined) return
       watch(view).catch((failure: unknown) => { logger.error('watch failed', { agent: name, reason: String(failure) }) })
     },
+    evacuationsChanged,
     admits: () => admissionRate.admit(now()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -14,16 +14,31 @@
   readonly far: readonly AgentView[]
   /** Names of the ejected ones among them, which get one task at a time as a probe. */
   readonly ejected: ReadonlySet<string>
+  /** Whether the service has upstreams, and all of them are in evacuated failure domains. */
+  readonly areAllEvacuated: boolean
 }
 
 /** Tasks with the agents chosen for them, where capacity is reserved. */
 export type JobPlan = Map<JobTask, PlacementChoice>
 
+/** Whether the failure domain of an agent's upstream is evacuated. */
+export function isEvacuated (state: DispatcherState, { profile }: AgentView): boolean {
+  return profile !== undefined && state.evacuations?.isEvacuated(profile.failureDomain) === true
+}
+
 /** Returns the usable agents of a service. */
 export function agentsFor (state: DispatcherState, service: string): AgentsByDistance {
   const usable: AgentView[] = []
+  let evacuatedCount = 0
+  let otherCount = 0
   for (const view of state.agents.values()) {
-    if (isUsable(view) && view.profile?.service === service) usable.push(view)
+    if (view.profile?.service !== service) continue
+    if (isEvacuated(state, view)) {
+      evacuatedCount += 1
+      continue
+    }
+    otherCount += 1
+    if (isUsable(view)) usable.push(view)
   }
   const ejected = findEjectedAgents(usable)
   const near: AgentView[] = []
@@ -32,7 +47,7 @@
     if (view.profile?.failureDomain === state.failureDomain) near.push(view)
     else far.push(view)
   }
-  return { near, far, ejected }
+  return { near, far, ejected, areAllEvacuated: evacuatedCount > 0 && otherCount === 0 }
 }
 
 /** Counts the tasks of a step that are assigned to an agent or planned there. */
--- a/packages/dispatching/src/peer-configuration.ts
+++ b/packages/dispatching/src/peer-configuration.ts
@@ -14,6 +14,8 @@
   readonly addresses: () => readonly string[]
   /** Version in force; undefined before the first configuration. */
   readonly version: () => number | undefined
+  /** Whether the entry knows all that it needs to serve; it asks more often while it does not. */
+  readonly isComplete?: () => boolean
   /** Asks an entry for a record that is newer than `version`; resolves to undefined if it has none. */
   readonly ask: (address: string, version: number | undefined) => Promise<string | undefined>
   readonly onRecord: (record: string, address: string) => void
@@ -55,7 +57,8 @@
   }
 
   return () => {
-    const interval = version() === undefined ? UNKNOWN_INTERVAL_MILLISECONDS : KNOWN_INTERVAL_MILLISECONDS
+    const isComplete = version() !== undefined && options.isComplete?.() !== false
+    const interval = !isComplete ? UNKNOWN_INTERVAL_MILLISECONDS : KNOWN_INTERVAL_MILLISECONDS
     if (isAsking || now() - askedAt < interval) return
     const address = nextAddress()
     if (address === undefined) return
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -1,5 +1,6 @@
 /** Schemas of the calls that entries make to agents. */
 import { Schema } from 'effect'
+import { EvacuationState } from './evacuations.js'
 import { Size } from './size.js'
 
 /** The calling entry, and the newest agent time that it has received. */
@@ -11,7 +12,9 @@
   /** Agent's steady clock in the newest answer that the entry received, in milliseconds; 0 before the first. */
   heardAt: Schema.Number,
   /** Incarnation of the agent that gave that answer; absent before the first. */
-  heardFrom: Schema.optionalKey(Schema.String)
+  heardFrom: Schema.optionalKey(Schema.String),
+  /** The evacuated failure domains; absent where evacuations are not enabled, or not known yet. */
+  evacuations: Schema.optionalKey(EvacuationState)
 })
 export type CallingEntry = typeof CallingEntry.Type
 
@@ -84,6 +87,8 @@
   cleared: Schema.Boolean,
   /** Absent if the entry has the current version. */
   profile: Schema.optionalKey(UpstreamProfile),
+  /** The evacuated failure domains; absent unless the agent knows them at a later position than the entry. */
+  evacuations: Schema.optionalKey(EvacuationState),
   room: UpstreamLoad
 }
 
--- a/packages/fleet-calls/src/calls.ts
+++ b/packages/fleet-calls/src/calls.ts
@@ -1,6 +1,8 @@
 /** All calls between the fleet's processes, with the schemas of their parameters and answers. */
 import { Start, StartAnswer, Stop, StopAnswer, Watch, WatchAnswer } from './agent-messages.js'
-import { Announce, AnnounceAnswer, AskConfiguration, AskConfigurationAnswer } from './entry-messages.js'
+import {
+  Announce, AnnounceAnswer, AskConfiguration, AskConfigurationAnswer, TellEvacuations, TellEvacuationsAnswer
+} from './entry-messages.js'
 
 /**
  * Time without a byte after which an answer of unbounded size is given up; the timeout of its call covers only the time
@@ -15,7 +17,8 @@
   announce: { parameters: Announce, answer: AnnounceAnswer },
   askConfiguration: {
     parameters: AskConfiguration, answer: AskConfigurationAnswer, idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS
-  }
+  },
+  tellEvacuations: { parameters: TellEvacuations, answer: TellEvacuationsAnswer }
 } as const
 
 /** Time without a byte after which the answer to a call is given up once it has begun; undefined if it is small. */
--- a/packages/fleet-calls/src/entry-messages.ts
+++ b/packages/fleet-calls/src/entry-messages.ts
@@ -1,5 +1,6 @@
 /** Schemas of the calls that agents and entries make to entries. */
 import { Schema } from 'effect'
+import { EvacuationState } from './evacuations.js'
 
 /** A process of the fleet, and the address at which it accepts calls. */
 export const Member = Schema.Struct({
@@ -30,15 +31,29 @@
 })
 export type AnnounceAnswer = typeof AnnounceAnswer.Type
 
-/** Asks an entry for its current configuration. */
+/** Asks an entry for its current configuration, and tells it what the asking one knows of evacuations. */
 export const AskConfiguration = Schema.Struct({
   /** Version that the asking entry has; absent if it has none. */
-  version: Schema.optionalKey(Schema.Number)
+  version: Schema.optionalKey(Schema.Number),
+  /** The evacuated failure domains as the asking entry knows them; absent if it knows nothing of them. */
+  evacuations: Schema.optionalKey(EvacuationState)
 })
 export type AskConfiguration = typeof AskConfiguration.Type
 
 export const AskConfigurationAnswer = Schema.Struct({
   /** Text of the configuration record; absent if the entry has none that is newer. */
-  record: Schema.optionalKey(Schema.String)
+  record: Schema.optionalKey(Schema.String),
+  /** The evacuated failure domains as the asked entry knows them; absent if it knows nothing of them. */
+  evacuations: Schema.optionalKey(EvacuationState)
 })
 export type AskConfigurationAnswer = typeof AskConfigurationAnswer.Type
+
+/** Tells an agent which failure domains are evacuated. */
+export const TellEvacuations = Schema.Struct({
+  evacuations: EvacuationState
+})
+export type TellEvacuations = typeof TellEvacuations.Type
+
+/** What the agent knows, after it has applied what it was told. */
+export const TellEvacuationsAnswer = Schema.Struct({ evacuations: Schema.optionalKey(EvacuationState) })
+export type TellEvacuationsAnswer = typeof TellEvacuationsAnswer.Type
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -1,7 +1,9 @@
 /** Simulated fleet in one process: the real programs of entries and agents, stand-in upstreams, and callers. */
 import { silentLogger, type EventLogger } from '@baobabpost/common'
 import { startEntryProgram, type EntryProgram, type JobAnswer, type JobStep, type Placement } from '@baobabpost/dispatching'
-import type { CallClient, CallConnection, CallHandlers, Size } from '@baobabpost/fleet-calls'
+import {
+  createEvacuationRegister, type CallClient, type CallConnection, type CallHandlers, type EvacuationRegister, type Size
+} from '@baobabpost/fleet-calls'
 import { startAgentProgram, type AgentProgram, type Upstream } from '@baobabpost/runs'
 import { createLeasedUpstream, type LeasedUpstream, type StandInTask } from './leased-upstream.js'
 import { createMemoryNetwork, type MemoryNetwork } from './memory-network.js'
@@ -23,6 +25,8 @@
   readonly name: string
   readonly address: string
   program: EntryProgram
+  /** What the entry knows of evacuated failure domains; a restarted entry knows nothing at first. */
+  evacuations: EvacuationRegister
   processState: ProcessState
 }
 
@@ -136,10 +140,12 @@
     return `domain-${index % (options.failureDomains ?? 1) + 1}`
   }
 
-  function launchEntry (name: string, address: string): Pick<FleetEntry, 'program' | 'processState'> {
+  function launchEntry (name: string, address: string): Pick<FleetEntry, 'program' | 'processState' | 'evacuations'> {
     incarnationCount += 1
     const processState: ProcessState = { isKilled: false }
+    const evacuations = createEvacuationRegister()
     const program = startEntryProgram({
+      evacuations,
       entry: name,
       incarnation: String(incarnationCount),
       failureDomain: domainAt(entryDomains.get(name) ?? 0),
@@ -149,7 +155,7 @@
       ...(options.placement === undefined ? {} : { placement: options.placement() })
     })
     for (const agent of agents) program.agentFound(agent.name, agent.address)
-    return { program, processState }
+    return { program, processState, evacuations }
   }
 
   function launchAgent (address: string, standIn: LeasedUpstream): Pick<FleetAgent, 'program' | 'processState'> {
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -57,6 +57,8 @@
   /** Ends all runs, loses all state and starts a new instance under the same identity. */
   crash: () => void
   runningCount: () => number
+  /** Number of runs that were started, over all instances. */
+  startCount: () => number
 }
 
 export interface LeasedUpstreamOptions {
@@ -110,6 +112,7 @@
   let runningByTask = new Map<string, SimulatedRun>()
   let highestRunByTask = new Map<string, number>()
   let reserved: Size = EMPTY_SIZE
+  let startCount = 0
   const completionListeners = new Set<() => void>()
 
   function endRun (run: SimulatedRun, kind: CompletionKind): void {
@@ -152,6 +155,7 @@
       timer: undefined
     }
     runningByTask.set(order.task, run)
+    startCount += 1
     reserved = addSizes(reserved, standInTask.size)
     observer.started(options.name, order.task, reserved.processor > options.capacity.processor)
     const kind = faults.failsAll || standInTask.fails === true ? 'failed' : 'done'
@@ -268,6 +272,7 @@
       highestRunByTask = new Map()
       reserved = EMPTY_SIZE
     },
-    runningCount: () => runningByTask.size
+    runningCount: () => runningByTask.size,
+    startCount: () => startCount
   }
 }
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -170,7 +170,12 @@
     return answer
   }
 
-  const handlers: CallHandlers = { watch, start, stop: parameters => registry.answerStop(parameters, now()) }
+  const handlers: CallHandlers = {
+    watch,
+    start,
+    stop: parameters => registry.answerStop(parameters, now()),
+    tellEvacuations: parameters => registry.answerEvacuations(parameters, now())
+  }
   let tickTimer: ReturnType<typeof setTimeout> | undefined
   function runTickLoop (): void {
     registry.tick(now())
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -1,6 +1,10 @@
 /** The agent's decisions about the runs at its upstream, without clock or network access. */
-import type { Start, StartAnswer, Stop, StopAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
-import { answerStart, answerStop, answerWatch, beginWatch, describeProfile, stopRunsOfEntry } from './entry-calls.js'
+import type {
+  Start, StartAnswer, Stop, StopAnswer, TellEvacuations, TellEvacuationsAnswer, Watch, WatchAnswer
+} from '@baobabpost/fleet-calls'
+import {
+  answerStart, answerStop, answerWatch, applyEvacuations, beginWatch, describeProfile, stopRunsOfEntry
+} from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
 import { handleListAnswer } from './listings.js'
@@ -14,6 +18,8 @@
 export interface RunRegistry {
   answerStart: (start: Start, now: number) => StartAnswer
   answerStop: (stop: Stop, now: number) => StopAnswer
+  /** Applies what an entry knows of evacuated failure domains, and returns what the agent knows. */
+  answerEvacuations: (tell: TellEvacuations, now: number) => TellEvacuationsAnswer
   beginWatch: (watch: Watch, now: number) => EntrySession
   /** Whether the watch must be answered at once. */
   hasUpdates: (session: EntrySession, watch: Watch) => boolean
@@ -82,6 +88,12 @@
   return {
     answerStart: (start, now) => answerStart(state, ports, start, now),
     answerStop: (stop, now) => answerStop(state, ports, stop, now),
+    answerEvacuations: ({ evacuations }, now) => {
+      applyEvacuations(state, ports, evacuations, 'tellEvacuations', now)
+      refreshProfile(now)
+      const known = state.evacuations.state()
+      return known === undefined ? {} : { evacuations: known }
+    },
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
     hasUpdates: (session, watch) => hasUrgentReport(session) || watch.profileVersion !== state.profileVersion,
     answerWatch: (session, watch, now) => answerWatch(state, session, watch, now),
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -1,12 +1,12 @@
 /** Handles the entries' calls to an agent: start, stop and watch. */
 import {
-  ENTRY_LEASE_MILLISECONDS, type CallingEntry, type UpstreamProfile, type UpstreamLoad, type RunOrder,
-  type Start, type StartAnswer, type Stop, type StopAnswer, type Verdict, type Watch, type WatchAnswer
+  ENTRY_LEASE_MILLISECONDS, type CallingEntry, type EvacuationState, type UpstreamProfile, type UpstreamLoad,
+  type RunOrder, type Start, type StartAnswer, type Stop, type StopAnswer, type Verdict, type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import {
   acknowledgeReports, addReport, createSession, renewSession, type EntrySession
 } from './entry-session.js'
-import { isAccepting, startWaitingRuns, stopRun } from './orders.js'
+import { isAccepting, isEvacuated, startWaitingRuns, stopRun } from './orders.js'
 import { addTombstone, freeCapacity, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import type { RunGroup, RunRecord } from './run-record.js'
@@ -19,6 +19,21 @@
   return (caller.heardFrom ?? state.incarnation) !== state.incarnation || caller.heardAt > now
 }
 
+/**
+ * Applies what an entry knows of evacuated failure domains, if that is newer. Waiting runs of a domain that is
+ * evacuated go back to their entries at once.
+ */
+export function applyEvacuations (
+  state: RunRegistryState, ports: RunRegistryPorts, evacuations: EvacuationState, source: string, now: number
+): void {
+  if (!state.evacuations.merge(evacuations)) return
+  const returned = isEvacuated(state) ? state.queue.inOrder().length : 0
+  ports.logger.info('evacuations changed', {
+    domains: evacuations.domains.join(' '), position: evacuations.position, source, returned
+  })
+  startWaitingRuns(state, ports, now)
+}
+
 /**
  * Returns the session of a calling entry, with its lease renewed. The first call of a new incarnation opens a session
  * and stops the runs of the earlier incarnation.
@@ -26,6 +41,7 @@
 export function openSession (
   state: RunRegistryState, ports: RunRegistryPorts, caller: CallingEntry, now: number
 ): EntrySession {
+  if (caller.evacuations !== undefined) applyEvacuations(state, ports, caller.evacuations, caller.entry, now)
   const known = state.sessions.get(caller.entry)
   if (known?.incarnation === caller.incarnation) {
     if (!isForEarlierAgent(state, caller, now)) renewSession(known, caller)
@@ -84,10 +100,22 @@
   }
 }
 
+/** Returns the evacuated failure domains if an entry knows less of them than the agent does. */
+function newerEvacuations (state: RunRegistryState, { evacuations }: CallingEntry): { evacuations?: EvacuationState } {
+  const known = state.evacuations.state()
+  return known === undefined || known.position <= (evacuations?.position ?? -1) ? {} : { evacuations: known }
+}
+
 /** Returns the fields common to all answers to entries; the profile only if `profileVersion` is outdated. */
-function describeAgent (state: RunRegistryState, profileVersion: number, now: number): StopAnswer {
+function describeAgent (
+  state: RunRegistryState, caller: CallingEntry, profileVersion: number, now: number
+): StopAnswer {
   const agentState = {
-    incarnation: state.incarnation, clock: now, cleared: state.isCleared, room: describeLoad(state)
+    incarnation: state.incarnation,
+    clock: now,
+    cleared: state.isCleared,
+    room: describeLoad(state),
+    ...newerEvacuations(state, caller)
   }
   return profileVersion === state.profileVersion ? agentState : { ...agentState, profile: describeProfile(state, now) }
 }
@@ -166,7 +194,7 @@
   for (const [position, { task, run }] of start.orders.entries()) {
     if (verdicts[position] !== 'accepted') addTombstone(state, session, task, run, now)
   }
-  return { ...describeAgent(state, state.profileVersion, now), verdicts }
+  return { ...describeAgent(state, start.caller, state.profileVersion, now), verdicts }
 }
 
 /** Prevents the start of a run whose order has not arrived, and reports it as not started. */
@@ -191,12 +219,12 @@
       refuseUnknownOrder(state, session, task, run, now)
     }
   }
-  return describeAgent(state, state.profileVersion, now)
+  return describeAgent(state, stop.caller, state.profileVersion, now)
 }
 
 /** Answers an entry's watch. The session may belong to an earlier incarnation of the entry, and is not changed. */
 export function answerWatch (state: RunRegistryState, session: EntrySession, watch: Watch, now: number): WatchAnswer {
-  return { ...describeAgent(state, watch.profileVersion, now), reports: session.reports }
+  return { ...describeAgent(state, watch.caller, watch.profileVersion, now), reports: session.reports }
 }
 
 /** Begins a watch: renews the entry's lease and drops acknowledged reports. */
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -10,10 +10,15 @@
 /** Stop reason of a run whose start order got no answer: the run is stopped only to be started again. */
 export const ORDER_UNANSWERED = 'order unanswered'
 
+/** Whether the failure domain of the upstream is evacuated. */
+export function isEvacuated (state: RunRegistryState): boolean {
+  return state.upstream.heartbeat !== undefined && state.evacuations.isEvacuated(state.upstream.heartbeat.failureDomain)
+}
+
 /** Whether new runs may be accepted and started. */
 export function isAccepting (state: RunRegistryState, now: number): boolean {
   if (state.isShuttingDown || state.upstream.hasDeparted || state.upstream.phase !== 'serving') return false
-  if (state.upstream.heartbeat === undefined || state.upstream.isLeaving) return false
+  if (state.upstream.heartbeat === undefined || state.upstream.isLeaving || isEvacuated(state)) return false
   return now - state.upstream.lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
 }
 
@@ -28,7 +33,10 @@
  * here, so that a condition of a start can't hold for one and be forgotten for the other.
  */
 function orderStart (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
-  if (!isAccepting(state, now)) return endRun(state, ports, record, 'not-started', 'not-accepting', now)
+  if (!isAccepting(state, now)) {
+    const reason = isEvacuated(state) ? 'evacuated' : 'not-accepting'
+    return endRun(state, ports, record, 'not-started', reason, now)
+  }
   const isRepeated = record.orderedAt > 0
   if (!hasReservedCapacity(record)) reserveCapacity(state, record)
   const { task, run } = record.order
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -1,6 +1,8 @@
 /** State of an agent's run registry, and the changes to it that several modules share. */
 import type { EventLogger } from '@baobabpost/common'
-import { addSizes, EMPTY_SIZE, subtractSizes, type RunOutcome, type Size } from '@baobabpost/fleet-calls'
+import {
+  addSizes, createEvacuationRegister, EMPTY_SIZE, subtractSizes, type EvacuationRegister, type RunOutcome, type Size
+} from '@baobabpost/fleet-calls'
 import { addReport, type EntrySession } from './entry-session.js'
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
@@ -38,6 +40,8 @@
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
   isCleared: boolean
   fencingToken: number
+  /** The evacuated failure domains, as entries have told them. */
+  readonly evacuations: EvacuationRegister
   /** Whether the agent is in its graceful shutdown. */
   isShuttingDown: boolean
   profileVersion: number
@@ -61,6 +65,7 @@
     upstream: createUpstreamState(undefined),
     isCleared: false,
     fencingToken,
+    evacuations: createEvacuationRegister(),
     isShuttingDown: false,
     profileVersion: 1,
     profileDigest: ''
