--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -35,6 +35,8 @@
 /** Notified of starts and ends of runs at the stand-in. */
 export interface UpstreamObserver {
   started: (upstream: string, task: string, overCapacity: boolean) => void
+  /** A start order was sent, also one that is repeated or delayed. */
+  ordered?: () => void
   ended: (upstream: string, task: string, kind: CompletionKind) => void
   /**
    * A start order was sent to an upstream that had said it leaves.
@@ -237,6 +239,7 @@
     upstream: {
       start: (order, timeout) => {
         checkLeaving(order.task)
+        observer.ordered?.()
         return deliver(() => ({ outcome: handleStart(order), clock: now() }), timeout, true)
       },
       stop: (order, timeout) => deliver(() => ({ outcome: handleStop(order), clock: now() }), timeout, true),
