Keep an upstream's runs until listings show their end when it deregisters

A deregistration names only an id. A late one of an earlier instance ended the runs of the next instance under the same id: their entries started the tasks elsewhere while they still ran.

Cause: a deregistration was taken as proof that all runs had ended. Change: it stops new starts until a later heartbeat.

--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -1,6 +1,6 @@
 /** Handles the upstream's heartbeats and its deregistration. */
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
-import { beginInstance, endUpstreamRuns } from './listings.js'
+import { beginInstance } from './listings.js'
 import { startWaitingRuns } from './orders.js'
 import type { UpstreamInstance, UpstreamHeartbeat } from './upstream.js'
 
@@ -70,10 +70,15 @@
   return true
 }
 
-/** Handles the deregistration of an upstream: its runs are lost. */
+/**
+ * Handles the deregistration of an upstream: nothing starts there until a later heartbeat. A deregistration doesn't say
+ * of which instance it is, and a late one of an earlier instance may arrive under the same id. So the runs end by what
+ * listings show, or when nothing listens at the upstream.
+ */
 export function handleDeparture (state: RunRegistryState, ports: RunRegistryPorts, id: string, now: number): void {
   if (state.upstream.instance?.id !== id || state.upstream.hasDeparted) return
   ports.logger.info('upstream left', { upstream: id })
-  endUpstreamRuns(state, ports, 'the upstream left', now)
   state.upstream.hasDeparted = true
+  startWaitingRuns(state, ports, now)
+  ports.listImmediately()
 }
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -11,7 +11,7 @@
  * Ends all runs of an upstream that is gone or can't be reached, and takes control of it anew. What the instance said
  * of itself stays known, since the same instance may answer again.
  */
-export function endUpstreamRuns (state: RunRegistryState, ports: RunRegistryPorts, reason: string, now: number): void {
+function endUpstreamRuns (state: RunRegistryState, ports: RunRegistryPorts, reason: string, now: number): void {
   for (const record of [...state.runs.values()]) {
     if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
     else endRun(state, ports, record, 'lost', reason, now)
--- a/packages/runs/tests/registry-under-test.ts
+++ b/packages/runs/tests/registry-under-test.ts
@@ -20,10 +20,14 @@
   advance: (milliseconds: number) => number
   /** Requests a listing and answers it a millisecond later; without runs, and with the agent's time, by default. */
   list: (listing?: Partial<Listing>, clock?: number) => void
+  /** Requests a listing, and returns a function that answers it a millisecond after its call. */
+  requestListing: () => (listing?: Partial<Listing>, clock?: number) => void
   answerLastStart: (outcome: OrderOutcome) => void
   answerLastStop: (outcome: OrderOutcome) => void
   /** Requests a listing, which times out. */
   loseListing: () => void
+  /** Requests a listing, which fails a millisecond later. */
+  failListing: (outcome: OrderOutcome) => void
   /** Orders a task, by default `TASK`, from the only entry, which has heard of the agent's incarnation `agent-1`. */
   order: (run: number, task?: string, heardFrom?: string) => StartAnswer
   stop: (run: number, heardFrom?: string) => void
@@ -74,19 +78,30 @@
     return registry.answerWatch(registry.beginWatch(request, now), request, now)
   }
 
+  function requestListing (): (listing?: Partial<Listing>, clock?: number) => void {
+    const requestedAt = now
+    const order = registry.nextListOrder(0, requestedAt)
+    return (listing = {}, clock) => {
+      now += 1
+      registry.handleListAnswer({
+        outcome: 'taken', clock: clock ?? now, listing: { startedAt: 1_000, running: [], ended: [], ...listing }
+      }, order.fencingToken, requestedAt, now)
+    }
+  }
+
   watch()
   return {
     registry,
     starts,
     stops,
     advance: milliseconds => { now += milliseconds; return now },
-    list: (listing = {}, clock) => {
+    list: (listing, clock) => { requestListing()(listing, clock) },
+    requestListing,
+    failListing: outcome => {
       const requestedAt = now
       const order = registry.nextListOrder(0, requestedAt)
       now += 1
-      registry.handleListAnswer({
-        outcome: 'taken', clock: clock ?? now, listing: { startedAt: 1_000, running: [], ended: [], ...listing }
-      }, order.fencingToken, requestedAt, now)
+      registry.handleListAnswer({ outcome, clock: undefined }, order.fencingToken, requestedAt, now)
     },
     loseListing: () => {
       const requestedAt = now
