--- a/packages/runs/tests/instance-evidence.test.ts
+++ b/packages/runs/tests/instance-evidence.test.ts
@@ -1,6 +1,9 @@
 import { beforeEach, describe, expect, it } from 'vitest'
+import { RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
 import { createRegistryUnderTest, heartbeat, TASK, type RegistryUnderTest } from './registry-under-test.js'
 
+const LATER_START = { id: 'i-1', startedAt: 5_000 }
+
 let agent: RegistryUnderTest
 
 beforeEach(() => {
@@ -10,6 +13,39 @@
   agent.list()
 })
 
+describe('a refused connection to the upstream', () => {
+  it('ends a confirmed run at once, since its process is gone', () => {
+    agent.order(1)
+    agent.answerLastStart('taken')
+    agent.failListing('unreachable')
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+  })
+
+  // Its entry would start the task elsewhere, while the next instance may yet carry out the order.
+  it('does not end a run whose order got no answer before its lease has expired', () => {
+    agent.order(1)
+    const orderedAt = agent.advance(0)
+    agent.answerLastStart('unanswered')
+    agent.failListing('unreachable')
+    while (agent.advance(10) < orderedAt + RUN_LEASE_BOUND_MILLISECONDS) agent.failListing('unreachable')
+    expect(agent.watch().reports).toEqual([])
+    agent.advance(60)
+    agent.failListing('unreachable')
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+  })
+
+  it('ends such a run once the next instance, fenced, does not list it', () => {
+    agent.order(1)
+    agent.answerLastStart('unanswered')
+    agent.failListing('unreachable')
+    agent.list({ startedAt: LATER_START.startedAt, running: [{ task: TASK, run: 1, percent: 0 }] })
+    agent.list({ startedAt: LATER_START.startedAt, running: [{ task: TASK, run: 1, percent: 0 }] })
+    expect(agent.watch().reports).toEqual([])
+    agent.list({ startedAt: LATER_START.startedAt })
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+  })
+})
+
 describe('a deregistration', () => {
   beforeEach(() => {
     agent.order(1)
