Serve an instance of the upstream whose start time lies before its predecessor's

After the time of day was set back, an upstream that started again was taken for a former instance: nothing started there, its heartbeats were not acknowledged and the runs of its predecessor never ended, so their callers waited until their deadlines.

Cause: instances were ordered by their start times alone. Change: a listing that was requested after the known instance was learned is from that instance or a later one, whatever its start time, and so is the answer that another instance listens. Late messages of the direct predecessor are recognised by its identity. A heartbeat that seems to be of an earlier instance triggers a listing at once.

--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -3,8 +3,13 @@
 import { beginInstance } from './listings.js'
 import { startWaitingRuns } from './orders.js'
 import type { UpstreamInstance, UpstreamHeartbeat } from './upstream.js'
+import type { UpstreamState } from './upstream-state.js'
 
-function isOlderInstance (instance: UpstreamInstance, knownInstance: UpstreamInstance): boolean {
+/** Whether a heartbeat is from an earlier instance than the known one, as far as its start time tells. */
+function isOlderInstance (instance: UpstreamInstance, upstream: UpstreamState): boolean {
+  const { instance: knownInstance, predecessor } = upstream
+  if (instance.id === predecessor?.id && instance.startedAt === predecessor.startedAt) return true
+  if (knownInstance === undefined) return false
   return instance.startedAt !== undefined && knownInstance.startedAt !== undefined &&
     instance.startedAt < knownInstance.startedAt
 }
@@ -31,6 +36,7 @@
 ): void {
   const { instance: knownInstance } = state.upstream
   const { instance, service, capacity, labels } = heartbeat
+  if (knownInstance === undefined) state.upstream.instanceKnownSince = now
   if (knownInstance === undefined || isSameInstance(instance, knownInstance)) state.upstream.instance = instance
   else beginInstance(state, ports, instance, 'another life of the upstream', now)
   if (state.upstream.heartbeat !== undefined) return
@@ -48,9 +54,10 @@
 export function handleHeartbeat (
   state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat, now: number
 ): boolean {
-  const { instance: knownInstance } = state.upstream
-  if (knownInstance !== undefined && isOlderInstance(heartbeat.instance, knownInstance)) {
+  if (isOlderInstance(heartbeat.instance, state.upstream)) {
     logSkipped(state, ports, heartbeat)
+    // A listing tells whether the time of day was set back before the instance started.
+    ports.listImmediately()
     return false
   }
   findInstance(state, ports, heartbeat, now)
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -9,10 +9,12 @@
 
 /** Takes control of the upstream anew after its runs have ended. What the instance said of itself stays known. */
 function giveUpControl (state: RunRegistryState, ports: RunRegistryPorts, reason: string): void {
-  const { instance, leaseRenewedAt } = state.upstream
+  const { instance, instanceKnownSince, leaseRenewedAt } = state.upstream
   state.upstream.phase = 'unfenced'
   // An instance that doesn't report its start can't be told from the next one.
-  if (instance?.startedAt === undefined) state.upstream = { ...createUpstreamState(instance), leaseRenewedAt }
+  if (instance?.startedAt === undefined) {
+    state.upstream = { ...createUpstreamState(instance), instanceKnownSince, leaseRenewedAt }
+  }
   // Delayed orders to the earlier instance may reach the next one, which has not seen a fencing token yet.
   state.fencingToken += 1
   ports.logger.warn('upstream life ended', { reason })
@@ -66,8 +68,8 @@
     }
     displace(record, reason)
   }
-  const { leaseRenewedAt } = state.upstream
-  state.upstream = { ...createUpstreamState(instance), leaseRenewedAt }
+  const { leaseRenewedAt, instance: predecessor } = state.upstream
+  state.upstream = { ...createUpstreamState(instance), instanceKnownSince: now, predecessor, leaseRenewedAt }
   state.fencingToken += 1
   ports.logger.warn('upstream life ended', { reason })
   ports.listImmediately()
@@ -177,20 +179,27 @@
 }
 
 /**
- * Compares the instance of a listing with the known one, which a later instance replaces.
+ * Compares the instance of a listing with the known one, which a later instance replaces. A listing that was requested
+ * after the known instance was learned comes from that one or a later one, whatever its start time: the time of day may
+ * have been set back in between.
  *
  * @returns whether the listing is from the known instance.
  */
-function reconcileInstance (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): boolean {
-  const { instance } = state.upstream
+function reconcileInstance (
+  state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, requestedAt: number, now: number
+): boolean {
+  const { instance, predecessor, instanceKnownSince } = state.upstream
   const { startedAt } = listing
   if (startedAt === undefined || startedAt === instance?.startedAt) return true
   const listedInstance = { id: instance?.id ?? '', startedAt }
   if (instance?.startedAt === undefined) {
     state.upstream.instance = listedInstance
+    state.upstream.instanceKnownSince = now
     return true
   }
-  if (startedAt > instance.startedAt) beginInstance(state, ports, listedInstance, 'the upstream was started again', now)
+  const isLater = requestedAt > instanceKnownSince ||
+    (startedAt > instance.startedAt && startedAt !== predecessor?.startedAt)
+  if (isLater) beginInstance(state, ports, listedInstance, 'the upstream was started again', now)
   return false
 }
 
@@ -220,7 +229,7 @@
   requestedAt: number,
   now: number
 ): void {
-  if (!reconcileInstance(state, ports, listing, now)) return
+  if (!reconcileInstance(state, ports, listing, requestedAt, now)) return
   recordUpstreamClock(state, ports, reading, now)
   const clock = reading ?? 0
   state.upstream.lastListingAt = now
@@ -255,6 +264,10 @@
 ): void {
   if (answer.outcome === 'fenced') return raiseFencingToken(state, ports, usedFencingToken)
   if (answer.outcome === 'unreachable') return handleUnreachable(state, ports, now)
+  // The id of the instance that answers is not known until its heartbeat.
+  if (answer.outcome === 'other-life' && requestedAt > state.upstream.instanceKnownSince) {
+    return beginInstance(state, ports, { id: '', startedAt: undefined }, 'another instance answers', now)
+  }
   if (answer.listing === undefined) {
     state.upstream.unansweredListings += 1
     if (state.upstream.unansweredListings === MAXIMUM_UNANSWERED_LISTINGS) {
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -19,6 +19,10 @@
 export interface UpstreamState {
   /** Undefined until a heartbeat or a listing names it; the id is empty until a heartbeat does. */
   instance: UpstreamInstance | undefined
+  /** Agent time at which `instance` was learned; 0 while it is undefined. */
+  instanceKnownSince: number
+  /** The instance before this one, whose late messages tell nothing about this one. */
+  predecessor: UpstreamInstance | undefined
   /** Newest heartbeat; nothing starts before the first one. */
   heartbeat: UpstreamHeartbeat | undefined
   /** Whether any heartbeat of the instance said that it leaves, which it can't take back. */
@@ -49,6 +53,8 @@
 export function createUpstreamState (instance: UpstreamInstance | undefined): UpstreamState {
   return {
     instance,
+    instanceKnownSince: 0,
+    predecessor: undefined,
     heartbeat: undefined,
     isLeaving: false,
     hasDeparted: false,
--- a/packages/runs/tests/instance-evidence.test.ts
+++ b/packages/runs/tests/instance-evidence.test.ts
@@ -74,3 +74,46 @@
     expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
   })
 })
+
+describe('an instance whose start time lies before that of its predecessor', () => {
+  const EARLIER_START = { id: 'i-1', startedAt: 400 }
+
+  // The runs of the instance before were never ended and nothing started, until the agent was restarted.
+  it('is served, and the runs of its predecessor end', () => {
+    agent.order(1)
+    agent.answerLastStart('taken')
+    agent.advance(1)
+    expect(agent.registry.handleHeartbeat(heartbeat({ instance: EARLIER_START }), agent.advance(1))).toBe(false)
+    agent.list({ startedAt: EARLIER_START.startedAt })
+    agent.list({ startedAt: EARLIER_START.startedAt })
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+    expect(agent.registry.handleHeartbeat(heartbeat({ instance: EARLIER_START }), agent.advance(1))).toBe(true)
+    expect(agent.order(1, 'b').verdicts).toEqual(['accepted'])
+  })
+
+  it('is served under an id of its own', () => {
+    const instance = { id: 'i-2', startedAt: 400 }
+    expect(agent.registry.handleHeartbeat(heartbeat({ instance }), agent.advance(1))).toBe(false)
+    agent.failListing('other-life')
+    agent.list({ startedAt: 400 })
+    expect(agent.registry.handleHeartbeat(heartbeat({ instance }), agent.advance(1))).toBe(true)
+    expect(agent.order(1).verdicts).toEqual(['accepted'])
+  })
+
+  it('is not replaced by late messages of its predecessor', () => {
+    agent.list({ startedAt: EARLIER_START.startedAt })
+    agent.list({ startedAt: EARLIER_START.startedAt })
+    expect(agent.registry.handleHeartbeat(heartbeat({ sequence: 9 }), agent.advance(1))).toBe(false)
+    expect(agent.registry.handleHeartbeat(heartbeat({ instance: EARLIER_START }), agent.advance(1))).toBe(true)
+    expect(agent.order(1).verdicts).toEqual(['accepted'])
+  })
+
+  it('is not assumed where the listing was requested before the known instance was', () => {
+    const lateAnswer = agent.requestListing()
+    agent.registry.handleHeartbeat(heartbeat({ instance: LATER_START }), agent.advance(5))
+    lateAnswer({ startedAt: 1_000 })
+    agent.advance(1)
+    agent.list({ startedAt: LATER_START.startedAt })
+    expect(agent.order(1).verdicts).toEqual(['accepted'])
+  })
+})
