--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -1,10 +1,15 @@
 /** Handles the upstream's heartbeats and its deregistration. */
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
-import { beginInstance, endUpstreamRuns } from './listings.js'
+import { beginInstance } from './listings.js'
 import { startWaitingRuns } from './orders.js'
 import type { UpstreamInstance, UpstreamHeartbeat } from './upstream.js'
+import type { UpstreamState } from './upstream-state.js'
 
-function isOlderInstance (instance: UpstreamInstance, knownInstance: UpstreamInstance): boolean {
+/** Whether a heartbeat is from an earlier instance than the known one, as far as its start time tells. */
+function isOlderInstance (instance: UpstreamInstance, upstream: UpstreamState): boolean {
+  const { instance: knownInstance, predecessor } = upstream
+  if (instance.id === predecessor?.id && instance.startedAt === predecessor.startedAt) return true
+  if (knownInstance === undefined) return false
   return instance.startedAt !== undefined && knownInstance.startedAt !== undefined &&
     instance.startedAt < knownInstance.startedAt
 }
@@ -31,6 +36,7 @@
 ): void {
   const { instance: knownInstance } = state.upstream
   const { instance, service, capacity, labels } = heartbeat
+  if (knownInstance === undefined) state.upstream.instanceKnownSince = now
   if (knownInstance === undefined || isSameInstance(instance, knownInstance)) state.upstream.instance = instance
   else beginInstance(state, ports, instance, 'another life of the upstream', now)
   if (state.upstream.heartbeat !== undefined) return
@@ -48,9 +54,10 @@
 export function handleHeartbeat (
   state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat, now: number
 ): boolean {
-  const { instance: knownInstance } = state.upstream
-  if (knownInstance !== undefined && isOlderInstance(heartbeat.instance, knownInstance)) {
+  if (isOlderInstance(heartbeat.instance, state.upstream)) {
     logSkipped(state, ports, heartbeat)
+    // A listing tells whether the time of day was set back before the instance started.
+    ports.listImmediately()
     return false
   }
   findInstance(state, ports, heartbeat, now)
@@ -70,10 +77,15 @@
   return true
 }
 
-/** Handles the deregistration of an upstream: its runs are lost. */
+/**
+ * Handles the deregistration of an upstream: nothing starts there until a later heartbeat. A deregistration doesn't say
+ * of which instance it is, and a late one of an earlier instance may arrive under the same id. So the runs end by what
+ * listings show, or when nothing listens at the upstream.
+ */
 export function handleDeparture (state: RunRegistryState, ports: RunRegistryPorts, id: string, now: number): void {
   if (state.upstream.instance?.id !== id || state.upstream.hasDeparted) return
   ports.logger.info('upstream left', { upstream: id })
-  endUpstreamRuns(state, ports, 'the upstream left', now)
   state.upstream.hasDeparted = true
+  startWaitingRuns(state, ports, now)
+  ports.listImmediately()
 }
