Give a run back to its entry after two repetitions of an unanswered start

At an upstream that loses most orders, callers waited until their deadlines while other upstreams had free capacity.

Cause: an order without an answer was repeated up to six times at the same upstream, each time after a stop and a listing, which may be lost as well. Change: after two repetitions the run ends as not started, as soon as a stop and a listing show that it can't start any more, and counts as a failure of the upstream. Tests: packages/runs/tests/unanswered-orders.test.ts; its first test failed before. Simulated faults (fleet-faults, random-faults) pass.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -1,6 +1,8 @@
 /** Handles the upstream's listings: completions, progress of runs, and unknown runs. */
 import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
-import { MAXIMUM_UNANSWERED_LISTINGS, STALL_TIMEOUT_MILLISECONDS } from './run-limits.js'
+import {
+  MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
+} from './run-limits.js'
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import type { RunRecord } from './run-record.js'
@@ -132,6 +134,10 @@
   if (record.stopReason !== ORDER_UNANSWERED) {
     return endRun(state, ports, record, 'not-started', record.stopReason, now)
   }
+  if (record.runNumberAttempts >= MAXIMUM_UNANSWERED_REPETITIONS) {
+    state.upstream.observations.recordFailure()
+    return endRun(state, ports, record, 'not-started', ORDER_UNANSWERED, now)
+  }
   record.upstreamRunNumber += 1
   retryStart(state, ports, record, ORDER_UNANSWERED, now)
 }
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -29,6 +29,11 @@
 export const OBSERVATION_WEIGHT = 0.1
 /** Attempts to find a run number that the upstream has not seen. */
 export const MAXIMUM_RUN_NUMBER_ATTEMPTS = 6
+/**
+ * Repetitions of a start order whose answers were all lost, after which the run goes back to its entry. Each takes at
+ * least 50 ms for the start, a stop and a listing; an upstream that loses three in a row loses most of its orders.
+ */
+export const MAXIMUM_UNANSWERED_REPETITIONS = 2
 /** Retention of the tombstone of an order; delayed copies of the order go stale within the entry lease. */
 export const TOMBSTONE_RETENTION_MILLISECONDS = 2_000
 /** Maximum number of runs in an agent's queue: a few seconds of work. */
