--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,15 +1,17 @@
 /**
  * Bundles the entry and the agent into one file each and writes their V8 code caches, which shorten their start.
  *
- * `node tools/bundle.mjs [DIRECTORY [CONSTANT=VALUE]]`: DIRECTORY is `target` by default. CONSTANT=VALUE overrides a
- * constant of lease-lengths.ts, for tests which show that a wrong lease breaks a guarantee.
+ * `node tools/bundle.mjs [DIRECTORY [CONSTANT=VALUE]] [--readable]`: DIRECTORY is `target` by default. CONSTANT=VALUE
+ * overrides a constant of lease-lengths.ts, for tests which show that a wrong lease breaks a guarantee. With --readable,
+ * functions keep their names, for profiles.
  */
 import { execFileSync } from 'node:child_process'
 import { copyFileSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { build } from 'esbuild'
 
-const [directory = 'target', override] = process.argv.slice(2)
+const [directory = 'target', override] = process.argv.slice(2).filter(argument => !argument.startsWith('--'))
+const isReadable = process.argv.includes('--readable')
 
 /** Programs with their Node.js flags. V8 accepts a code cache only under the flags with which it was written. */
 const PROGRAMS = { entry: ['--max-old-space-size=160'], agent: ['--max-old-space-size=96'] }
@@ -32,7 +34,7 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minify: true,
+  minify: !isReadable,
   tsconfig: 'tsconfig.bundle.json',
   plugins: override === undefined ? [] : [{ name: 'override lease constant', setup: overrideLeaseConstant }]
 })
