Send the calls of an entry to an agent over one connection

Cause: each call was an HTTP request of its own, with one connection for each call in progress; writes, streams and HTTP took over 40 % of the processor time of an agent. Change: watch, start, stop and tellEvacuations go as JSON-RPC in length-prefixed frames over one upgraded HTTP connection to each process, with one write a turn of the event loop in each direction; a server that does not upgrade gets plain requests. Silent, reset, half-closed, malformed and unread connections fail their calls as unanswered and are replaced.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -56,6 +56,7 @@
   'agent reload': 'The platform asked for a reload: `reason`',
   'agent failed': 'Internal error of the agent: `reason`',
   'call failed': 'A call from another process could not be answered: `reason`',
+  'call connection closed': 'A connection between two processes was closed because of a fault, and its calls failed: `address` of the other end, `reason`',
   'start failed': 'Internal error while sending a start request: `agent`, `reason`',
   'watch failed': 'Internal error while watching an agent: `agent`, `reason`',
   'store reader failed': 'Internal error while reading the store: `reason`',
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -59,7 +59,7 @@
  */
 export function startEntryProgram (options: EntryProgramOptions): EntryProgram {
   const { logger, now } = options
-  const client = options.client ?? createCallClient()
+  const client = options.client ?? createCallClient(logger)
   const repeats = createRetryBudget()
   const timing = createCallTiming()
   const admissionRate = createAdmissionRate()
--- a/packages/fleet-calls/src/call-client.ts
+++ b/packages/fleet-calls/src/call-client.ts
@@ -1,20 +1,25 @@
-/** Client for calls to other processes: JSON-RPC over HTTP keep-alive connections, with a timeout for each call. */
+/** Client for calls to other processes: JSON-RPC over shared connections and HTTP, with a timeout for each call. */
 import { Agent, request } from 'node:http'
+import { silentLogger, type EventLogger } from '@baobabpost/common'
 import { Result, Schema } from 'effect'
 import { createJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
 import { CallError } from './call-error.js'
-import { CALL_PATH } from './call-server.js'
-import { CALLS, idleTimeoutOf, type CallAnswer, type CallName, type CallParameters } from './calls.js'
+import { CALL_PATH, CALLS, idleTimeoutOf, isShared, type CallAnswer, type CallName, type CallParameters } from './calls.js'
+import { MAXIMUM_MESSAGE_BYTES } from './frames.js'
+import { openSharedConnection, type CallRequest, type SharedConnection } from './shared-connection.js'
 
 /** Idle time after which a connection is closed; shorter than the server's, which could close it during a call. */
 const IDLE_TIMEOUT_MILLISECONDS = 30_000
+/** Time for which a server that did not upgrade is not asked again; its process may be replaced by a newer one. */
+const PLAIN_SERVER_MILLISECONDS = 10_000
 
 export interface CallClient {
   /**
    * Calls a process.
    *
    * @param address - `IP:PORT`.
-   * @param timeoutMilliseconds - Time after which the connection is closed and the call fails as `unanswered`.
+   * @param timeoutMilliseconds - Time after which the call fails as `unanswered`. Its connection is closed too if it is
+   * not shared, or if no byte has arrived on it since the call.
    * @throws CallError
    * @example
    * await client.call('10.1.0.14:7720', 'watch', parameters, 500)
@@ -36,14 +41,7 @@
   return decode(value)
 }
 
-function readAnswer (name: CallName, status: number, body: string): unknown {
-  if (status !== 200) throw new CallError('rejected', `${name}: expected HTTP status 200, got ${status}`)
-  let response: unknown
-  try {
-    response = JSON.parse(body)
-  } catch {
-    throw new CallError('rejected', `${name}: the answer is not JSON`)
-  }
+function readAnswer (name: CallName, response: unknown): unknown {
   if (!isJSONRPCResponse(response)) throw new CallError('rejected', `${name}: the answer is not a JSON-RPC response`)
   if (response.error !== undefined) throw new CallError('rejected', `${name}: ${response.error.message}`)
   const decoded = decodeAnswer(name, response.result)
@@ -55,11 +53,15 @@
  * Creates a client that reuses its connections.
  *
  * @example
- * const client = createCallClient()
+ * const client = createCallClient(logger)
  */
-export function createCallClient (): CallClient {
+export function createCallClient (logger: EventLogger = silentLogger): CallClient {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MILLISECONDS })
+  const connections = new Map<string, SharedConnection>()
+  /** Time up to which a server that did not upgrade gets plain requests, by address. */
+  const plainUntil = new Map<string, number>()
   let lastId = 0
+  let isClosed = false
 
   function post (
     address: string, body: string, timeoutMilliseconds: number, idleTimeoutMilliseconds: number | undefined
@@ -105,15 +107,66 @@
     })
   }
 
+  async function callPlain (address: string, { name, text: body, timeoutMilliseconds }: CallRequest): Promise<unknown> {
+    const { status, body: text } = await post(address, body, timeoutMilliseconds, idleTimeoutOf(name))
+    if (status !== 200) throw new CallError('rejected', `${name}: expected HTTP status 200, got ${status}`)
+    try {
+      return JSON.parse(text)
+    } catch {
+      throw new CallError('rejected', `${name}: the answer is not JSON`)
+    }
+  }
+
+  function connectionTo (address: string): SharedConnection {
+    const known = connections.get(address)
+    if (known !== undefined) return known
+    const forget = (): void => { if (connections.get(address) === connection) connections.delete(address) }
+    const connection = openSharedConnection({
+      address,
+      onClosed: ({ reason, isFault }) => {
+        forget()
+        if (isFault) logger.warn('call connection closed', { address, reason })
+      },
+      onPlainServer: calls => {
+        forget()
+        plainUntil.set(address, performance.now() + PLAIN_SERVER_MILLISECONDS)
+        for (const call of calls) call.settle(callPlain(address, call))
+      }
+    })
+    connections.set(address, connection)
+    return connection
+  }
+
+  function isPlainServer (address: string): boolean {
+    const until = plainUntil.get(address)
+    if (until === undefined) return false
+    if (performance.now() < until) return true
+    plainUntil.delete(address)
+    return false
+  }
+
+  async function exchange (address: string, call: CallRequest): Promise<unknown> {
+    if (isClosed) throw new CallError('unanswered', 'the client is closed')
+    if (!isShared(call.name) || isPlainServer(address)) return callPlain(address, call)
+    if (Buffer.byteLength(call.text) > MAXIMUM_MESSAGE_BYTES) {
+      throw new CallError('rejected', `${call.name}: the call is larger than ${MAXIMUM_MESSAGE_BYTES} bytes`)
+    }
+    return connectionTo(address).call(call)
+  }
+
   return {
     call: async <Name extends CallName>(
       address: string, name: Name, parameters: CallParameters<Name>, timeoutMilliseconds: number
     ) => {
       lastId += 1
-      const body = JSON.stringify(createJSONRPCRequest(lastId, name, parameters))
-      const answer = await post(address, body, timeoutMilliseconds, idleTimeoutOf(name))
-      return readAnswer(name, answer.status, answer.body) as CallAnswer<Name>
+      const text = JSON.stringify(createJSONRPCRequest(lastId, name, parameters))
+      const response = await exchange(address, { name, id: lastId, text, timeoutMilliseconds })
+      return readAnswer(name, response) as CallAnswer<Name>
     },
-    close: () => { agent.destroy() }
+    close: () => {
+      isClosed = true
+      for (const connection of [...connections.values()]) connection.close()
+      agent.destroy()
+    }
   }
 }
--- a/packages/fleet-calls/src/call-server.ts
+++ b/packages/fleet-calls/src/call-server.ts
@@ -1,33 +1,16 @@
-/** Server for calls of other processes: JSON-RPC over HTTP. */
+/** Server for calls of other processes: JSON-RPC over shared connections, and over plain HTTP requests. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { EventLogger } from '@baobabpost/common'
-import { Result, Schema } from 'effect'
-import { isJSONRPCRequest, JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0'
-import { CALLS, type CallConnection, type CallHandlers, type CallName } from './calls.js'
+import { isJSONRPCRequest } from 'json-rpc-2.0'
+import { createCallMethods } from './call-methods.js'
+import { CALL_PATH, type CallConnection, type CallHandlers } from './calls.js'
+import { acceptSharedConnections } from './shared-call-server.js'
 
-/** HTTP path of all calls. */
-export const CALL_PATH = '/calls'
 /** Maximum body size; a start of 2,000 tasks with the longest specification is smaller. */
 const MAXIMUM_BODY_BYTES = 1_048_576
 /** Idle time after which a connection is closed; clients close theirs earlier. */
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 60_000
 
-function createMethods (handlers: CallHandlers, logger: EventLogger): JSONRPCServer<CallConnection> {
-  const methods = new JSONRPCServer<CallConnection>({
-    errorListener: (reason, data) => { logger.warn('call failed', { reason, data: String(data) }) }
-  })
-  for (const name of Object.keys(handlers) as CallName[]) {
-    const decode = Schema.decodeUnknownResult(CALLS[name].parameters)
-    const handle = handlers[name] as (parameters: unknown, connection: CallConnection) => unknown
-    methods.addMethod(name, (parameters: unknown, connection: CallConnection) => {
-      const decoded = decode(parameters)
-      if (Result.isSuccess(decoded)) return handle(decoded.success, connection)
-      throw new JSONRPCErrorException(`parameters of ${name} do not decode`, JSONRPCErrorCode.InvalidParams)
-    })
-  }
-  return methods
-}
-
 function createConnection (outgoing: ServerResponse): CallConnection {
   return {
     onLost: callback => {
@@ -45,7 +28,7 @@
 }
 
 /**
- * Creates the HTTP server that answers calls; it does not listen yet.
+ * Creates the HTTP server that answers calls; it does not listen yet. Clients may upgrade a connection to a shared one.
  *
  * Statuses: 200 with a JSON-RPC response, 400 if the body is not a JSON-RPC request, 404 for another method or path,
  * 413 if the body is too large, 500 for a fault in the server.
@@ -54,12 +37,12 @@
  * createCallServer({ announce: parameters => directory.handleAnnounce(parameters) }, logger).listen(7720, '10.1.0.13')
  */
 export function createCallServer (handlers: CallHandlers, logger: EventLogger): Server {
-  const methods = createMethods(handlers, logger)
+  const answer = createCallMethods(handlers, logger)
 
   async function answerCall (body: string, outgoing: ServerResponse): Promise<void> {
     const call = parseJson(body)
     if (!isJSONRPCRequest(call)) return sendResponse(outgoing, 400, '')
-    const response = await methods.receive(call, createConnection(outgoing))
+    const response = await answer(call, createConnection(outgoing))
     sendResponse(outgoing, 200, JSON.stringify(response))
   }
 
@@ -88,6 +71,7 @@
 
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS }, handleRequest)
   server.on('clientError', (_failure, socket) => { socket.destroy() })
+  acceptSharedConnections(server, answer, logger)
   return server
 }
 
--- a/packages/fleet-calls/src/calls.ts
+++ b/packages/fleet-calls/src/calls.ts
@@ -10,15 +10,21 @@
  */
 const IDLE_TIMEOUT_MILLISECONDS = 1_000
 
+/** HTTP path of all calls. */
+export const CALL_PATH = '/calls'
+/** Value of the header `Upgrade` with which a client asks for a shared connection. */
+export const UPGRADE_PROTOCOL = 'baobabpost-calls'
+
+/** The calls. Those with `isShared` go over the one connection to a process; the others are HTTP requests. */
 export const CALLS = {
-  watch: { parameters: Watch, answer: WatchAnswer },
-  start: { parameters: Start, answer: StartAnswer },
-  stop: { parameters: Stop, answer: StopAnswer },
+  watch: { parameters: Watch, answer: WatchAnswer, isShared: true },
+  start: { parameters: Start, answer: StartAnswer, isShared: true },
+  stop: { parameters: Stop, answer: StopAnswer, isShared: true },
   announce: { parameters: Announce, answer: AnnounceAnswer },
   askConfiguration: {
     parameters: AskConfiguration, answer: AskConfigurationAnswer, idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS
   },
-  tellEvacuations: { parameters: TellEvacuations, answer: TellEvacuationsAnswer }
+  tellEvacuations: { parameters: TellEvacuations, answer: TellEvacuationsAnswer, isShared: true }
 } as const
 
 /** Time without a byte after which the answer to a call is given up once it has begun; undefined if it is small. */
@@ -27,6 +33,11 @@
   return 'idleTimeoutMilliseconds' in call ? call.idleTimeoutMilliseconds : undefined
 }
 
+/** Whether a call goes over the shared connection to a process. */
+export function isShared (name: CallName): boolean {
+  return 'isShared' in CALLS[name]
+}
+
 export type CallName = keyof typeof CALLS
 export type CallParameters<Name extends CallName> = typeof CALLS[Name]['parameters']['Type']
 export type CallAnswer<Name extends CallName> = typeof CALLS[Name]['answer']['Type']
