Tell an agent of the product's own interface that it is drained

A dispatch that was sent before an operator's drain, lost on its way and repeated, started its tasks at the drained agent.

Cause: only entries knew of drains; the agent had no rule against such a start. Change: the answer to an agent's heartbeat brings its drain beside the policies. A drained agent refuses new tasks, gives its queued ones back as not run and completes what runs. Without an answered heartbeat it has no lease, so a restarted agent knows its drain before it starts anything.

--- a/packages/common/src/identities.ts
+++ b/packages/common/src/identities.ts
@@ -50,6 +50,16 @@
   return `${name}@${createUuid()}` as AgentIdentity
 }
 
+/**
+ * Returns the name in the identity of a process, which stays the same when it restarts.
+ *
+ * @example
+ * processName('agent-7@0193…' as AgentIdentity) // 'agent-7'
+ */
+export function processName (identity: ProcessIdentity): string {
+  return identity.slice(0, identity.lastIndexOf('@'))
+}
+
 /**
  * Creates a submission key for the given time.
  *
--- a/packages/execution/src/agent-registers.ts
+++ b/packages/execution/src/agent-registers.ts
@@ -1,4 +1,5 @@
 /** The registers that an agent uses, received from entries. Older versions are ignored. */
+import { processName, type AgentIdentity } from '@baobabpost/common'
 import { Policy, registerName, type RegisterValue } from '@baobabpost/messages'
 import { Result, Schema } from 'effect'
 
@@ -9,6 +10,8 @@
   prefetchTasks: () => number
   /** Slots kept free of jobs for each urgent task that runs on average. */
   urgentReserve: () => number
+  /** Whether an operator has drained this agent. */
+  isDrained: () => boolean
 }
 
 const DEFAULT_URGENT_RESERVE = 1
@@ -27,7 +30,11 @@
  *
  * @param fallbackPrefetchTasks - Used while no policy sets `prefetchTasks`.
  */
-export function createAgentRegisters (service: string, fallbackPrefetchTasks: number): AgentRegisters {
+export function createAgentRegisters (
+  identity: AgentIdentity, service: string, fallbackPrefetchTasks: number
+): AgentRegisters {
+  const drainName = registerName('drain', processName(identity))
+  let drain = { version: 0, isDrained: false }
   const policies = new Map<string, KnownPolicy>()
   const policyNames = [registerName('policy', service), registerName('policy', DEFAULT_POLICY)]
   let position = 0
@@ -50,10 +57,14 @@
     apply (registers, newPosition) {
       for (const register of registers) {
         if (register.register.startsWith(POLICY_PREFIX)) applyPolicy(register)
+        if (register.register === drainName && register.version > drain.version) {
+          drain = { version: register.version, isDrained: register.value !== null }
+        }
       }
       position = Math.max(position, newPosition)
     },
     position: () => position,
+    isDrained: () => drain.isDrained,
     prefetchTasks () {
       for (const name of policyNames) {
         const prefetchTasks = policies.get(name)?.prefetchTasks
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -40,7 +40,8 @@
   const epochs = createPartitionEpochs()
   const lease = createHeartbeatLease(options.leaseMilliseconds ?? DEFAULT_LEASE_MILLISECONDS)
   const entries = createEntryRegistry(options.entries)
-  const registers = createAgentRegisters(options.service, options.prefetchTasks ?? DEFAULT_PREFETCH_TASKS)
+  const registers = createAgentRegisters(
+    options.identity, options.service, options.prefetchTasks ?? DEFAULT_PREFETCH_TASKS)
   const resendMilliseconds = options.resendMilliseconds ?? DEFAULT_RESEND_MILLISECONDS
   const reporter = createReporter({
     outbox: options.outbox,
@@ -58,7 +59,7 @@
     invariants: options.invariants,
     metrics: options.metrics,
     leaseUntil: lease.expiresAt,
-    isLeaving: () => currentState() !== 'active',
+    isLeaving: () => currentState() !== 'active' || registers.isDrained(),
     highestEpoch: epochs.highest,
     reservedSlotsPerUrgentTask: registers.urgentReserve
   })
@@ -68,9 +69,10 @@
     entries,
     lease,
     heartbeatMilliseconds: options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT_MILLISECONDS,
-    capacity: () => currentState() === 'active' && runner.isUpstreamReachable() && !answers.isExhausted()
-      ? options.slots + registers.prefetchTasks()
-      : 0,
+    capacity: () => {
+      const mayStart = currentState() === 'active' && !registers.isDrained() && runner.isUpstreamReachable()
+      return mayStart && !answers.isExhausted() ? options.slots + registers.prefetchTasks() : 0
+    },
     hasFreeSlots: () => runner.runningCount() < options.slots,
     isLeaving: () => currentState() === 'leaving',
     configurationPosition: registers.position
@@ -253,6 +255,7 @@
     if (state === 'leaving' && answer.sequence > lastSequenceBeforeLeaving) entry.hasAcknowledgedLeaving = true
     entries.recordAddresses(answer.entries, now)
     registers.apply(answer.registers, answer.configurationPosition)
+    if (registers.isDrained()) runner.refuseQueued('leaving', now, () => true)
     if (answer.standing === 'departed') handleDeparture(now)
     else lease.acknowledge(answer.sequence)
   }
--- a/packages/membership/src/agent-watch.ts
+++ b/packages/membership/src/agent-watch.ts
@@ -3,6 +3,7 @@
 import {
   NEVER_WRITTEN_VERSION, registerName, type AgentRegistration, type Announce, type Announced, type RegisterWrite
 } from '@baobabpost/messages'
+import { selectAgentConfiguration } from './agent-configuration.js'
 import type { AgentView, MembershipEvent, MembershipOptions } from './membership.js'
 import type { PauseClock } from './pause-clock.js'
 import { rankOf } from './rank.js'
@@ -16,8 +17,6 @@
 /** Extra delay per rank, so that an entry appends only if those of a lower rank did not. */
 const RANK_DELAY_MILLISECONDS = 300
 const APPEND_RETRY_MILLISECONDS = 1_000
-/** Maximum number of registers in one answer to a heartbeat. */
-const MAXIMUM_ANSWER_REGISTERS = 100
 /** Maximum number of writes in one log record. */
 const MAXIMUM_RECORD_WRITES = 100
 const REMOVAL_CHECK_INTERVAL_MILLISECONDS = 1_000
@@ -167,15 +166,15 @@
   }
 
   function answerAnnounce (announce: Announce): void {
-    const delta = projection.changesSince(announce.configurationPosition, MAXIMUM_ANSWER_REGISTERS, 'policy')
+    const { registers, position } = selectAgentConfiguration(projection, announce)
     outbox.send(announce.identity, {
       method: 'announced',
       parameters: {
         sequence: announce.sequence,
         standing: statusOf(announce.identity),
         entries: options.entryAddresses(),
-        registers: delta.registers,
-        configurationPosition: delta.position
+        registers,
+        configurationPosition: position
       }
     })
   }
