Answer a drain by name for the incarnation of the agent that runs

For some seconds after an agent restarted, the answer to its drain named the former incarnation and left out the tasks at the current one, so an operator was told that nothing was unfinished there.

Cause: the route took the first usable agent of the name. Change: it names the newest and counts the unfinished tasks of all.

--- a/packages/entry/src/routes/drain-upstream.ts
+++ b/packages/entry/src/routes/drain-upstream.ts
@@ -1,9 +1,9 @@
 /** `POST /v1/upstreams/AGENT/drain`: drains an agent, after which no entry sends it new work. */
-import { DispatchError } from '@baobabpost/common'
+import { DispatchError, processName } from '@baobabpost/common'
 import { NEVER_WRITTEN_VERSION, registerName, type DrainAccepted } from '@baobabpost/messages'
 import { answerProblem } from '../http/caller-server.js'
 import type { HttpAnswer, Route } from '../http/route.js'
-import { agentName } from '../drains.js'
+import { selectDrained } from '../drains.js'
 import type { CoreRouteOptions } from './run-operation.js'
 
 /** Creates the route. To undo a drain, publish `null` to its register; there is no `DELETE` route. */
@@ -16,12 +16,12 @@
     handle (exchange) {
       const { projection, membership, publisher, dispatcher } = core.components
       const requestedAgent = exchange.parameters.agent ?? ''
-      const agent = membership.usableAgents().find(view =>
-        view.identity === requestedAgent || agentName(view.identity) === requestedAgent)
+      const agents = selectDrained(membership.usableAgents().map(({ identity }) => identity), requestedAgent)
+      const [agent] = agents
       if (agent === undefined) {
         throw new DispatchError({ kind: 'unknown-route', detail: `No usable agent is called ${requestedAgent.slice(0, 100)}` })
       }
-      const name = agentName(agent.identity)
+      const name = processName(agent)
       const register = registerName('drain', name)
       const replaces = projection.read(register)?.version ?? NEVER_WRITTEN_VERSION
       const value = { name, reason: exchange.query.get('reason') ?? 'drained by an operator' }
@@ -31,8 +31,8 @@
             resolve(answerProblem(result.problem))
             return
           }
-          const unfinished = dispatcher.inFlightCountAt(agent.identity)
-          const body: DrainAccepted = { agent: agent.identity, standing: 'leaving', unfinished }
+          const unfinished = agents.reduce((sum, identity) => sum + dispatcher.inFlightCountAt(identity), 0)
+          const body: DrainAccepted = { agent, standing: 'leaving', unfinished }
           resolve({ status: 200, body })
         })
       })
