Repeat a failed stop order with the next tick, and end no run by it

While connections to the upstream were reset, or a second agent raised the fencing token as well, the agent sent stop orders without pause and had no time for its entries. And a task could run twice at once: a stop that found nothing listening, or another instance, ended a run whose start order may yet reach the next instance.

Cause: each failed answer sent the next stop at once, and a refused one was taken as the end of the run. Change: a stop that failed before its timeout is repeated with the next tick; a listing, requested at once, decides whether the instance has ended.

--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -8,7 +8,7 @@
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
 import { handleListAnswer } from './listings.js'
-import { leaseUntil, startWaitingRuns, handleStartAnswer, handleStopAnswer } from './orders.js'
+import { leaseUntil, startWaitingRuns, handleStartAnswer, handleStopAnswer, repeatDueStops } from './orders.js'
 import { createRunRegistryState, type RunRegistryPorts } from './run-registry-state.js'
 import { IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
 import type { RunRecord } from './run-record.js'
@@ -129,6 +129,7 @@
     },
     tick: now => {
       expireLeases(now)
+      repeatDueStops(state, ports, now)
       startWaitingRuns(state, ports, now)
       refreshProfile(now)
     },
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -163,6 +163,8 @@
     lastProgressAt: now,
     absenceConclusiveFrom: undefined,
     stopReason: '',
+    stopOrderedAt: 0,
+    isStopDue: false,
     isSuperseded: false
   }
   group.openRunCount += 1
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,6 +1,8 @@
 /** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
 import { fitsInto, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
-import { FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS } from './run-limits.js'
+import {
+  FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
+} from './run-limits.js'
 import {
   reserveCapacity, endRun, freeCapacity, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState
 } from './run-registry-state.js'
@@ -88,10 +90,12 @@
   record.state = 'stopping'
   record.stopReason = reason
   record.absenceConclusiveFrom = undefined
-  sendStop(state, ports, record)
+  sendStop(state, ports, record, now)
 }
 
-function sendStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord): void {
+function sendStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
+  record.isStopDue = false
+  record.stopOrderedAt = now
   ports.sendStop(record, {
     task: record.order.task,
     run: record.upstreamRunNumber,
@@ -100,6 +104,22 @@
   })
 }
 
+/**
+ * Repeats a stop order that failed: at once if it took as long as its timeout, else with the next tick. A connection
+ * that is reset, or an upstream that rejects every fencing token, fails an order within a millisecond.
+ */
+function repeatStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
+  if (now - record.stopOrderedAt >= ORDER_TIMEOUT_MILLISECONDS) sendStop(state, ports, record, now)
+  else record.isStopDue = true
+}
+
+/** Sends the stop orders that are due again. */
+export function repeatDueStops (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  for (const record of state.runs.values()) {
+    if (record.isStopDue && record.state === 'stopping') sendStop(state, ports, record, now)
+  }
+}
+
 /** Raises the fencing token after the upstream rejected `usedFencingToken` as too old. */
 export function raiseFencingToken (state: RunRegistryState, ports: RunRegistryPorts, usedFencingToken: number): void {
   if (usedFencingToken < state.fencingToken) return
@@ -190,12 +210,14 @@
   switch (answer.outcome) {
     case 'other-life':
     case 'unreachable':
-      return endRun(state, ports, record, 'lost', answer.outcome, now)
+      // A listing shows whether the instance has ended; its successor may yet carry out the start order.
+      repeatStop(state, ports, record, now)
+      return ports.listImmediately()
     case 'unanswered':
-      return sendStop(state, ports, record)
+      return repeatStop(state, ports, record, now)
     case 'fenced':
       raiseFencingToken(state, ports, usedFencingToken)
-      return sendStop(state, ports, record)
+      return repeatStop(state, ports, record, now)
     case 'taken':
     case 'old-run':
     case 'late':
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -51,6 +51,10 @@
   absenceConclusiveFrom: number | undefined
   /** Reason of the stop, reported to the entry; empty if the run is not being stopped. */
   stopReason: string
+  /** Agent time of the last stop order; 0 before the first. */
+  stopOrderedAt: number
+  /** Whether the stop order has to be sent again, because the last one failed. */
+  isStopDue: boolean
   /** Whether another entry has ordered the same task since, because the caller sent its job again there. */
   isSuperseded: boolean
 }
