Learn run times by route and by upstream

Cause: one moving average of run time over estimate by upstream mixes kinds of job whose estimates are off by different factors, has no fixed part, and moves by 60 % with one task of 7 times its usual time. Short urgent jobs were planned as in time and were late. Change: agents fit a fixed part, a factor, a spread and a tail to the runs of their upstream's instance and tell them with the load; entries learn a factor by route and their own delivery time, and plan with the quantile that the number of tasks needs. The objective follows the route's factor. Entries hand the values back to a restarted agent, agents hand the route factors to a restarted entry. An agent or entry of the earlier version is served by the moving average as before.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -31,6 +31,8 @@
   'run ordered': 'The agent ordered the upstream to start a run: `task`, `run`, `entry`, `waited` ms in the queue of the agent, `free` thousandths of a core left',
   'start repeated': 'The agent sends another start order for a run that has not started: `task`, `run` (its number at the upstream), `attempt`, `reason` why the last order failed, `milliseconds` since that order',
   'run ended': 'A run ended at the upstream: `task`, `run`, `entry`, `outcome`, `reason`, `milliseconds`',
+  'run times learned': 'The run times of the upstream differ a lot from those logged before: `fixed` part in ms, `factor` on the expected work, `spread` and `tail` (84 and 95 of 100 runs are at most that share longer), number of `runs`, `source` (its runs, or the entry that remembered them)',
+  'estimate factor learned': 'The callers’ estimates on a route are off by another factor than logged before: `route`, `factor`, `spread` of the run times, number of `runs`',
   'run stands still': 'A run is stopped because it stalled: `task`, `run`, `percent`, `milliseconds` without progress',
   'stopping a run that is not in the book': 'The upstream runs a task that is not in the run registry of the agent: `task`, `run`, `phase`',
   'entry found': 'An entry called for the first time since it started: `entry`, `incarnation`',
--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -43,6 +43,7 @@
   view.lastContactAt = now
   view.load = answer.room
   if (answer.profile !== undefined) view.profile = answer.profile
+  state.runTimes.applyAnswer(view)
   return true
 }
 
@@ -130,8 +131,11 @@
   const assignment = assignedTask?.task.assignment
   if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== report.run) return
   switch (report.outcome) {
-    case 'done':
+    case 'done': {
+      const { job: { request }, task: { step } } = assignedTask
+      state.runTimes.recordDone({ view, request, step, milliseconds: report.milliseconds })
       return handleDone(state, ports, assignedTask, now)
+    }
     case 'failed':
       return handleFailed(state, ports, assignedTask, report.reason, now)
     case 'stopped':
@@ -148,10 +152,26 @@
   }
 }
 
+/**
+ * Records what the reports took beside their runs: the least of them, since a report waits for the other runs of its
+ * start call.
+ */
+function recordDelivery (state: DispatcherState, view: AgentView, reports: readonly RunReport[], now: number): void {
+  let leastMilliseconds: number | undefined
+  for (const { sequence, task, run, outcome, milliseconds } of reports) {
+    const assignment = state.assigned.get(task)?.task.assignment
+    if (outcome !== 'done' || sequence <= view.acknowledgedSequence) continue
+    if (assignment === undefined || assignment.agent !== view.name || assignment.run !== run) continue
+    leastMilliseconds = Math.min(leastMilliseconds ?? Infinity, now - assignment.sentAt - milliseconds)
+  }
+  if (leastMilliseconds !== undefined) state.runTimes.recordDelivery(leastMilliseconds)
+}
+
 export function handleWatchAnswer (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, answer: WatchAnswer, now: number
 ): void {
   if (!applyAgentState(state, ports, view, answer, now)) return
+  recordDelivery(state, view, answer.reports, now)
   for (const report of answer.reports) {
     if (report.sequence <= view.acknowledgedSequence) continue
     view.acknowledgedSequence = report.sequence
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -56,7 +56,11 @@
     const maximumWait = maximumWaitFor(choice, remainingMilliseconds)
     pending.maximumWaitMilliseconds = Math.max(pending.maximumWaitMilliseconds, maximumWait)
     pending.orders.push({
-      task: task.name, run: task.lastRun, size: task.step.size, estimateMilliseconds: task.step.estimateMilliseconds
+      task: task.name,
+      run: task.lastRun,
+      size: task.step.size,
+      estimateMilliseconds: task.step.estimateMilliseconds,
+      ...state.runTimes.describeOrder(agent, task.step)
     })
     byAgent.set(agent.name, pending)
   }
@@ -81,6 +85,7 @@
     specification: job.request.specification,
     priority: job.request.priority + (job.isLate ? LATE_PRIORITY_OFFSET : 0),
     patienceMilliseconds: Math.round(maximumWaitMilliseconds),
+    ...state.runTimes.describeStart(view, job.request),
     orders
   })
 }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -14,9 +14,11 @@
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
 import { answerJob } from './job-completion.js'
+import { LearnedRunTimes } from './learned-run-times.js'
 import { ObjectivePlacement } from './objective-placement.js'
 import type { Placement } from './placement.js'
 import { rankFor } from './preference.js'
+import type { RunTimeEstimates } from './run-time-estimates.js'
 import { createStopQueue } from './stop-queue.js'
 
 /** Number of seeds from which an incarnation of an entry draws its own. */
@@ -62,6 +64,8 @@
   readonly incarnation: string
   readonly failureDomain: string
   readonly placement?: Placement
+  /** Run times that plans are made with; learned ones by default. */
+  readonly runTimes?: RunTimeEstimates
   /** Register of the evacuated failure domains, where evacuations are enabled. */
   readonly evacuations?: EvacuationRegister
 }
@@ -87,6 +91,7 @@
     failureDomain: options.failureDomain,
     placement: options.placement ??
       new ObjectivePlacement(createRandom(Math.floor(RANDOM_SEEDS * rankFor(options.entry, options.incarnation)))),
+    runTimes: options.runTimes ?? new LearnedRunTimes(options.logger),
     evacuations: options.evacuations,
     agents: new Map(),
     jobs: new Map(),
@@ -102,7 +107,7 @@
   function submit (
     request: JobRequest, answer: (answer: JobAnswer) => void, now: number
   ): (now: number) => void {
-    const job = createJob(request, answer)
+    const job = createJob(request, answer, state.runTimes.objectiveFactor(request))
     const existing = state.jobs.get(request.id)
     const withdraw = (withdrawnAt: number): void => { abandonJob(job, 'the caller left', withdrawnAt) }
     if (existing === undefined) {
@@ -182,7 +187,11 @@
     knows: id => state.jobs.has(id),
     cancel,
     agentFound,
-    agentForgotten: name => { state.agents.delete(name) },
+    agentForgotten: name => {
+      const view = state.agents.get(name)
+      if (view !== undefined) state.runTimes.forget(view)
+      state.agents.delete(name)
+    },
     nextWatch: view => ({
       caller: callerFor(state, view),
       acknowledged: view.acknowledgedSequence,
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -4,6 +4,7 @@
 import type { AgentView } from './agent-view.js'
 import type { Job, JobTask } from './job.js'
 import type { Placement } from './placement.js'
+import type { RunTimeEstimates } from './run-time-estimates.js'
 import type { StopQueue } from './stop-queue.js'
 
 /** Operations that the dispatcher needs from its environment. */
@@ -28,6 +29,7 @@
   readonly incarnation: string
   readonly failureDomain: string
   readonly placement: Placement
+  readonly runTimes: RunTimeEstimates
   /** The evacuated failure domains; undefined where evacuations are not enabled. */
   readonly evacuations: EvacuationRegister | undefined
   /** Agents by name. */
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -11,6 +11,7 @@
 import type { Placement } from './placement.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
+import type { RunTimeEstimates } from './run-time-estimates.js'
 
 /** Interval of the dispatcher's ticks; short compared with the shortest objective. */
 const TICK_MILLISECONDS = 20
@@ -38,6 +39,8 @@
   readonly incarnation: string
   readonly failureDomain: string
   readonly placement?: Placement
+  /** Run times that plans are made with; learned ones by default. */
+  readonly runTimes?: RunTimeEstimates
   /** Register of the evacuated failure domains, where evacuations are enabled. */
   readonly evacuations?: EvacuationRegister
   readonly client?: CallClient
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -105,6 +105,8 @@
   const choose = (candidates: readonly AgentView[]): PlacementChoice | undefined => state.placement.choose({
     task,
     priority: request.priority,
+    route: request.route,
+    runTimes: state.runTimes,
     candidates,
     usedAgents,
     failureDomain: state.failureDomain,
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -138,15 +138,16 @@
  * Creates the state of a job from a request.
  *
  * @param answer - Called once, with the final answer.
+ * @param estimateFactor - Factor on the estimates, since the objective is a multiple of the tasks' true length.
  * @example
  * const job = createJob(request, answer => { respond(answer) })
  */
-export function createJob (request: JobRequest, answer: (answer: JobAnswer) => void): Job {
+export function createJob (request: JobRequest, answer: (answer: JobAnswer) => void, estimateFactor = 1): Job {
   return {
     request,
     tasks: createTasks(request),
     objectiveMilliseconds:
-      request.stretch * longestChainMilliseconds(request.steps) + request.targetLatencyMilliseconds,
+      request.stretch * estimateFactor * longestChainMilliseconds(request.steps) + request.targetLatencyMilliseconds,
     isLate: false,
     isAnswered: false,
     answer,
--- a/packages/dispatching/src/objective-placement.ts
+++ b/packages/dispatching/src/objective-placement.ts
@@ -4,15 +4,12 @@
   EarliestFinishPlacement, estimateChoice, Placement, staleness, utilization, type PlacementChoice,
   type PlacementRequest
 } from './placement.js'
+import { USUAL_ANSWER_MARGIN_MILLISECONDS } from './run-time-estimates.js'
 
 /** Number of upstreams that are compared for a task. */
 const COMPARED_UPSTREAMS = 12
 /** Number of further tasks for which an upstream should have capacity, since its reported capacity may be outdated. */
 const HEADROOM_TASKS = 2
-/** Margin of the expected run time, as a share of it: the spread of an upstream's recent run times. */
-const RUN_TIME_MARGIN_SHARE = 0.15
-/** Margin for what an answer takes beside the run: its order, its listing and its report. */
-const ANSWER_MARGIN_MILLISECONDS = 25
 /** Cost of the upstream that the entry prefers least, as a share of its capacity. */
 const PREFERENCE_COST = 1
 /** Cost of a view as old as the entry lease, as a share of the upstream's capacity: its free capacity is uncertain. */
@@ -76,8 +73,8 @@
 
 function meetsObjective (choice: PlacementChoice, request: PlacementRequest): boolean {
   if (choice.waitMilliseconds > 0) return false
-  const runMilliseconds = choice.finishMilliseconds * (1 + RUN_TIME_MARGIN_SHARE)
-  return runMilliseconds + ANSWER_MARGIN_MILLISECONDS <= request.remainingMilliseconds
+  const margin = request.runTimes?.answerMargin() ?? USUAL_ANSWER_MARGIN_MILLISECONDS
+  return (choice.plannedMilliseconds ?? choice.finishMilliseconds) + margin <= request.remainingMilliseconds
 }
 
 /** Returns the processor that is left at an agent once it has the task, in thousandths of a core. */
--- a/packages/dispatching/src/placement.ts
+++ b/packages/dispatching/src/placement.ts
@@ -6,11 +6,16 @@
   NO_CAPACITY_COST_MILLISECONDS, REMOTE_DOMAIN_COST_MILLISECONDS, STALE_VIEW_COST_MILLISECONDS
 } from './dispatch-limits.js'
 import type { JobTask } from './job.js'
+import { expectBySlowness, type RunTimeEstimates } from './run-time-estimates.js'
 
 /** Input of a placement decision. */
 export interface PlacementRequest {
   readonly task: JobTask
   readonly priority: number
+  /** Route of the job. */
+  readonly route?: string
+  /** Expected run times; by each agent's moving average of run time over estimate if absent. */
+  readonly runTimes?: RunTimeEstimates
   /** Agents whose upstreams may run the task. */
   readonly candidates: readonly AgentView[]
   /** Names of the agents chosen for other tasks of the job in the same pass. */
@@ -30,6 +35,8 @@
   readonly waitMilliseconds: number
   /** Expected time from now to the end of the run, in milliseconds. */
   readonly finishMilliseconds: number
+  /** Time from now to the end of the run that the objective has to leave room for; the expected one if absent. */
+  readonly plannedMilliseconds?: number
 }
 
 /** Strategy that chooses upstreams for tasks. */
@@ -62,8 +69,13 @@
 export function estimateChoice (view: AgentView, request: PlacementRequest): PlacementChoice {
   const { step } = request.task
   const waitMilliseconds = expectedWaitMilliseconds(view, step.size.processor, request.priority)
-  const finishMilliseconds = waitMilliseconds + step.estimateMilliseconds * view.load.slowness
-  return { agent: view, waitMilliseconds, finishMilliseconds }
+  const expected = request.runTimes?.expect(view, step, request.route ?? '') ?? expectBySlowness(view, step)
+  return {
+    agent: view,
+    waitMilliseconds,
+    finishMilliseconds: waitMilliseconds + expected.usualMilliseconds,
+    plannedMilliseconds: waitMilliseconds + expected.plannedMilliseconds
+  }
 }
 
 /** Share of an upstream's processor that is in use or reserved by this entry, 0 to 1. */
--- /dev/null
+++ b/packages/dispatching/tests/learned-run-times.test.ts
@@ -0,0 +1,162 @@
+import { describe, expect, it } from 'vitest'
+import { silentLogger } from '@baobabpost/common'
+import {
+  createAgentView, createRecentValues, LearnedRunTimes, plannedRatio, type AgentView, type JobRequest, type JobStep
+} from '@baobabpost/dispatching'
+import type { RunTimes } from '@baobabpost/fleet-calls'
+
+const SIZE = { processor: 5_000, memory: 64, accelerators: 0 }
+const FIXED_MILLISECONDS = 12
+const CAPACITY = { processor: 40_000, memory: 65_536, accelerators: 0 }
+
+function stepOf (estimateMilliseconds: number, rack?: string): JobStep {
+  return {
+    taskCount: 2, size: SIZE, estimateMilliseconds, dependsOn: [], label: undefined, rack, maximumPerUpstream: undefined
+  }
+}
+
+function requestOf (route: string, step: JobStep): JobRequest {
+  return {
+    id: '5c0e7a21d94b36f8',
+    route,
+    service: 'desk',
+    priority: 0,
+    specification: '{}',
+    steps: [step],
+    maximumAttempts: 2,
+    stretch: 1.6,
+    targetLatencyMilliseconds: 60,
+    arrivedAt: 0,
+    deadlineAt: 3_000
+  }
+}
+
+/** Gives a view what an agent answers; without run times for an agent of an earlier version. */
+function answer (
+  model: LearnedRunTimes, view: AgentView, runTimes: RunTimes | undefined, instance: number | 'unknown' = 1_000,
+  routeFactors?: Record<string, number>
+): void {
+  view.load = {
+    free: CAPACITY,
+    waiting: [],
+    releaseRate: 0,
+    slowness: 2,
+    failureShare: 0,
+    ...(runTimes === undefined ? {} : { runTimes })
+  }
+  view.profile = {
+    version: 1,
+    service: 'desk',
+    failureDomain: 'domain-1',
+    capacity: CAPACITY,
+    labels: ['rack-a'],
+    accepting: true,
+    ...(instance === 'unknown' ? {} : { instance }),
+    ...(routeFactors === undefined ? {} : { routeFactors })
+  }
+  model.applyAnswer(view)
+}
+
+function createModel (farMultiplier?: number): { readonly model: LearnedRunTimes, readonly view: AgentView } {
+  return { model: new LearnedRunTimes(silentLogger, farMultiplier), view: createAgentView('entry-1', 'agent-1', '10.1.0.1:7720') }
+}
+
+describe('the factor of a route', () => {
+  it.each([0.6, 1, 1.4])('is learned over upstreams of uneven speed within some tens of runs, at %s', factor => {
+    const { model } = createModel()
+    const views = [1 / 0.6, 1, 1 / 1.6].map((upstreamFactor, index) => {
+      const view = createAgentView('entry-1', `agent-${index}`, '10.1.0.1:7720')
+      answer(model, view, [FIXED_MILLISECONDS, upstreamFactor, 0.05, 0.1, 96])
+      return { view, upstreamFactor }
+    })
+    for (let index = 0; index < 30; index += 1) {
+      const { view, upstreamFactor } = views[index % 3] ?? { view: createAgentView('', '', ''), upstreamFactor: 1 }
+      const isLong = index % 15 === 14
+      const milliseconds = (FIXED_MILLISECONDS + 86 * upstreamFactor) * (isLong ? 7 : 1)
+      const step = stepOf(86 / factor)
+      model.recordDone({ view, request: requestOf('urgent', step), step, milliseconds })
+    }
+    expect(Math.abs(model.factorOf('urgent') / factor - 1)).toBeLessThan(0.05)
+    expect(model.factorOf('other')).toBe(1)
+  })
+
+  it('lengthens or shortens objectives by no more than estimates are off', () => {
+    const { model, view } = createModel()
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96])
+    const step = stepOf(100)
+    const request = requestOf('urgent', step)
+    expect(model.objectiveFactor(request)).toBe(1)
+    for (let index = 0; index < 48; index += 1) model.recordDone({ view, request, step, milliseconds: 900 })
+    expect(model.objectiveFactor(request)).toBeLessThanOrEqual(1.67)
+  })
+
+  // A restarted entry planned with the callers' estimates until it had seen runs of its own.
+  it('is taken from an agent by an entry that has just started', () => {
+    const { model, view } = createModel()
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96], 1_000, { urgent: 1.4 })
+    expect(model.factorOf('urgent')).toBe(1.4)
+  })
+})
+
+describe('the run times of an upstream at an entry', () => {
+  const step = stepOf(100)
+
+  it('are kept while a restarted agent knows less, and handed back to it', () => {
+    const { model, view } = createModel()
+    const learned: RunTimes = [FIXED_MILLISECONDS, 1.5, 0.05, 0.1, 96]
+    answer(model, view, learned)
+    const before = model.expect(view, step, 'urgent')
+    expect(model.describeStart(view, requestOf('urgent', step)).remembered).toBeUndefined()
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.15, 0.3, 0])
+    expect(model.expect(view, step, 'urgent')).toEqual(before)
+    expect(model.describeStart(view, requestOf('urgent', step)).remembered).toEqual({ instance: 1_000, runTimes: learned })
+  })
+
+  it.each([2_000, 'unknown'] as const)('are forgotten when the agent tells of another instance, %s', instance => {
+    const { model, view } = createModel()
+    const other = createAgentView('entry-1', 'agent-2', '10.1.0.2:7720')
+    answer(model, other, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96])
+    answer(model, view, [FIXED_MILLISECONDS, 4, 0.05, 0.1, 96])
+    const slow = model.expect(view, step, 'urgent').usualMilliseconds
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.15, 0.3, 0], instance)
+    expect(model.expect(view, step, 'urgent').usualMilliseconds).toBeLessThan(0.7 * slow)
+    expect(model.describeStart(view, requestOf('urgent', step)).remembered).toBeUndefined()
+  })
+
+  it('are the average of run time over estimate where the agent tells nothing else', () => {
+    const { model, view } = createModel()
+    answer(model, view, undefined)
+    expect(model.expect(view, step, 'urgent')).toEqual({ usualMilliseconds: 200, plannedMilliseconds: 200 * 1.15 })
+  })
+
+  it('are bounded when an agent tells values that no upstream can have', () => {
+    const { model, view } = createModel()
+    answer(model, view, [1e9, -3, 1e9, -1, 96])
+    const { usualMilliseconds, plannedMilliseconds } = model.expect(view, step, 'urgent')
+    expect(usualMilliseconds).toBeGreaterThan(0)
+    expect(plannedMilliseconds).toBeLessThan(5_000)
+  })
+})
+
+describe('the planned quantile', () => {
+  it('rises with the number of tasks that must all be in time', () => {
+    const ratios = [1, 2, 4, 8, 2_000].map(count => plannedRatio(count, 0.1, 0.2))
+    expect(ratios).toEqual([...ratios].sort((left, right) => left - right))
+    // One task in time with a chance of 0.9: 1.28 standard deviations, between spread and tail.
+    expect(ratios[0]).toBeCloseTo(1.143, 2)
+  })
+
+  it('stays finite for jobs of thousands of tasks', () => {
+    expect(plannedRatio(2_000, 0.1, 0.2)).toBeLessThan(1.35)
+  })
+})
+
+describe('recent values', () => {
+  it('forget the oldest, and count assumed ones beside them', () => {
+    const values = createRecentValues(3, [10])
+    for (const value of [100, 1, 2, 3]) values.add(value)
+    expect(values.count()).toBe(3)
+    expect(values.quantile(0)).toBe(1)
+    expect(values.quantile(0.99)).toBe(10)
+  })
+})
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -1,6 +1,7 @@
 /** Schemas of the calls that entries make to agents. */
 import { Schema } from 'effect'
 import { EvacuationState } from './evacuations.js'
+import { RememberedRunTimes, RunTimes } from './run-times.js'
 import { Size } from './size.js'
 
 /** The calling entry, and the newest agent time that it has received. */
@@ -27,7 +28,11 @@
   capacity: Size,
   labels: Schema.Array(Schema.String),
   /** Whether new runs may start here. */
-  accepting: Schema.Boolean
+  accepting: Schema.Boolean,
+  /** Start of the upstream's instance in Unix milliseconds; absent if the upstream does not report it. */
+  instance: Schema.optionalKey(Schema.Number),
+  /** Newest factor on the callers' estimates that an entry told, by route; for entries that have just started. */
+  routeFactors: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number))
 })
 export type UpstreamProfile = typeof UpstreamProfile.Type
 
@@ -42,7 +47,11 @@
   /** Moving average of run time divided by estimate. */
   slowness: Schema.Number,
   /** Moving average of the share of failed runs, 0 to 1. */
-  failureShare: Schema.Number
+  failureShare: Schema.Number,
+  /** Learned run times; absent from an agent that does not learn them. */
+  runTimes: Schema.optionalKey(RunTimes),
+  /** How much longer the present runs take than the learned run times say; absent while they don't. */
+  pace: Schema.optionalKey(Schema.Number)
 })
 export type UpstreamLoad = typeof UpstreamLoad.Type
 
@@ -101,7 +110,9 @@
   run: Schema.Number,
   size: Size,
   /** Expected run time on an upstream of ordinary speed, in milliseconds. */
-  estimateMilliseconds: Schema.Number
+  estimateMilliseconds: Schema.Number,
+  /** Factor on that time for a task away from the rack of its data; absent near it. */
+  awayFactor: Schema.optionalKey(Schema.Number)
 })
 export type RunOrder = typeof RunOrder.Type
 
@@ -113,6 +124,12 @@
   priority: Schema.Number,
   /** Maximum wait of the tasks for free capacity; 0 for none. */
   patienceMilliseconds: Schema.Number,
+  /** Name of the job's route; absent from an entry that does not learn run times. */
+  route: Schema.optionalKey(Schema.String),
+  /** Factor on the estimates of the orders that the entry has learned for the route; 1 if absent. */
+  estimateFactor: Schema.optionalKey(Schema.Number),
+  /** What an earlier incarnation of the agent told of the upstream, while the current one knows less. */
+  remembered: Schema.optionalKey(RememberedRunTimes),
   orders: Schema.Array(RunOrder)
 })
 export type Start = typeof Start.Type
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -1,6 +1,8 @@
 /** Simulated fleet in one process: the real programs of entries and agents, stand-in upstreams, and callers. */
 import { silentLogger, type EventLogger } from '@baobabpost/common'
-import { startEntryProgram, type EntryProgram, type JobAnswer, type JobStep, type Placement } from '@baobabpost/dispatching'
+import {
+  startEntryProgram, type EntryProgram, type JobAnswer, type JobStep, type Placement, type RunTimeEstimates
+} from '@baobabpost/dispatching'
 import {
   createEvacuationRegister, type CallClient, type CallConnection, type CallHandlers, type EvacuationRegister, type Size
 } from '@baobabpost/fleet-calls'
@@ -42,6 +44,8 @@
 /** A job of one step as a caller submits it. */
 export interface FleetJob {
   readonly id: string
+  /** `route` by default. */
+  readonly route?: string
   readonly standInTask: StandInTask
   readonly taskCount: number
   readonly priority?: number
@@ -77,6 +81,10 @@
   /** Capacity and speed of each upstream, as in `LeasedUpstreamOptions`; each gets an agent. */
   readonly upstreams: ReadonlyArray<{ readonly capacity: Size, readonly speed: number }>
   readonly placement?: () => Placement
+  /** Run times that entries plan with. */
+  readonly runTimes?: () => RunTimeEstimates
+  /** Part of each run time that does not depend on the task or the upstream, in milliseconds; 0 by default. */
+  readonly fixedMilliseconds?: number
   readonly logger?: EventLogger
   /** Number of failure domains, over which entries and agents are dealt in turn; 1 by default. */
   readonly failureDomains?: number
@@ -152,7 +160,8 @@
       client: killableClient(network.clientAt(address), processState),
       logger: { ...logger, info: (event, fields) => { logger.info(event, { entry: name, ...fields }) } },
       now,
-      ...(options.placement === undefined ? {} : { placement: options.placement() })
+      ...(options.placement === undefined ? {} : { placement: options.placement() }),
+      ...(options.runTimes === undefined ? {} : { runTimes: options.runTimes() })
     })
     for (const agent of agents) program.agentFound(agent.name, agent.address)
     return { program, processState, evacuations }
@@ -192,6 +201,7 @@
       failureDomain: domainAt(index),
       capacity,
       speed,
+      fixedMilliseconds: options.fixedMilliseconds ?? 0,
       now,
       observer: runLog
     })
@@ -221,7 +231,7 @@
     const submission: JobSubmission = { answer: undefined, answeredAt: 0, leave: () => {} }
     const withdraw = entry.program.dispatcher.submit({
       id: job.id,
-      route: 'route',
+      route: job.route ?? 'route',
       service: SERVICE,
       priority: job.priority ?? 0,
       specification: JSON.stringify(job.standInTask),
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -17,6 +17,8 @@
   readonly milliseconds: number
   readonly size: Size
   readonly fails?: boolean
+  /** Factors on the run time by number of the task in its step; 1 for the others. */
+  readonly factors?: Readonly<Record<number, number>>
 }
 
 /** Faults of the stand-in; a test can set them at any time. */
@@ -52,6 +54,8 @@
   instance: () => UpstreamInstance
   /** From now on, heartbeats say that the upstream leaves; until it crashes. */
   setDraining: () => void
+  /** Changes the speed, also of the present runs, without a word in the heartbeats. */
+  setSpeed: (speed: number) => void
   /** Records that an agent has acknowledged a heartbeat. */
   acknowledge: (heartbeat: UpstreamHeartbeat) => void
   /** Ends all runs, loses all state and starts a new instance under the same identity. */
@@ -69,6 +73,8 @@
   readonly capacity: Size
   /** Divisor of run times: 2 runs tasks in half the time. */
   readonly speed: number
+  /** Part of each run time that does not depend on the task or the speed, in milliseconds; 0 by default. */
+  readonly fixedMilliseconds?: number
   /** Clock of the stand-in, in milliseconds. */
   readonly now: () => number
   readonly observer: UpstreamObserver
@@ -80,8 +86,12 @@
   readonly task: string
   readonly run: number
   readonly size: Size
+  /** Run time at speed 1. */
   readonly milliseconds: number
-  readonly startedAt: number
+  readonly kind: CompletionKind
+  /** Part of that run time that was done when the speed last changed, or at the start. */
+  doneMilliseconds: number
+  countedAt: number
   timer: ReturnType<typeof setTimeout> | undefined
 }
 
@@ -113,6 +123,7 @@
   let highestRunByTask = new Map<string, number>()
   let reserved: Size = EMPTY_SIZE
   let startCount = 0
+  let { speed } = options
   const completionListeners = new Set<() => void>()
 
   function endRun (run: SimulatedRun, kind: CompletionKind): void {
@@ -150,19 +161,40 @@
       task: order.task,
       run: order.run,
       size: standInTask.size,
-      milliseconds: standInTask.milliseconds / options.speed,
-      startedAt: now(),
+      milliseconds: standInTask.milliseconds * (standInTask.factors?.[Number(order.task.split('.')[3])] ?? 1),
+      kind: faults.failsAll || standInTask.fails === true ? 'failed' : 'done',
+      doneMilliseconds: 0,
+      countedAt: now() + (options.fixedMilliseconds ?? 0),
       timer: undefined
     }
     runningByTask.set(order.task, run)
     startCount += 1
     reserved = addSizes(reserved, standInTask.size)
     observer.started(options.name, order.task, reserved.processor > options.capacity.processor)
-    const kind = faults.failsAll || standInTask.fails === true ? 'failed' : 'done'
-    if (!faults.hangs) run.timer = setTimeout(() => { endRun(run, kind) }, faults.failsAll ? 5 : run.milliseconds)
+    if (!faults.hangs) scheduleEnd(run)
     return 'taken'
   }
 
+  function doneMillisecondsOf (run: SimulatedRun): number {
+    return run.doneMilliseconds + Math.max(0, now() - run.countedAt) * speed
+  }
+
+  function scheduleEnd (run: SimulatedRun): void {
+    clearTimeout(run.timer)
+    const milliseconds = Math.max(0, run.countedAt - now()) + (run.milliseconds - doneMillisecondsOf(run)) / speed
+    run.timer = setTimeout(() => { endRun(run, run.kind) }, faults.failsAll ? 5 : milliseconds)
+  }
+
+  function setSpeed (newSpeed: number): void {
+    const runs = [...runningByTask.values()]
+    for (const run of runs) {
+      run.doneMilliseconds = doneMillisecondsOf(run)
+      run.countedAt = Math.max(run.countedAt, now())
+    }
+    speed = newSpeed
+    for (const run of runs) if (run.timer !== undefined) scheduleEnd(run)
+  }
+
   function handleStop (order: StopOrder): OrderOutcome {
     if (order.fencingToken < fencingToken) return 'fenced'
     fencingToken = order.fencingToken
@@ -181,7 +213,7 @@
     const listing = {
       startedAt,
       running: [...runningByTask.values()].map(run => ({
-        task: run.task, run: run.run, percent: Math.min(99, 100 * (now() - run.startedAt) / run.milliseconds)
+        task: run.task, run: run.run, percent: Math.min(99, 100 * doneMillisecondsOf(run) / run.milliseconds)
       })),
       ended: [...completions]
     }
@@ -256,6 +288,7 @@
     },
     instance,
     setDraining: () => { draining = true },
+    setSpeed,
     acknowledge: heartbeat => {
       if (heartbeat.isDraining && heartbeat.instance.startedAt === startedAt) leavingAcknowledgedAt ??= now()
     },
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -9,6 +9,7 @@
 import { isAccepting, isEvacuated, startWaitingRuns, stopRun } from './orders.js'
 import { addTombstone, freeCapacity, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
+import { adoptRunTimes, describeRunTimes, workOf } from './run-time-reports.js'
 import type { RunGroup, RunRecord } from './run-record.js'
 
 /**
@@ -72,16 +73,17 @@
     failureDomain: heartbeat?.failureDomain ?? '',
     capacity: heartbeat?.capacity ?? { processor: 0, memory: 0, accelerators: 0 },
     labels: heartbeat?.labels ?? [],
-    accepting: isAccepting(state, now)
+    accepting: isAccepting(state, now),
+    ...(heartbeat?.instance.startedAt === undefined ? {} : { instance: heartbeat.instance.startedAt })
   }
 }
 
 /** Returns the processor capacity expected to be released per millisecond, in thousandths of a core. */
 function releaseRate (state: RunRegistryState): number {
   let rate = 0
-  for (const { state: runState, order } of state.runs.values()) {
+  for (const { state: runState, order, work } of state.runs.values()) {
     if (runState === 'waiting') continue
-    rate += order.size.processor / Math.max(1, order.estimateMilliseconds * state.upstream.observations.slowness())
+    rate += order.size.processor / state.upstream.runTimes.expect(work)
   }
   return rate
 }
@@ -96,7 +98,8 @@
     waiting: state.queue.waitingProcessor(),
     releaseRate: roundToThousandths(releaseRate(state)),
     slowness: roundToThousandths(state.upstream.observations.slowness()),
-    failureShare: roundToThousandths(state.upstream.observations.failureShare())
+    failureShare: roundToThousandths(state.upstream.observations.failureShare()),
+    ...describeRunTimes(state)
   }
 }
 
@@ -117,7 +120,9 @@
     room: describeLoad(state),
     ...newerEvacuations(state, caller)
   }
-  return profileVersion === state.profileVersion ? agentState : { ...agentState, profile: describeProfile(state, now) }
+  if (profileVersion === state.profileVersion) return agentState
+  const routeFactors = Object.fromEntries(state.routeFactors)
+  return { ...agentState, profile: { ...describeProfile(state, now), routeFactors } }
 }
 
 function admitOrder (
@@ -147,6 +152,7 @@
   if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
   const record: RunRecord = {
     order,
+    work: workOf(start, order),
     session,
     group,
     specification: start.specification,
@@ -186,6 +192,7 @@
 /** Answers an entry's start call. */
 export function answerStart (state: RunRegistryState, ports: RunRegistryPorts, start: Start, now: number): StartAnswer {
   const session = openSession(state, ports, start.caller, now)
+  adoptRunTimes(state, ports, start)
   const verdicts: Verdict[] = []
   const group: RunGroup = { openRunCount: 0 }
   for (const order of start.orders) verdicts.push(admitOrder(state, ports, start, order, session, group, now))
--- a/packages/runs/src/index.ts
+++ b/packages/runs/src/index.ts
@@ -2,6 +2,8 @@
 export * from './agent-program.js'
 export * from './create-run-registry.js'
 export * from './entry-session.js'
+export * from './fit-run-times.js'
+export * from './run-time-model.js'
 export type { RunRegistryPorts } from './run-registry-state.js'
 export type { RunRecord, RunState } from './run-record.js'
 export * from './upstream.js'
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -5,6 +5,7 @@
 import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import type { RunRecord } from './run-record.js'
 import type { ListAnswer, ListedCompletion, Listing, UpstreamInstance } from './upstream.js'
+import { recordRunTime } from './run-time-reports.js'
 import { createUpstreamState } from './upstream-state.js'
 
 /**
@@ -19,7 +20,7 @@
   const { instance } = state.upstream
   state.upstream.phase = 'unfenced'
   // An instance that doesn't report its start can't be told from the next one.
-  if (instance?.startedAt === undefined) state.upstream = createUpstreamState(instance)
+  if (instance?.startedAt === undefined) state.upstream = createUpstreamState(instance, state.routeFactor)
   // Delayed orders to the earlier instance may reach the next one, which has not seen a fencing token yet.
   state.fencingToken += 1
   ports.logger.warn('upstream life ended', { reason })
@@ -42,7 +43,7 @@
     record.stopReason = reason
   }
   const { leaseRenewedAt } = state.upstream
-  state.upstream = { ...createUpstreamState(instance), leaseRenewedAt }
+  state.upstream = { ...createUpstreamState(instance, state.routeFactor), leaseRenewedAt }
   state.fencingToken += 1
   ports.logger.warn('upstream life ended', { reason })
   ports.listImmediately()
@@ -78,7 +79,11 @@
   const record = state.runs.get(completion.task)
   if (record === undefined || record.state === 'waiting' || record.upstreamRunNumber !== completion.run) return
   const estimateMilliseconds = record.order.estimateMilliseconds
-  if (completion.kind === 'done') state.upstream.observations.recordDone(now - record.orderedAt, estimateMilliseconds)
+  if (completion.kind === 'done') {
+    const milliseconds = now - record.orderedAt
+    state.upstream.observations.recordDone(milliseconds, estimateMilliseconds)
+    recordRunTime(state, ports, record, milliseconds)
+  }
   if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -1,6 +1,7 @@
 /** An agent's record of one run. */
 import type { RunOrder } from '@baobabpost/fleet-calls'
 import type { EntrySession } from './entry-session.js'
+import type { RunWork } from './run-time-model.js'
 
 /**
  * State of a run at an agent.
@@ -22,6 +23,7 @@
 
 export interface RunRecord {
   readonly order: RunOrder
+  readonly work: RunWork
   readonly session: EntrySession
   readonly group: RunGroup
   readonly specification: string
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -40,6 +40,10 @@
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
   isCleared: boolean
   fencingToken: number
+  /** Newest factor on the callers' estimates that an entry told, by route. */
+  readonly routeFactors: Map<string, number>
+  /** Returns that factor of a route; 1 for one that no entry told. */
+  readonly routeFactor: (route: string) => number
   /** The evacuated failure domains, as entries have told them. */
   readonly evacuations: EvacuationRegister
   /** Whether the agent is in its graceful shutdown. */
@@ -55,6 +59,8 @@
  * @param fencingToken - Initial fencing token; raised later if the upstream has seen a higher one.
  */
 export function createRunRegistryState (incarnation: string, fencingToken: number): RunRegistryState {
+  const routeFactors = new Map<string, number>()
+  const routeFactor = (route: string): number => routeFactors.get(route) ?? 1
   return {
     incarnation,
     runs: new Map(),
@@ -62,9 +68,11 @@
     sessions: new Map(),
     tombstones: new Map(),
     reserved: EMPTY_SIZE,
-    upstream: createUpstreamState(undefined),
+    upstream: createUpstreamState(undefined, routeFactor),
     isCleared: false,
     fencingToken,
+    routeFactors,
+    routeFactor,
     evacuations: createEvacuationRegister(),
     isShuttingDown: false,
     profileVersion: 1,
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,5 +1,6 @@
 /** What an agent knows of the current instance of its upstream. */
 import { createObservations, type Observations } from './observations.js'
+import { createRunTimeModel, type RunTimeModel } from './run-time-model.js'
 import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
 import type { UpstreamHeartbeat, UpstreamInstance } from './upstream.js'
 
@@ -28,6 +29,9 @@
   phase: UpstreamPhase
   readonly clock: UpstreamClock
   readonly observations: Observations
+  readonly runTimes: RunTimeModel
+  /** Factor of the run times when they were last logged. */
+  loggedFactor: number
   /** Number of the last completion that was processed. */
   lastCompletionNumber: number
   /** Agent time of the last listing; 0 before the first. */
@@ -43,10 +47,13 @@
 /**
  * Creates the state of an instance that has not been heard of, or of which only the identity is known.
  *
+ * @param routeFactor - Returns the newest factor on the estimates of a route.
  * @example
- * state.upstream = createUpstreamState({ id: 'i-7f3a91c2', startedAt: 1_791_652_171_802 })
+ * state.upstream = createUpstreamState({ id: 'i-7f3a91c2', startedAt: 1_791_652_171_802 }, () => 1)
  */
-export function createUpstreamState (instance: UpstreamInstance | undefined): UpstreamState {
+export function createUpstreamState (
+  instance: UpstreamInstance | undefined, routeFactor: (route: string) => number
+): UpstreamState {
   return {
     instance,
     heartbeat: undefined,
@@ -55,6 +62,8 @@
     phase: 'unfenced',
     clock: createUpstreamClock(),
     observations: createObservations(),
+    runTimes: createRunTimeModel(routeFactor),
+    loggedFactor: 1,
     lastCompletionNumber: 0,
     lastListingAt: 0,
     lastListingClock: 0,
