--- a/packages/dispatching/src/admission.ts
+++ b/packages/dispatching/src/admission.ts
@@ -5,10 +5,7 @@
 } from './dispatch-limits.js'
 import type { PlacementChoice } from './placement.js'
 
-/**
- * Margin of a run that has to wait, as a share of its expected time: the spread of an upstream's recent run times. The
- * same as that of a run that starts at once, in `objective-placement.ts`.
- */
+/** Margin of a run for which no planned time is known, as a share of its expected time. */
 const RUN_TIME_MARGIN_SHARE = 0.15
 /** Margin for what an answer takes beside the wait and the run: its order, its listing and its report. */
 const ANSWER_MARGIN_MILLISECONDS = 25
@@ -96,10 +93,12 @@
  * latestStartMilliseconds(choice, 380) // 125 for a run of 200 ms
  */
 export function latestStartMilliseconds (
-  { waitMilliseconds, finishMilliseconds }: PlacementChoice, remainingMilliseconds: number
+  { waitMilliseconds, finishMilliseconds, plannedMilliseconds }: PlacementChoice, remainingMilliseconds: number
 ): number {
-  const runMilliseconds = finishMilliseconds - waitMilliseconds
-  return remainingMilliseconds - (1 + RUN_TIME_MARGIN_SHARE) * runMilliseconds - ANSWER_MARGIN_MILLISECONDS
+  const runMilliseconds = plannedMilliseconds === undefined
+    ? (1 + RUN_TIME_MARGIN_SHARE) * (finishMilliseconds - waitMilliseconds)
+    : plannedMilliseconds - waitMilliseconds
+  return remainingMilliseconds - runMilliseconds - ANSWER_MARGIN_MILLISECONDS
 }
 
 /**
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -31,7 +31,11 @@
     pending.maximumWaitMilliseconds = Math.max(pending.maximumWaitMilliseconds, maximumWait)
     pending.isWhole ||= !job.isLate && state.admission.isWhole(choice)
     pending.orders.push({
-      task: task.name, run: task.lastRun, size: task.step.size, estimateMilliseconds: task.step.estimateMilliseconds
+      task: task.name,
+      run: task.lastRun,
+      size: task.step.size,
+      estimateMilliseconds: task.step.estimateMilliseconds,
+      ...state.runTimes.describeOrder(agent, task.step)
     })
     byAgent.set(agent.name, pending)
   }
@@ -57,6 +61,7 @@
     priority: job.request.priority + (job.isLate ? LATE_PRIORITY_OFFSET : 0),
     patienceMilliseconds: Math.round(maximumWaitMilliseconds),
     ...(isWhole ? { isWhole } : {}),
+    ...state.runTimes.describeStart(view, job.request),
     orders
   })
 }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -16,10 +16,12 @@
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
 import { answerJob } from './job-completion.js'
+import { LearnedRunTimes } from './learned-run-times.js'
 import { ObjectivePlacement } from './objective-placement.js'
 import type { Placement } from './placement.js'
 import { rankFor } from './preference.js'
 import { createRefusalLedger } from './refusal-ledger.js'
+import type { RunTimeEstimates } from './run-time-estimates.js'
 import { createStopQueue } from './stop-queue.js'
 
 /** Number of seeds from which an incarnation of an entry draws its own. */
@@ -66,6 +68,8 @@
   readonly failureDomain: string
   readonly placement?: Placement
   readonly admission?: Admission
+  /** Run times that plans are made with; learned ones by default. */
+  readonly runTimes?: RunTimeEstimates
   /** Register of the evacuated failure domains, where evacuations are enabled. */
   readonly evacuations?: EvacuationRegister
 }
@@ -93,6 +97,7 @@
       new ObjectivePlacement(createRandom(Math.floor(RANDOM_SEEDS * rankFor(options.entry, options.incarnation)))),
     admission: options.admission ?? new LatestStartAdmission(),
     refusals: createRefusalLedger(),
+    runTimes: options.runTimes ?? new LearnedRunTimes(options.logger),
     evacuations: options.evacuations,
     agents: new Map(),
     jobs: new Map(),
@@ -108,7 +113,9 @@
   function submit (
     request: JobRequest, answer: (answer: JobAnswer) => void, now: number
   ): (now: number) => void {
-    const job = createJob(request, answer, state.refusals.takePlace(request.id, now))
+    const job = createJob(request, answer, {
+      estimateFactor: state.runTimes.objectiveFactor(request), place: state.refusals.takePlace(request.id, now)
+    })
     const existing = state.jobs.get(request.id)
     const withdraw = (withdrawnAt: number): void => { abandonJob(job, 'the caller left', withdrawnAt) }
     if (existing === undefined) {
@@ -188,7 +195,11 @@
     knows: id => state.jobs.has(id),
     cancel,
     agentFound,
-    agentForgotten: name => { state.agents.delete(name) },
+    agentForgotten: name => {
+      const view = state.agents.get(name)
+      if (view !== undefined) state.runTimes.forget(view)
+      state.agents.delete(name)
+    },
     nextWatch: view => ({
       caller: callerFor(state, view),
       acknowledged: view.acknowledgedSequence,
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -6,6 +6,7 @@
 import type { Job, JobTask } from './job.js'
 import type { Placement } from './placement.js'
 import type { RefusalLedger } from './refusal-ledger.js'
+import type { RunTimeEstimates } from './run-time-estimates.js'
 import type { StopQueue } from './stop-queue.js'
 
 /** Operations that the dispatcher needs from its environment. */
@@ -33,6 +34,7 @@
   readonly admission: Admission
   /** What was promised to callers whose jobs were refused for lack of capacity. */
   readonly refusals: RefusalLedger
+  readonly runTimes: RunTimeEstimates
   /** The evacuated failure domains; undefined where evacuations are not enabled. */
   readonly evacuations: EvacuationRegister | undefined
   /** Agents by name. */
--- a/packages/dispatching/src/job-release.ts
+++ b/packages/dispatching/src/job-release.ts
@@ -48,6 +48,8 @@
     const choice = estimateChoice(view, {
       task,
       priority: request.priority,
+      route: request.route,
+      runTimes: state.runTimes,
       candidates: [],
       usedAgents: new Set(),
       failureDomain: state.failureDomain,
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -150,18 +150,22 @@
  * Creates the state of a job from a request.
  *
  * @param answer - Called once, with the final answer.
- * @param place - Place that the job keeps from an earlier refusal.
+ * @param options - Place that the job keeps from an earlier refusal, and factor on the estimates, since the objective is
+ *   a multiple of the tasks' true length.
  * @example
  * const job = createJob(request, answer => { respond(answer) })
  */
 export function createJob (
-  request: JobRequest, answer: (answer: JobAnswer) => void, place = request.arrivedAt
+  request: JobRequest,
+  answer: (answer: JobAnswer) => void,
+  options: { readonly estimateFactor?: number, readonly place?: number | undefined } = {}
 ): Job {
+  const { estimateFactor = 1, place = request.arrivedAt } = options
   return {
     request,
     tasks: createTasks(request),
     objectiveMilliseconds:
-      request.stretch * longestChainMilliseconds(request.steps) + request.targetLatencyMilliseconds,
+      request.stretch * estimateFactor * longestChainMilliseconds(request.steps) + request.targetLatencyMilliseconds,
     place,
     isLate: false,
     releasedAt: undefined,
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -1,7 +1,8 @@
 /** Simulated fleet in one process: the real programs of entries and agents, stand-in upstreams, and callers. */
 import { silentLogger, type EventLogger } from '@baobabpost/common'
 import {
-  startEntryProgram, type Admission, type EntryProgram, type JobAnswer, type JobStep, type Placement
+  startEntryProgram, type Admission, type EntryProgram, type JobAnswer, type JobStep, type Placement,
+  type RunTimeEstimates
 } from '@baobabpost/dispatching'
 import {
   createEvacuationRegister, type CallClient, type CallConnection, type CallHandlers, type EvacuationRegister, type Size
@@ -44,6 +45,8 @@
 /** A job of one step as a caller submits it. */
 export interface FleetJob {
   readonly id: string
+  /** `route` by default. */
+  readonly route?: string
   readonly standInTask: StandInTask
   readonly taskCount: number
   readonly priority?: number
@@ -80,6 +83,10 @@
   readonly upstreams: ReadonlyArray<{ readonly capacity: Size, readonly speed: number }>
   readonly placement?: () => Placement
   readonly admission?: () => Admission
+  /** Run times that entries plan with. */
+  readonly runTimes?: () => RunTimeEstimates
+  /** Part of each run time that does not depend on the task or the upstream, in milliseconds; 0 by default. */
+  readonly fixedMilliseconds?: number
   readonly logger?: EventLogger
   /** Number of failure domains, over which entries and agents are dealt in turn; 1 by default. */
   readonly failureDomains?: number
@@ -157,7 +164,8 @@
       logger: { ...logger, info: (event, fields) => { logger.info(event, { entry: name, ...fields }) } },
       now,
       ...(options.placement === undefined ? {} : { placement: options.placement() }),
-      ...(options.admission === undefined ? {} : { admission: options.admission() })
+      ...(options.admission === undefined ? {} : { admission: options.admission() }),
+      ...(options.runTimes === undefined ? {} : { runTimes: options.runTimes() })
     })
     for (const agent of agents) program.agentFound(agent.name, agent.address)
     return { program, processState, evacuations }
@@ -197,6 +205,7 @@
       failureDomain: domainAt(index),
       capacity,
       speed,
+      fixedMilliseconds: options.fixedMilliseconds ?? 0,
       now,
       observer: runLog
     })
@@ -229,7 +238,7 @@
     submissions.set(job.id, submission)
     const withdraw = entry.program.dispatcher.submit({
       id: job.id,
-      route: 'route',
+      route: job.route ?? 'route',
       service: SERVICE,
       priority: job.priority ?? 0,
       specification: JSON.stringify(job.standInTask),
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -7,6 +7,7 @@
 import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import type { RunRecord } from './run-record.js'
 import type { ListAnswer, ListedCompletion, Listing, UpstreamInstance } from './upstream.js'
+import { recordRunTime } from './run-time-reports.js'
 import { createUpstreamState } from './upstream-state.js'
 
 /** Takes control of the upstream anew after its runs have ended. What the instance said of itself stays known. */
@@ -15,7 +16,7 @@
   state.upstream.phase = 'unfenced'
   // An instance that doesn't report its start can't be told from the next one.
   if (instance?.startedAt === undefined) {
-    state.upstream = { ...createUpstreamState(instance), instanceKnownSince, leaseRenewedAt }
+    state.upstream = { ...createUpstreamState(instance, state.routeFactor), instanceKnownSince, leaseRenewedAt }
   }
   // Delayed orders to the earlier instance may reach the next one, which has not seen a fencing token yet.
   state.fencingToken += 1
@@ -71,7 +72,9 @@
     displace(record, reason)
   }
   const { leaseRenewedAt, instance: predecessor } = state.upstream
-  state.upstream = { ...createUpstreamState(instance), instanceKnownSince: now, predecessor, leaseRenewedAt }
+  state.upstream = {
+    ...createUpstreamState(instance, state.routeFactor), instanceKnownSince: now, predecessor, leaseRenewedAt
+  }
   state.fencingToken += 1
   ports.logger.warn('upstream life ended', { reason })
   ports.listImmediately()
@@ -107,7 +110,11 @@
   const record = state.runs.get(completion.task)
   if (record === undefined || record.state === 'waiting' || record.upstreamRunNumber !== completion.run) return
   const estimateMilliseconds = record.order.estimateMilliseconds
-  if (completion.kind === 'done') state.upstream.observations.recordDone(now - record.orderedAt, estimateMilliseconds)
+  if (completion.kind === 'done') {
+    const milliseconds = now - record.orderedAt
+    state.upstream.observations.recordDone(milliseconds, estimateMilliseconds)
+    recordRunTime(state, ports, record, milliseconds)
+  }
   if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
