Give cold upstreams a rising share, and show it and evacuations in gauges

Cause: an upstream that comes back cold after an evacuation, a restart or a scale-out was filled at once, and each of its runs took several times as long as planned. Operators could not see in metrics whether a process knows an evacuation. Change: an agent offers a share of the capacity while the heartbeat field cold_remaining_ms is above 0: an eighth at first, then the larger of the elapsed part of the cold time and of the completed work. Heartbeats with 0 or without the field change nothing. New gauges: the offered share, and the number, position and age of the known evacuations; new counter: runs given back. New events: upstream is cold, upstream is warm.

--- a/packages/common/src/event-metrics.ts
+++ b/packages/common/src/event-metrics.ts
@@ -12,6 +12,11 @@
   baobabpost_job_response_seconds: { type: 'histogram', about: 'Time from the arrival of a job to its final answer, by outcome' },
   baobabpost_run_seconds: { type: 'histogram', about: 'Time from the order to the end of a run, by outcome' },
   baobabpost_open: { type: 'gauge', about: 'Jobs without an answer at an entry; runs that run, wait or may yet start at an agent' },
+  baobabpost_offered_share: { type: 'gauge', about: 'Share of its upstream’s capacity that an agent offers for new runs, 0 to 1; below 1 while the upstream is cold' },
+  baobabpost_evacuated_domains: { type: 'gauge', about: 'Number of failure domains that the process knows to be evacuated; absent while it knows no position of the operators’ log' },
+  baobabpost_evacuations_position: { type: 'gauge', about: 'Position of the operators’ log up to which the process knows the evacuations' },
+  baobabpost_evacuations_age_seconds: { type: 'gauge', about: 'Time since the store, or a process that knows at least as much, last confirmed this knowledge' },
+  baobabpost_evacuation_returned_runs_total: { type: 'counter', about: 'Waiting runs that an agent gave back to their entries because its failure domain was evacuated' },
   baobabpost_log_lines_dropped: { type: 'gauge', about: 'Log lines dropped since the start' }
 } as const
 
@@ -23,10 +28,28 @@
   toPrometheusText: () => Promise<string>
 }
 
+type GaugeName = {
+  [Name in keyof typeof EVENT_METRICS]: (typeof EVENT_METRICS)[Name]['type'] extends 'gauge' ? Name : never
+}[keyof typeof EVENT_METRICS]
+
+/** What a process knows of evacuated failure domains. */
+export interface EvacuationReadings {
+  /** Number of evacuated failure domains. */
+  readonly domainCount: number
+  /** Position of the operators' log up to which they are known. */
+  readonly position: number
+  /** Time since this knowledge was last confirmed. */
+  readonly ageMilliseconds: number
+}
+
 /** Functions that return the values of the gauges at each scrape. */
 export interface EventMetricsOptions {
   /** Number of open jobs of an entry, or of open runs of an agent. */
   readonly countOpen: () => number
+  /** Share of the upstream's capacity that is offered for new runs; absent at an entry. */
+  readonly offeredShare?: () => number
+  /** What is known of evacuated failure domains, or undefined; absent where evacuations are not enabled. */
+  readonly evacuations?: () => EvacuationReadings | undefined
   /** Number of log lines dropped since the start. */
   readonly countDroppedLines: () => number
 }
@@ -48,7 +71,14 @@
   })
   const responses = createHistogram('baobabpost_job_response_seconds')
   const runs = createHistogram('baobabpost_run_seconds')
+  const returnedRuns = new Counter({
+    name: 'baobabpost_evacuation_returned_runs_total',
+    help: EVENT_METRICS.baobabpost_evacuation_returned_runs_total.about,
+    registers: [...registries]
+  })
   createGauge('baobabpost_open', options.countOpen)
+  if (options.offeredShare !== undefined) createGauge('baobabpost_offered_share', options.offeredShare)
+  if (options.evacuations !== undefined) createEvacuationGauges(options.evacuations)
   createGauge('baobabpost_log_lines_dropped', options.countDroppedLines)
 
   function createHistogram (name: 'baobabpost_job_response_seconds' | 'baobabpost_run_seconds'): Histogram<'outcome'> {
@@ -57,9 +87,26 @@
     })
   }
 
-  function createGauge (name: 'baobabpost_open' | 'baobabpost_log_lines_dropped', read: () => number): void {
+  /** Creates a gauge, which has no value while `read` returns undefined. */
+  function createGauge (name: GaugeName, read: () => number | undefined): void {
     const gauge = new Gauge({
-      name, help: EVENT_METRICS[name].about, registers: [...registries], collect: () => { gauge.set(read()) }
+      name,
+      help: EVENT_METRICS[name].about,
+      registers: [...registries],
+      collect: () => {
+        const value = read()
+        if (value === undefined) gauge.remove()
+        else gauge.set(value)
+      }
+    })
+  }
+
+  function createEvacuationGauges (read: () => EvacuationReadings | undefined): void {
+    createGauge('baobabpost_evacuated_domains', () => read()?.domainCount)
+    createGauge('baobabpost_evacuations_position', () => read()?.position)
+    createGauge('baobabpost_evacuations_age_seconds', () => {
+      const readings = read()
+      return readings === undefined ? undefined : readings.ageMilliseconds / 1_000
     })
   }
 
@@ -67,6 +114,8 @@
     observe: (event, fields) => {
       const outcome = String(fields?.['outcome'] ?? '')
       events.inc({ event, outcome })
+      const returned = fields?.['returned']
+      if (event === 'evacuations changed' && typeof returned === 'number') returnedRuns.inc(returned)
       const milliseconds = fields?.['milliseconds']
       if (typeof milliseconds !== 'number') return
       if (event === 'job answered') responses.observe({ outcome }, milliseconds / 1_000)
--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -38,6 +38,8 @@
   'upstream found': 'The first heartbeat of an upstream instance arrived: `upstream`, `bornAt`, `service`, `processor`, `labels`',
   'upstream serves': 'The upstream has no unknown runs and can get new ones: `fence` (the fencing token)',
   'upstream drains': 'The upstream accepts no new runs: `upstream`, `bornAt`, `sequence` of the heartbeat',
+  'upstream is cold': 'A heartbeat says that runs take longer for a while, so new runs get a share of the capacity that rises: `upstream`, `bornAt`, `remaining` ms',
+  'upstream is warm': 'The upstream gets new runs for its whole capacity again: `upstream`',
   'heartbeat skipped: out of date': 'A heartbeat came after a later one, or after a later start of the upstream: `upstream`, `bornAt` and `sequence` of the heartbeat, `knownBornAt` and `knownSequence` of the later one, `draining`',
   'upstream left': 'The upstream deregistered: `upstream`',
   'upstream life ended': 'An instance of the upstream ended, and all of its runs with it: `reason`',
--- a/packages/common/tests/event-metrics.test.ts
+++ b/packages/common/tests/event-metrics.test.ts
@@ -1,9 +1,14 @@
 import { describe, expect, it } from 'vitest'
-import { createEventLogger, createEventMetrics, EVENT_METRICS, type LineSink } from '@baobabpost/common'
+import { createEventLogger, createEventMetrics, EVENT_METRICS, type EvacuationReadings, type LineSink } from '@baobabpost/common'
 
 describe('event metrics', () => {
   it('count events, record durations, and include every metric of the list in the text', async () => {
-    const metrics = createEventMetrics({ countOpen: () => 3, countDroppedLines: () => 0 })
+    const metrics = createEventMetrics({
+      countOpen: () => 3,
+      countDroppedLines: () => 0,
+      offeredShare: () => 0.125,
+      evacuations: () => ({ domainCount: 1, position: 7, ageMilliseconds: 1_500 })
+    })
     metrics.observe('job answered', { outcome: 'completed', milliseconds: 84 })
     metrics.observe('run ended', { outcome: 'lapsed', milliseconds: 640 })
     const text = await metrics.toPrometheusText()
@@ -11,6 +16,23 @@
     expect(text).toContain('baobabpost_events_total{event="job answered",outcome="completed"} 1')
     expect(text).toContain('baobabpost_job_response_seconds_bucket{le="0.1",outcome="completed"} 1')
     expect(text).toContain('baobabpost_open 3')
+    expect(text).toContain('baobabpost_offered_share 0.125')
+    expect(text).toContain('baobabpost_evacuated_domains 1')
+    expect(text).toContain('baobabpost_evacuations_position 7')
+    expect(text).toContain('baobabpost_evacuations_age_seconds 1.5')
+  })
+
+  // A 0 would say that no domain is evacuated, which a process that knows nothing can't tell.
+  it('show no evacuations while nothing is known of them, and add up the runs that were given back', async () => {
+    let known: EvacuationReadings | undefined
+    const metrics = createEventMetrics({ countOpen: () => 0, countDroppedLines: () => 0, evacuations: () => known })
+    expect(await metrics.toPrometheusText()).not.toMatch(/^baobabpost_evacuat(ed_domains|ions_position) /m)
+    known = { domainCount: 0, position: 7, ageMilliseconds: 0 }
+    expect(await metrics.toPrometheusText()).toContain('baobabpost_evacuated_domains 0')
+    known = undefined
+    expect(await metrics.toPrometheusText()).not.toMatch(/^baobabpost_evacuat(ed_domains|ions_position) /m)
+    for (const returned of [3, 2]) metrics.observe('evacuations changed', { domains: 'a', position: 8, returned })
+    expect(await metrics.toPrometheusText()).toContain('baobabpost_evacuation_returned_runs_total 5')
   })
 })
 
--- a/packages/fleet-calls/src/size.ts
+++ b/packages/fleet-calls/src/size.ts
@@ -42,6 +42,16 @@
   }
 }
 
+/**
+ * Multiplies a size by a factor.
+ *
+ * @example
+ * scaleSize(capacity, 0.5) // half of it
+ */
+export function scaleSize (size: Size, factor: number): Size {
+  return { processor: size.processor * factor, memory: size.memory * factor, accelerators: size.accelerators * factor }
+}
+
 /**
  * Whether a size fits into the free capacity in every dimension.
  *
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -12,6 +12,9 @@
 /** One-way network delay of an order or its answer. */
 const ORDER_DELAY_MILLISECONDS = 0.3
 
+/** Multiple of their time that runs take at a cold upstream. */
+const COLD_FACTOR = 3
+
 /** Content of a specification for the stand-in: run time at speed 1, size, and whether the task fails. */
 export interface StandInTask {
   readonly milliseconds: number
@@ -28,6 +31,10 @@
   hangs: boolean
   /** Runs that start from now on fail within a few milliseconds. */
   failsAll: boolean
+  /** Runs that start before this time are cold and take `COLD_FACTOR` times as long. */
+  coldUntil: number
+  /** Whether heartbeats say how much longer the upstream is cold. */
+  reportsCold: boolean
   /** No order is answered. */
   isUnresponsive: boolean
 }
@@ -98,7 +105,13 @@
 export function createLeasedUpstream (options: LeasedUpstreamOptions): LeasedUpstream {
   const { now, observer } = options
   const faults: UpstreamFaults = {
-    isOrderDelayed: () => false, orderDelayMilliseconds: 3_000, hangs: false, failsAll: false, isUnresponsive: false
+    isOrderDelayed: () => false,
+    orderDelayMilliseconds: 3_000,
+    hangs: false,
+    failsAll: false,
+    coldUntil: 0,
+    reportsCold: true,
+    isUnresponsive: false
   }
   let startedAt = 1_000
   let sequence = 0
@@ -150,7 +163,7 @@
       task: order.task,
       run: order.run,
       size: standInTask.size,
-      milliseconds: standInTask.milliseconds / options.speed,
+      milliseconds: standInTask.milliseconds / options.speed * (now() < faults.coldUntil ? COLD_FACTOR : 1),
       startedAt: now(),
       timer: undefined
     }
@@ -226,6 +239,11 @@
     return { id: options.changesId === true ? `${options.name}-${startedAt}` : options.name, startedAt }
   }
 
+  function reportCold (): { coldRemainingMilliseconds?: number } {
+    const remaining = faults.coldUntil - now()
+    return faults.reportsCold && remaining > 0 ? { coldRemainingMilliseconds: remaining } : {}
+  }
+
   /** Reports an order by the time at which it was sent: the stand-in itself may carry it out later. */
   function checkLeaving (task: string): void {
     if (leavingAcknowledgedAt === undefined) return
@@ -251,7 +269,8 @@
         failureDomain: options.failureDomain ?? 'domain-1',
         capacity: options.capacity,
         labels: [],
-        isDraining: draining
+        isDraining: draining,
+        ...reportCold()
       }
     },
     instance,
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -1,5 +1,5 @@
 /** Connects an agent's run registry to its upstream and to entries: the listing loop, timers and waiting watches. */
-import type { EventLogger } from '@baobabpost/common'
+import type { EvacuationReadings, EventLogger } from '@baobabpost/common'
 import {
   ENTRY_LEASE_MILLISECONDS, type CallConnection, type CallHandlers, type Start, type StartAnswer, type Watch,
   type WatchAnswer
@@ -32,6 +32,10 @@
   stop: (timeoutMilliseconds: number) => Promise<void>
   /** Number of runs in any state, including the waiting ones. */
   runCount: () => number
+  /** Share of the upstream's capacity that new runs may use, 0 to 1; below 1 while it is cold. */
+  offeredShare: () => number
+  /** What is known of evacuated failure domains; undefined while nothing is. */
+  evacuationReadings: () => EvacuationReadings | undefined
   /** Milliseconds since the last watch of an entry, by its name; `Infinity` without one, 0 while one waits. */
   millisecondsSinceWatch: (entry: string) => number
 }
@@ -200,6 +204,8 @@
     handleDeparture: id => { registry.handleDeparture(id, now()) },
     stop,
     runCount: () => registry.runCount(),
+    offeredShare: () => registry.offeredShare(now()),
+    evacuationReadings: () => registry.evacuationReadings(now()),
     millisecondsSinceWatch: entry => isWatching(entry) ? 0 : now() - (lastWatchAt.get(entry) ?? -Infinity)
   }
 }
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -1,4 +1,5 @@
 /** The agent's decisions about the runs at its upstream, without clock or network access. */
+import type { EvacuationReadings } from '@baobabpost/common'
 import type {
   Start, StartAnswer, Stop, StopAnswer, TellEvacuations, TellEvacuationsAnswer, Watch, WatchAnswer
 } from '@baobabpost/fleet-calls'
@@ -40,6 +41,10 @@
   isIdle: (now: number) => boolean
   /** Number of runs in any state, including the waiting ones. */
   runCount: () => number
+  /** Share of the upstream's capacity that new runs may use, 0 to 1; below 1 while it is cold. */
+  offeredShare: (now: number) => number
+  /** What is known of evacuated failure domains; undefined while nothing is. */
+  evacuationReadings: (now: number) => EvacuationReadings | undefined
   /** Time for which the next list order should wait for a completion. */
   listingWaitMilliseconds: () => number
 }
@@ -80,6 +85,14 @@
     }
   }
 
+  /** Tells entries of the larger share of its capacity that a cold upstream gets. */
+  function followSlowStart (now: number): void {
+    const progress = state.upstream.slowStart.takeProgress(now)
+    if (progress === 'unchanged') return
+    if (progress === 'warm') options.logger.info('upstream is warm', { upstream: state.upstream.instance?.id })
+    ports.wake()
+  }
+
   function listingWaitMilliseconds (): number {
     if (state.upstream.unansweredListings > 0 || state.upstream.phase !== 'serving') return 0
     return state.runs.size > 0 ? LIST_WAIT_MILLISECONDS : IDLE_LIST_WAIT_MILLISECONDS
@@ -129,6 +142,7 @@
     },
     tick: now => {
       expireLeases(now)
+      followSlowStart(now)
       startWaitingRuns(state, ports, now)
       refreshProfile(now)
     },
@@ -145,6 +159,13 @@
       return true
     },
     runCount: () => state.runs.size,
+    evacuationReadings: now => {
+      const known = state.evacuations.state()
+      if (known === undefined) return undefined
+      const { position, domains } = known
+      return { domainCount: domains.length, position, ageMilliseconds: now - state.evacuationsConfirmedAt }
+    },
+    offeredShare: now => state.upstream.slowStart.share(now),
     listingWaitMilliseconds
   }
 }
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -26,6 +26,7 @@
 export function applyEvacuations (
   state: RunRegistryState, ports: RunRegistryPorts, evacuations: EvacuationState, source: string, now: number
 ): void {
+  if (evacuations.position >= (state.evacuations.state()?.position ?? 0)) state.evacuationsConfirmedAt = now
   if (!state.evacuations.merge(evacuations)) return
   const returned = isEvacuated(state) ? state.queue.inOrder().length : 0
   ports.logger.info('evacuations changed', {
@@ -90,9 +91,9 @@
   return Math.round(value * 1_000) / 1_000
 }
 
-function describeLoad (state: RunRegistryState): UpstreamLoad {
+function describeLoad (state: RunRegistryState, now: number): UpstreamLoad {
   return {
-    free: freeCapacity(state),
+    free: freeCapacity(state, now),
     waiting: state.queue.waitingProcessor(),
     releaseRate: roundToThousandths(releaseRate(state)),
     slowness: roundToThousandths(state.upstream.observations.slowness()),
@@ -114,7 +115,7 @@
     incarnation: state.incarnation,
     clock: now,
     cleared: state.isCleared,
-    room: describeLoad(state),
+    room: describeLoad(state, now),
     ...newerEvacuations(state, caller)
   }
   return profileVersion === state.profileVersion ? agentState : { ...agentState, profile: describeProfile(state, now) }
--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -39,6 +39,16 @@
   })
 }
 
+/** Applies what a heartbeat says of how long the upstream remains cold, and tells entries if it has become colder. */
+function recordWarmth (
+  state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat, now: number
+): void {
+  const { coldRemainingMilliseconds, instance } = heartbeat
+  if (!state.upstream.slowStart.recordReport(coldRemainingMilliseconds, now)) return
+  ports.logger.info('upstream is cold', { upstream: instance.id, bornAt: instance.startedAt, remaining: coldRemainingMilliseconds })
+  ports.wake()
+}
+
 /**
  * Applies a heartbeat. One of an earlier instance is ignored; of one that a later heartbeat overtook, only that the
  * upstream leaves is used.
@@ -63,6 +73,7 @@
   if (upstream.heartbeat === undefined || heartbeat.sequence > upstream.heartbeat.sequence) {
     upstream.heartbeat = heartbeat
     upstream.hasDeparted = false
+    recordWarmth(state, ports, heartbeat, now)
   } else {
     logSkipped(state, ports, heartbeat)
   }
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -78,7 +78,11 @@
   const record = state.runs.get(completion.task)
   if (record === undefined || record.state === 'waiting' || record.upstreamRunNumber !== completion.run) return
   const estimateMilliseconds = record.order.estimateMilliseconds
-  if (completion.kind === 'done') state.upstream.observations.recordDone(now - record.orderedAt, estimateMilliseconds)
+  if (completion.kind === 'done') {
+    state.upstream.observations.recordDone(now - record.orderedAt, estimateMilliseconds)
+    const processor = state.upstream.heartbeat?.capacity.processor ?? Infinity
+    state.upstream.slowStart.recordCompletion(record.order.size.processor / Math.max(1, processor))
+  }
   if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,8 +1,9 @@
 /** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
-import { fitsInto, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
 import { FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS } from './run-limits.js'
 import {
-  reserveCapacity, endRun, freeCapacity, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState
+  reserveCapacity, endRun, freeCapacity, hasCapacityFor, recordUpstreamClock, type RunRegistryPorts,
+  type RunRegistryState
 } from './run-registry-state.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import type { OrderAnswer } from './upstream.js'
@@ -50,7 +51,7 @@
     })
   } else {
     const waited = Math.round(now - record.acceptedAt)
-    ports.logger.info('run ordered', { task, run, entry: record.session.entry, waited, free: freeCapacity(state).processor })
+    ports.logger.info('run ordered', { task, run, entry: record.session.entry, waited, free: freeCapacity(state, now).processor })
   }
   record.state = 'ordered'
   record.orderedAt = now
@@ -70,7 +71,7 @@
 export function startWaitingRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   const isAcceptingRuns = isAccepting(state, now)
   for (const record of [...state.queue.inOrder()]) {
-    if (!isAcceptingRuns || fitsInto(record.order.size, freeCapacity(state))) orderStart(state, ports, record, now)
+    if (!isAcceptingRuns || hasCapacityFor(state, record.order.size, now)) orderStart(state, ports, record, now)
     else if (now > record.waitDeadline) endRun(state, ports, record, 'not-started', 'no-room', now)
   }
 }
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -1,12 +1,14 @@
 /** State of an agent's run registry, and the changes to it that several modules share. */
 import type { EventLogger } from '@baobabpost/common'
 import {
-  addSizes, createEvacuationRegister, EMPTY_SIZE, subtractSizes, type EvacuationRegister, type RunOutcome, type Size
+  addSizes, createEvacuationRegister, EMPTY_SIZE, fitsInto, scaleSize, subtractSizes, type EvacuationRegister,
+  type RunOutcome, type Size
 } from '@baobabpost/fleet-calls'
 import { addReport, type EntrySession } from './entry-session.js'
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
-import { TOMBSTONE_RETENTION_MILLISECONDS } from './run-limits.js'
+import { limitCapacity } from './slow-start.js'
+import { OBSERVATION_WEIGHT, TOMBSTONE_RETENTION_MILLISECONDS } from './run-limits.js'
 import type { StartOrder, StopOrder } from './upstream.js'
 import { createUpstreamState, type UpstreamState } from './upstream-state.js'
 
@@ -35,6 +37,8 @@
   /** Orders that must not be accepted again, with the agent time at which the tombstone expires; oldest first. */
   readonly tombstones: Map<string, number>
   reserved: Size
+  /** Moving average of the sizes of the started runs. */
+  usualRun: Size
   /** The current instance of the upstream. */
   upstream: UpstreamState
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
@@ -42,6 +46,8 @@
   fencingToken: number
   /** The evacuated failure domains, as entries have told them. */
   readonly evacuations: EvacuationRegister
+  /** Agent time at which an entry last told as much of them as is known here. */
+  evacuationsConfirmedAt: number
   /** Whether the agent is in its graceful shutdown. */
   isShuttingDown: boolean
   profileVersion: number
@@ -62,10 +68,12 @@
     sessions: new Map(),
     tombstones: new Map(),
     reserved: EMPTY_SIZE,
+    usualRun: EMPTY_SIZE,
     upstream: createUpstreamState(undefined),
     isCleared: false,
     fencingToken,
     evacuations: createEvacuationRegister(),
+    evacuationsConfirmedAt: 0,
     isShuttingDown: false,
     profileVersion: 1,
     profileDigest: ''
@@ -104,9 +112,20 @@
   for (const session of state.sessions.values()) session.leaseUntil -= suspendedMilliseconds
 }
 
-/** Capacity of the upstream that is not reserved. */
-export function freeCapacity (state: RunRegistryState): Size {
-  return subtractSizes(state.upstream.heartbeat?.capacity ?? EMPTY_SIZE, state.reserved)
+/** Capacity of the upstream that is not reserved; while it is cold, of the share that new runs may use. */
+export function freeCapacity (state: RunRegistryState, now: number): Size {
+  const capacity = state.upstream.heartbeat?.capacity ?? EMPTY_SIZE
+  const limit = limitCapacity(capacity, state.upstream.slowStart.share(now), state.usualRun)
+  return subtractSizes(limit, state.reserved)
+}
+
+/** Whether a run may start: it fits into the free capacity, or a cold upstream has the capacity and no other run. */
+export function hasCapacityFor (state: RunRegistryState, size: Size, now: number): boolean {
+  if (fitsInto(size, freeCapacity(state, now))) return true
+  const capacity = state.upstream.heartbeat?.capacity ?? EMPTY_SIZE
+  if (state.upstream.slowStart.share(now) >= 1 || !fitsInto(size, capacity)) return false
+  for (const record of state.runs.values()) if (hasReservedCapacity(record)) return false
+  return true
 }
 
 /** Reserves capacity for a run whose start order is about to be sent. */
@@ -114,6 +133,8 @@
   state.queue.remove(record)
   record.state = 'ordered'
   state.reserved = addSizes(state.reserved, record.order.size)
+  const weight = state.usualRun.processor === 0 ? 1 : OBSERVATION_WEIGHT
+  state.usualRun = addSizes(scaleSize(state.usualRun, 1 - weight), scaleSize(record.order.size, weight))
 }
 
 /** Removes a run from the registry and reports its outcome to its entry. */
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,4 +1,5 @@
 /** What an agent knows of the current instance of its upstream. */
+import { createSlowStart, type SlowStart } from './slow-start.js'
 import { createObservations, type Observations } from './observations.js'
 import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
 import type { UpstreamHeartbeat, UpstreamInstance } from './upstream.js'
@@ -28,6 +29,7 @@
   phase: UpstreamPhase
   readonly clock: UpstreamClock
   readonly observations: Observations
+  readonly slowStart: SlowStart
   /** Number of the last completion that was processed. */
   lastCompletionNumber: number
   /** Agent time of the last listing; 0 before the first. */
@@ -55,6 +57,7 @@
     phase: 'unfenced',
     clock: createUpstreamClock(),
     observations: createObservations(),
+    slowStart: createSlowStart(),
     lastCompletionNumber: 0,
     lastListingAt: 0,
     lastListingClock: 0,
--- a/packages/runs/src/upstream.ts
+++ b/packages/runs/src/upstream.ts
@@ -18,6 +18,8 @@
   readonly capacity: Size
   readonly labels: readonly string[]
   readonly isDraining: boolean
+  /** Remaining time in which runs take longer than usual, after a start or idle time; undefined if not reported. */
+  readonly coldRemainingMilliseconds?: number
 }
 
 /** An order to start a run. */
