--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -12,6 +12,9 @@
 /** One-way network delay of an order or its answer. */
 const ORDER_DELAY_MILLISECONDS = 0.3
 
+/** Multiple of their time that runs take at a cold upstream. */
+const COLD_FACTOR = 3
+
 /** Content of a specification for the stand-in: run time at speed 1, size, and whether the task fails. */
 export interface StandInTask {
   readonly milliseconds: number
@@ -30,6 +33,10 @@
   hangs: boolean
   /** Runs that start from now on fail within a few milliseconds. */
   failsAll: boolean
+  /** Runs that start before this time are cold and take `COLD_FACTOR` times as long. */
+  coldUntil: number
+  /** Whether heartbeats say how much longer the upstream is cold. */
+  reportsCold: boolean
   /** No order is answered. */
   isUnresponsive: boolean
 }
@@ -110,7 +117,13 @@
 export function createLeasedUpstream (options: LeasedUpstreamOptions): LeasedUpstream {
   const { now, observer } = options
   const faults: UpstreamFaults = {
-    isOrderDelayed: () => false, orderDelayMilliseconds: 3_000, hangs: false, failsAll: false, isUnresponsive: false
+    isOrderDelayed: () => false,
+    orderDelayMilliseconds: 3_000,
+    hangs: false,
+    failsAll: false,
+    coldUntil: 0,
+    reportsCold: true,
+    isUnresponsive: false
   }
   let startedAt = 1_000
   let sequence = 0
@@ -163,7 +176,8 @@
       task: order.task,
       run: order.run,
       size: standInTask.size,
-      milliseconds: standInTask.milliseconds * (standInTask.factors?.[Number(order.task.split('.')[3])] ?? 1),
+      milliseconds: standInTask.milliseconds * (standInTask.factors?.[Number(order.task.split('.')[3])] ?? 1) *
+        (now() < faults.coldUntil ? COLD_FACTOR : 1),
       kind: faults.failsAll || standInTask.fails === true ? 'failed' : 'done',
       doneMilliseconds: 0,
       countedAt: now() + (options.fixedMilliseconds ?? 0),
@@ -260,6 +274,11 @@
     return { id: options.changesId === true ? `${options.name}-${startedAt}` : options.name, startedAt }
   }
 
+  function reportCold (): { coldRemainingMilliseconds?: number } {
+    const remaining = faults.coldUntil - now()
+    return faults.reportsCold && remaining > 0 ? { coldRemainingMilliseconds: remaining } : {}
+  }
+
   /** Reports an order by the time at which it was sent: the stand-in itself may carry it out later. */
   function checkLeaving (task: string): void {
     if (leavingAcknowledgedAt === undefined) return
@@ -286,7 +305,8 @@
         failureDomain: options.failureDomain ?? 'domain-1',
         capacity: options.capacity,
         labels: [],
-        isDraining: draining
+        isDraining: draining,
+        ...reportCold()
       }
     },
     instance,
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -28,6 +28,7 @@
 export function applyEvacuations (
   state: RunRegistryState, ports: RunRegistryPorts, evacuations: EvacuationState, source: string, now: number
 ): void {
+  if (evacuations.position >= (state.evacuations.state()?.position ?? 0)) state.evacuationsConfirmedAt = now
   if (!state.evacuations.merge(evacuations)) return
   const returned = isEvacuated(state) ? state.queue.inOrder().length : 0
   ports.logger.info('evacuations changed', {
@@ -93,9 +94,9 @@
   return Math.round(value * 1_000) / 1_000
 }
 
-function describeLoad (state: RunRegistryState): UpstreamLoad {
+function describeLoad (state: RunRegistryState, now: number): UpstreamLoad {
   return {
-    free: freeCapacity(state),
+    free: freeCapacity(state, now),
     waiting: state.queue.waitingProcessor(),
     releaseRate: roundToThousandths(releaseRate(state)),
     slowness: roundToThousandths(state.upstream.observations.slowness()),
@@ -118,7 +119,7 @@
     incarnation: state.incarnation,
     clock: now,
     cleared: state.isCleared,
-    room: describeLoad(state),
+    room: describeLoad(state, now),
     ...newerEvacuations(state, caller)
   }
   if (profileVersion === state.profileVersion) return agentState
@@ -206,7 +207,7 @@
   const queued = queue.map(({ order }) => ({
     size: order.size, runMilliseconds: slowness * order.estimateMilliseconds
   }))
-  const starts = expectedStarts(freeCapacity(state), ends, queued, now)
+  const starts = expectedStarts(freeCapacity(state, now), ends, queued, now)
   for (const [position, { order, waitDeadline }] of queue.entries()) {
     if (tasks.has(order.task) && (starts[position] ?? now) > waitDeadline) return false
   }
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -114,6 +114,8 @@
     const milliseconds = now - record.orderedAt
     state.upstream.observations.recordDone(milliseconds, estimateMilliseconds)
     recordRunTime(state, ports, record, milliseconds)
+    const processor = state.upstream.heartbeat?.capacity.processor ?? Infinity
+    state.upstream.slowStart.recordCompletion(record.order.size.processor / Math.max(1, processor))
   }
   if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,4 +1,5 @@
 /** What an agent knows of the current instance of its upstream. */
+import { createSlowStart, type SlowStart } from './slow-start.js'
 import { createObservations, type Observations } from './observations.js'
 import { createRunTimeModel, type RunTimeModel } from './run-time-model.js'
 import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
@@ -36,6 +37,7 @@
   readonly runTimes: RunTimeModel
   /** Factor of the run times when they were last logged. */
   loggedFactor: number
+  readonly slowStart: SlowStart
   /** Number of the last completion that was processed. */
   lastCompletionNumber: number
   /** Agent time of the last listing; 0 before the first. */
@@ -70,6 +72,7 @@
     observations: createObservations(),
     runTimes: createRunTimeModel(routeFactor),
     loggedFactor: 1,
+    slowStart: createSlowStart(),
     lastCompletionNumber: 0,
     lastListingAt: 0,
     lastListingClock: 0,
