Outlive a closed log pipe, and count the log lines that were lost

An entry or agent of the product's own interface ended when the reader of its log went away, and its callers lost their connections.

Cause: the error of standard error was not handled. In the programs of the platform, lines of a write that failed, as on a full disk, were lost without being counted, and the buffer's bound counted UTF-16 units. Change: the error is ignored; lost lines are counted as dropped; the bound counts bytes.

--- a/packages/common/src/line-sink.ts
+++ b/packages/common/src/line-sink.ts
@@ -57,6 +57,7 @@
   const dropped = { ordinary: 0, essential: 0 }
   let waitingLines: string[] = []
   let waitingBytes = 0
+  let waitingCounts = { ordinary: 0, essential: 0 }
   let isWriting = false
   let isFlushScheduled = false
   let tokens = ORDINARY_LINES_PER_SECOND
@@ -83,24 +84,32 @@
     const text = waitingLines.join('')
     waitingLines = []
     waitingBytes = 0
+    const counts = waitingCounts
+    waitingCounts = { ordinary: 0, essential: 0 }
     isWriting = true
-    writeText(text, () => {
+    writeText(text, isWritten => {
       isWriting = false
+      if (!isWritten) {
+        dropped.ordinary += counts.ordinary
+        dropped.essential += counts.essential
+      }
       scheduleFlush()
     })
   }
 
   return {
     write: (line, isEssential) => {
-      const isFull = waitingBytes + line.length > MAXIMUM_WAITING_BYTES
+      const bytes = Buffer.byteLength(line) + 1
+      const isFull = waitingBytes + bytes > MAXIMUM_WAITING_BYTES
       // Half of the buffer is reserved for essential lines, which explain failures.
-      const isFullForOrdinary = waitingBytes + line.length > MAXIMUM_WAITING_BYTES / 2
+      const isFullForOrdinary = waitingBytes + bytes > MAXIMUM_WAITING_BYTES / 2
       if (isEssential ? isFull : isFullForOrdinary || !takeToken()) {
         dropped[isEssential ? 'essential' : 'ordinary'] += 1
         return
       }
       waitingLines.push(line + '\n')
-      waitingBytes += line.length + 1
+      waitingBytes += bytes
+      waitingCounts[isEssential ? 'essential' : 'ordinary'] += 1
       scheduleFlush()
     },
     dropped: () => ({ ...dropped }),
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -35,6 +35,12 @@
   readonly write?: (line: string) => void
 }
 
+/** Writes a line to standard error. A closed pipe or a full disk loses lines, but must not end the process. */
+function writeToStandardError (line: string): void {
+  if (process.stderr.listenerCount('error') === 0) process.stderr.on('error', () => {})
+  process.stderr.write(line + '\n')
+}
+
 function formatLine (logObject: LogObject, fields: LogFields): string {
   const [message, extra] = logObject.args as [string, LogFields | undefined]
   return JSON.stringify({ time: logObject.date.toISOString(), level: logObject.type, message, ...fields, ...extra })
@@ -48,7 +54,7 @@
  * logger.info('submission accepted', { submission: key, customer: 'medina' })
  */
 export function createLogger (options: LoggerOptions): Logger {
-  const write = options.write ?? (line => { process.stderr.write(line + '\n') })
+  const write = options.write ?? writeToStandardError
   const consola = createConsola({
     level: LogLevels[options.level],
     throttle: 0,
--- a/packages/common/tests/line-sink.test.ts
+++ b/packages/common/tests/line-sink.test.ts
@@ -24,6 +24,24 @@
     expect(sink.dropped()).toEqual({ ordinary: 400, essential: 0 })
   })
 
+  it('counts the lines that a closed pipe or a full disk has lost, and goes on', async () => {
+    const texts: string[] = []
+    const sink = createLineSink({ now, writeText: (text, done) => { done(texts.push(text) > 1) } })
+    sink.write('lost', true)
+    sink.write('lost too', false)
+    await vi.advanceTimersByTimeAsync(60)
+    sink.write('written', true)
+    await vi.advanceTimersByTimeAsync(60)
+    expect(texts[1]).toBe('written\n')
+    expect(sink.dropped()).toEqual({ ordinary: 1, essential: 1 })
+  })
+
+  it('bounds its buffer in bytes', () => {
+    const sink = createLineSink({ now, writeText: () => {} })
+    for (let count = 0; count < 4; count += 1) sink.write('\u20ac'.repeat(100_000), true)
+    expect(sink.dropped().essential).toBe(1)
+  })
+
   it('accepts lines while a stalled reader blocks the write, and drops only ordinary ones', async () => {
     let completeWrite: (() => void) | undefined
     const texts: string[] = []
