Keep timers and loops running after an unexpected error

One unexpected error in a timer ended a process, and one in the handling of a listing ended the agent's loop of listings: the agent lived on, renewed no run lease and answered no completions.

Cause: the bodies of ticks and of the listing loop had no handler of errors, nor had the answer to a stop call at the entry. Change: they are logged ('agent failed', 'entry failed', 'tick failed') and the next tick or listing follows. The ticks of the entry and of the product's own interface have no test of a fault.

--- a/packages/agent/src/agent-run.ts
+++ b/packages/agent/src/agent-run.ts
@@ -113,9 +113,13 @@
     const now = Date.now()
     metrics.timing('loop.lag.milliseconds', Math.max(0, now - lastTickAt - TICK_MILLISECONDS))
     lastTickAt = now
-    execution.tick(now)
+    try {
+      execution.tick(now)
+      options.onTick()
+    } catch (failure) {
+      logger.error('tick failed', { reason: failure instanceof Error ? failure.stack : String(failure) })
+    }
     scheduleFlush()
-    options.onTick()
   }
 
   tick()
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -96,7 +96,11 @@
         logger.warn('stop got no answer', { agent: view.name, reason: String(failure) })
         dispatcher.stopFailed(view, now())
       }
-    )
+    ).catch(logFailure)
+  }
+
+  function logFailure (failure: unknown): void {
+    logger.error('entry failed', { reason: String(failure) })
   }
 
   async function watch (view: AgentView): Promise<void> {
@@ -160,8 +164,12 @@
     const loopDelay = now() - tickedAt - TICK_MILLISECONDS
     tickedAt = now()
     observeDelays(loopDelay, tickedAt)
-    dispatcher.tick(tickedAt)
-    tellEvacuations()
+    try {
+      dispatcher.tick(tickedAt)
+      tellEvacuations()
+    } catch (failure) {
+      logFailure(failure)
+    }
   }, TICK_MILLISECONDS)
 
   return {
--- a/packages/entry/src/running-entry.ts
+++ b/packages/entry/src/running-entry.ts
@@ -184,7 +184,11 @@
   const ticker = setInterval(() => {
     metrics.timing('loop.lag.milliseconds', Math.max(0, now() - lastTickAt - TICK_INTERVAL_MILLISECONDS))
     lastTickAt = now()
-    core.tick(now())
+    try {
+      core.tick(now())
+    } catch (failure) {
+      logger.error('tick failed', { reason: failure instanceof Error ? failure.stack : String(failure) })
+    }
     scheduleFlush()
   }, TICK_INTERVAL_MILLISECONDS)
   const keyTimer = setInterval(keySource.refresh, KEY_REFRESH_INTERVAL_MILLISECONDS)
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -116,8 +116,9 @@
 
   async function runListingLoop (): Promise<void> {
     while (!lifecycle.isStopped) {
-      const answer = await list(registry.listingWaitMilliseconds())
-      await pause(answer.outcome === 'taken' ? LISTING_PAUSE_MILLISECONDS : RETRY_DELAY_MILLISECONDS)
+      // An error must not end the loop: without listings the run lease expires.
+      const answer = await list(registry.listingWaitMilliseconds()).catch(logFailure)
+      await pause(answer?.outcome === 'taken' ? LISTING_PAUSE_MILLISECONDS : RETRY_DELAY_MILLISECONDS)
     }
   }
 
@@ -178,7 +179,11 @@
   }
   let tickTimer: ReturnType<typeof setTimeout> | undefined
   function runTickLoop (): void {
-    registry.tick(now())
+    try {
+      registry.tick(now())
+    } catch (failure) {
+      logFailure(failure)
+    }
     if (lifecycle.isStopped) return
     tickTimer = setTimeout(runTickLoop, registry.runCount() > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS)
   }
