Let operators evacuate a failure domain by the product's own interface

Cause: the product's own interface could only drain one agent, by a register that entries alone know of; entries that lag send tasks to a drained agent, which starts them. Change: commands domain evacuate, domain restore and domain list over a register evacuation/DOMAIN on the log. Entries leave agents of the domain out of placement, tell them at once, and repeat it in each answer to a heartbeat, beside the limit of registers, so that an agent that was started again knows it before it gets a lease. Agents check it with the other start rules before every start, refuse what is queued, and give entries no window. While all joined agents of a service are in evacuated domains its jobs and calls are refused at once, with a Retry-After of 5 s. Unknown domains are refused with the known names. Shown by fleet status, and by job explain as the reason of tasks that agents gave back.

--- a/packages/command-line/src/commands.ts
+++ b/packages/command-line/src/commands.ts
@@ -5,6 +5,9 @@
 import { ConfigurationHistory } from './commands/configuration-history.js'
 import { ConfigurationPublish } from './commands/configuration-publish.js'
 import { ConfigurationStatus } from './commands/configuration-status.js'
+import { DomainEvacuate } from './commands/domain-evacuate.js'
+import { DomainList } from './commands/domain-list.js'
+import { DomainRestore } from './commands/domain-restore.js'
 import { FleetStatus } from './commands/fleet-status.js'
 import { JobCancel } from './commands/job-cancel.js'
 import { JobExplain } from './commands/job-explain.js'
@@ -33,6 +36,9 @@
   call: Call,
   'upstream:list': UpstreamList,
   'upstream:drain': UpstreamDrain,
+  'domain:evacuate': DomainEvacuate,
+  'domain:restore': DomainRestore,
+  'domain:list': DomainList,
   'fleet:status': FleetStatus,
   'report:burn': ReportBurn
 }
--- a/packages/command-line/src/render-fleet.ts
+++ b/packages/command-line/src/render-fleet.ts
@@ -23,6 +23,7 @@
     `partitions  ${status.partitionsOwned} owned, ${status.partitionsCollecting} being taken over`,
     `work        ${status.submissionsRunning} jobs running, ${status.callsPending} calls pending`,
     `waiting     ${queued === '' ? 'nothing' : queued}`,
+    `evacuated   ${status.evacuatedDomains?.join(', ') || 'no failure domain'}`,
     `invariants  ${status.invariantViolations} violations`,
     `agents      ${formatStandingCounts(status.agents)}`
   ]
--- a/packages/configuration/src/create-configuration.ts
+++ b/packages/configuration/src/create-configuration.ts
@@ -7,7 +7,7 @@
 import { createResolver } from './resolver.js'
 
 const CONFIGURATION_KINDS: ReadonlySet<RegisterKind> = new Set<RegisterKind>([
-  'template', 'customer', 'team', 'policy', 'objective', 'drain'
+  'template', 'customer', 'team', 'policy', 'objective', 'drain', 'evacuation'
 ])
 
 /** Whether a register holds configuration, which operators publish. */
--- a/packages/entry/src/current-placement.ts
+++ b/packages/entry/src/current-placement.ts
@@ -5,11 +5,13 @@
 import { createPlacement, type Placement, type PlacementEvent } from '@baobabpost/placement'
 import type { RegisterProjection } from '@baobabpost/platform-log'
 import { isDrained } from './drains.js'
+import type { Evacuations } from './evacuations.js'
 import type { ServiceCapacities } from './service-capacities.js'
 
 export interface CurrentPlacementOptions {
   readonly configuration: Configuration
   readonly projection: RegisterProjection
+  readonly evacuations: Pick<Evacuations, 'isEvacuated'>
   /** Name of the policy. */
   readonly policy: string
   readonly failureDomain: string
@@ -23,7 +25,10 @@
 
 export interface CurrentPlacement {
   current: () => Placement
-  /** Adds or updates an agent; an agent that is drained or not registered as joined is removed instead. */
+  /**
+   * Adds or updates an agent; one that is drained, in an evacuated failure domain or not registered as joined is
+   * removed instead.
+   */
   useAgent: (agent: AgentView) => void
   stopUsingAgent: (agent: AgentIdentity) => void
   /** Decides again for each usable agent whether placement uses it. */
@@ -50,7 +55,8 @@
 
   function useAgent (agent: AgentView): void {
     const { identity, service, slots, window } = agent
-    if (isDrained(projection, identity) || !options.isJoined(identity)) {
+    const isProhibited = isDrained(projection, identity) || options.evacuations.isEvacuated(agent.failureDomain)
+    if (isProhibited || !options.isJoined(identity)) {
       capacities.remove(identity)
       placement.removeAgent(identity)
       return
--- a/packages/entry/src/entry-components.ts
+++ b/packages/entry/src/entry-components.ts
@@ -12,6 +12,7 @@
 import { createCurrentPlacement, type CurrentPlacement } from './current-placement.js'
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
 import type { EntryCoreOptions } from './entry-options.js'
+import { createEvacuations, type Evacuations } from './evacuations.js'
 import { explainSubmission } from './explanation.js'
 import { createJobAdmission } from './job-admission.js'
 import { createOperations, type Operations } from './operations.js'
@@ -24,6 +25,7 @@
   readonly configuration: Configuration
   readonly publisher: Publisher
   readonly membership: Membership
+  readonly evacuations: Evacuations
   readonly ownership: Ownership
   readonly outcomes: Outcomes
   readonly operations: Operations
@@ -82,7 +84,9 @@
     sendToSeeds: options.sendToSeeds
   })
   const queue = createAdmissionQueue({ maximumQueuedTasks: settings.maximumQueuedTasks })
+  const evacuations = createEvacuations({ projection, membership })
   const placement: CurrentPlacement = createCurrentPlacement({
+    evacuations,
     capacities: createServiceCapacities(queue),
     configuration,
     projection,
@@ -99,7 +103,9 @@
   const calls = createCalls({
     requests, queue, outbox, expectedMilliseconds, metrics, onResent: attempt => { dispatcher.markResent(attempt, 0) }
   })
-  const jobAdmission = createJobAdmission({ configuration, queue, expectedMilliseconds, logger })
+  const jobAdmission = createJobAdmission({
+    configuration, queue, expectedMilliseconds, logger, isServiceEvacuated: evacuations.isServiceEvacuated
+  })
 
   const outcomes: Outcomes = createOutcomes({
     ports: {
@@ -171,6 +177,7 @@
     configuration,
     publisher,
     membership,
+    evacuations,
     ownership,
     outcomes,
     operations,
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -4,18 +4,21 @@
  * runs in a process and in a seeded simulation.
  */
 import { PARTITION_COUNT, type AgentIdentity, type EntryIdentity, type ProcessIdentity } from '@baobabpost/common'
-import type { CallRequest, EntryHeartbeatAnswer, LinkMessage } from '@baobabpost/messages'
+import { createProblem, type CallRequest, type EntryHeartbeatAnswer, type LinkMessage } from '@baobabpost/messages'
 import type { LogBatch, LogStatus, RegisterChange } from '@baobabpost/platform-log'
 import type { RequestResult } from '@baobabpost/requests'
 import { createAnswerRecorder } from './answer-recorder.js'
 import type { EntryCoreOptions, EntryCoreSettings } from './entry-options.js'
 import { createEntryComponents, requestPolicyOf, type EntryComponents } from './entry-components.js'
+import { EVACUATED_RETRY_AFTER_MILLISECONDS } from './evacuations.js'
 import { createMembershipHandler } from './membership-handler.js'
 import { createMessageRouter } from './message-router.js'
 import type { OperationRequest } from './operations.js'
 
 /** Time within which a call must be answered if its caller names no deadline. */
 const DEFAULT_CALL_DEADLINE_MILLISECONDS = 30_000
+/** Registers on which it depends which agents placement uses. */
+const AGENT_PROHIBITION = /^(drain|evacuation)\//
 /** Maximum number of refresh records in one append. */
 const MAXIMUM_REFRESH_RECORDS = 200
 
@@ -90,7 +93,15 @@
     ownership.registersChanged(changes, projection.position(), now)
     membershipHandler.handleEvents(membership.registersChanged(changes, now), now)
     if (changes.some(change => change.register === `policy/${settings.policy}`)) applyPolicy()
-    if (changes.some(change => change.register.startsWith('drain/'))) placement.refreshAgents()
+    if (changes.some(({ register }) => AGENT_PROHIBITION.test(register))) placement.refreshAgents()
+    logEvacuations(changes)
+  }
+
+  function logEvacuations (changes: readonly RegisterChange[]): void {
+    const last = changes.findLast(({ register }) => register.startsWith('evacuation/'))
+    if (last === undefined) return
+    const domains = components.evacuations.evacuatedDomains().join(' ')
+    logger.info('evacuations changed', { domains, position: last.version })
   }
 
   function applyPolicy (): void {
@@ -196,6 +207,13 @@
       return requestId
     }
     const { service, customer, callType } = resolution.request
+    if (components.evacuations.isServiceEvacuated(service)) {
+      const problem = createProblem('not-run', `All failure domains with upstreams of ${service} are evacuated`, {
+        reason: 'evacuated', retryAfterMilliseconds: EVACUATED_RETRY_AFTER_MILLISECONDS
+      })
+      call.answer({ kind: 'problem', problem })
+      return requestId
+    }
     calls.begin({
       requestId,
       resolved: resolution.request,
--- a/packages/entry/src/job-admission.ts
+++ b/packages/entry/src/job-admission.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@baobabpost/common'
 import type { Configuration } from '@baobabpost/configuration'
 import type { JobRequest } from '@baobabpost/messages'
+import { EVACUATED_RETRY_AFTER_MILLISECONDS } from './evacuations.js'
 import type { JobResolution, QueueDecision, WaitingTasks } from '@baobabpost/outcomes'
 
 /** Time within which the tasks of a job must start if the caller names no deadline. */
@@ -15,6 +16,8 @@
   /** Returns the run time that placement has learned for a template; undefined if it has learned none. */
   readonly expectedMilliseconds: (template: string) => number | undefined
   readonly logger: Logger
+  /** Whether nothing of the service may start, since all of its agents are in evacuated failure domains. */
+  readonly isServiceEvacuated: (service: string) => boolean
 }
 
 /** Implements the ports of `Outcomes` towards the configuration and the queue. */
@@ -45,6 +48,11 @@
     }))
   }
 
+  function decide (tasks: WaitingTasks, now: number): QueueDecision {
+    if (!options.isServiceEvacuated(tasks.job.service)) return queue.offer(toWaitingTasks(tasks, now), now)
+    return { kind: 'refused', reason: 'evacuated', retryAfterMilliseconds: EVACUATED_RETRY_AFTER_MILLISECONDS }
+  }
+
   return {
     resolve (request, now) {
       const resolution = configuration.resolveJob(request)
@@ -68,7 +76,7 @@
     },
     offer (tasks, now) {
       const { submission, customer } = tasks
-      const decision = queue.offer(toWaitingTasks(tasks, now), now)
+      const decision = decide(tasks, now)
       if (decision.kind === 'admitted') {
         logger.info('submission accepted', { submission, customer, tasks: tasks.indexes.length })
       } else {
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -8,6 +8,7 @@
 import { createConfigurationHistoryRoute } from './routes/configuration-history.js'
 import { createConfigurationStatusRoute } from './routes/configuration-status.js'
 import { createDrainUpstreamRoute } from './routes/drain-upstream.js'
+import { createEvacuateDomainRoute, createListDomainsRoute, createRestoreDomainRoute } from './routes/failure-domains.js'
 import { createExplainSubmissionRoute } from './routes/explain-submission.js'
 import { createFleetStatusRoute } from './routes/fleet-status.js'
 import { createListConfigurationRoute } from './routes/list-configuration.js'
@@ -39,6 +40,9 @@
     createConfigurationStatusRoute(options),
     createFleetStatusRoute(options),
     createDrainUpstreamRoute(options),
+    createListDomainsRoute(options),
+    createEvacuateDomainRoute(options),
+    createRestoreDomainRoute(options),
     createExplainSubmissionRoute(options),
     createBurnReportRoute(options)
   ]
--- a/packages/entry/src/routes/fleet-status.ts
+++ b/packages/entry/src/routes/fleet-status.ts
@@ -33,19 +33,22 @@
 }
 
 function describeAgents (core: EntryCore): FleetAgent[] {
-  const { membership, dispatcher, placement, projection } = core.components
+  const { membership, dispatcher, placement, projection, evacuations } = core.components
   const usable = new Map(membership.usableAgents().map(agent => [agent.identity, agent]))
   const agents: FleetAgent[] = []
   for (const agent of usable.values()) {
     const ejection = placement.ejectionReason(agent.identity)
-    const drained = isDrained(projection, agent.identity)
+    const prohibition = isDrained(projection, agent.identity)
+      ? 'drained'
+      : evacuations.isEvacuated(agent.failureDomain) ? 'failure domain evacuated' : undefined
+    const reason = prohibition ?? ejection
     agents.push({
       identity: agent.identity,
       address: agent.address,
       service: agent.service,
       failureDomain: agent.failureDomain,
-      standing: drained ? 'leaving' : ejection === undefined ? 'usable' : 'ejected',
-      ...(drained ? { reason: 'drained' } : ejection === undefined ? {} : { reason: ejection }),
+      standing: prohibition !== undefined ? 'leaving' : ejection === undefined ? 'usable' : 'ejected',
+      ...(reason === undefined ? {} : { reason }),
       slots: agent.slots,
       window: agent.window,
       unfinished: dispatcher.inFlightCountAt(agent.identity)
@@ -88,6 +91,7 @@
         callsPending: calls.pendingCount(),
         invariantViolations: invariants.violations(),
         queues: queue.services().map(service => ({ service, tasks: queue.length(service) })),
+        evacuatedDomains: core.components.evacuations.evacuatedDomains(),
         entries: describeEntries(core),
         agents: describeAgents(core)
       }
--- a/packages/execution/src/agent-registers.ts
+++ b/packages/execution/src/agent-registers.ts
@@ -1,12 +1,21 @@
 /** The registers that an agent uses, received from entries. Older versions are ignored. */
-import { Policy, registerName, type RegisterValue } from '@baobabpost/messages'
+import type { AgentIdentity } from '@baobabpost/common'
+import { agentRegisterNames, Policy, registerName, type RegisterValue } from '@baobabpost/messages'
 import { Result, Schema } from 'effect'
 
 export interface AgentRegisters {
-  /** Applies registers, and records the log position up to which the agent is then current. */
-  apply: (registers: readonly RegisterValue[], position: number) => void
+  /**
+   * Applies registers, and records the log position up to which the agent is then current.
+   *
+   * @returns whether the agent was drained or its failure domain evacuated, or either was taken back.
+   */
+  apply: (registers: readonly RegisterValue[], position: number) => boolean
   position: () => number
   prefetchTasks: () => number
+  /** Whether an operator has drained this agent. */
+  isDrained: () => boolean
+  /** Whether the failure domain of this agent is evacuated. */
+  isEvacuated: () => boolean
   /** Slots kept free of jobs for each urgent task that runs on average. */
   urgentReserve: () => number
 }
@@ -16,6 +25,13 @@
 const DEFAULT_POLICY = 'default'
 const decodePolicy = Schema.decodeUnknownResult(Policy)
 
+/** What registers are read for. */
+export interface RegisteredAgent {
+  readonly identity: AgentIdentity
+  readonly service: string
+  readonly failureDomain: string
+}
+
 interface KnownPolicy {
   readonly version: number
   readonly prefetchTasks: number | undefined
@@ -25,9 +41,14 @@
 /**
  * Creates the registers of an agent. The policy of the agent's service takes precedence over the policy `default`.
  *
+ * @param agent - The agent, whose drain and the evacuation of whose failure domain count.
  * @param fallbackPrefetchTasks - Used while no policy sets `prefetchTasks`.
  */
-export function createAgentRegisters (service: string, fallbackPrefetchTasks: number): AgentRegisters {
+export function createAgentRegisters (agent: RegisteredAgent, fallbackPrefetchTasks: number): AgentRegisters {
+  const { service } = agent
+  const names = agentRegisterNames(agent.identity, agent.failureDomain)
+  /** Newest version of each register that forbids starts, and whether it has a value. */
+  const prohibitions = new Map<string, { readonly version: number, readonly isInForce: boolean }>()
   const policies = new Map<string, KnownPolicy>()
   const policyNames = [registerName('policy', service), registerName('policy', DEFAULT_POLICY)]
   let position = 0
@@ -46,13 +67,30 @@
     policies.set(register, { version, prefetchTasks, urgentReserve })
   }
 
+  function isInForce (register: string): boolean {
+    return prohibitions.get(register)?.isInForce === true
+  }
+
+  function applyProhibition ({ register, version, value }: RegisterValue): boolean {
+    const known = prohibitions.get(register)
+    if (known !== undefined && known.version >= version) return false
+    prohibitions.set(register, { version, isInForce: value !== null })
+    return (known?.isInForce === true) !== (value !== null)
+  }
+
   return {
     apply (registers, newPosition) {
+      let hasChanged = false
       for (const register of registers) {
+        const isProhibition = register.register === names.drain || register.register === names.evacuation
+        if (isProhibition && applyProhibition(register)) hasChanged = true
         if (register.register.startsWith(POLICY_PREFIX)) applyPolicy(register)
       }
       position = Math.max(position, newPosition)
+      return hasChanged
     },
+    isDrained: () => isInForce(names.drain),
+    isEvacuated: () => isInForce(names.evacuation),
     position: () => position,
     prefetchTasks () {
       for (const name of policyNames) {
--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -40,7 +40,7 @@
   const epochs = createPartitionEpochs()
   const lease = createHeartbeatLease(options.leaseMilliseconds ?? DEFAULT_LEASE_MILLISECONDS)
   const entries = createEntryRegistry(options.entries)
-  const registers = createAgentRegisters(options.service, options.prefetchTasks ?? DEFAULT_PREFETCH_TASKS)
+  const registers = createAgentRegisters(options, options.prefetchTasks ?? DEFAULT_PREFETCH_TASKS)
   const resendMilliseconds = options.resendMilliseconds ?? DEFAULT_RESEND_MILLISECONDS
   const reporter = createReporter({
     outbox: options.outbox,
@@ -59,6 +59,8 @@
     metrics: options.metrics,
     leaseUntil: lease.expiresAt,
     isLeaving: () => currentState() !== 'active',
+    isDrained: registers.isDrained,
+    isEvacuated: registers.isEvacuated,
     highestEpoch: epochs.highest,
     reservedSlotsPerUrgentTask: registers.urgentReserve
   })
@@ -68,7 +70,8 @@
     entries,
     lease,
     heartbeatMilliseconds: options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT_MILLISECONDS,
-    capacity: () => currentState() === 'active' && runner.isUpstreamReachable() && !answers.isExhausted()
+    capacity: () => currentState() === 'active' && runner.isUpstreamReachable() && !answers.isExhausted() &&
+      !registers.isEvacuated()
       ? options.slots + registers.prefetchTasks()
       : 0,
     hasFreeSlots: () => runner.runningCount() < options.slots,
@@ -248,11 +251,20 @@
     answers.releaseAnswer(task)
   }
 
+  /** Refuses the queued tasks if none may start any more, and tells entries of the window that has changed. */
+  function handleProhibition (now: number): void {
+    options.logger.info('starts allowed or forbidden by operators', {
+      drained: registers.isDrained(), evacuated: registers.isEvacuated(), queued: runner.queuedCount()
+    })
+    runner.refuseIneligible(now)
+    announcer.requestRound()
+  }
+
   function handleAnnounced (from: EntryIdentity, answer: Announced, now: number): void {
     const entry = entries.recordContact(from, now)
     if (state === 'leaving' && answer.sequence > lastSequenceBeforeLeaving) entry.hasAcknowledgedLeaving = true
     entries.recordAddresses(answer.entries, now)
-    registers.apply(answer.registers, answer.configurationPosition)
+    if (registers.apply(answer.registers, answer.configurationPosition)) handleProhibition(now)
     if (answer.standing === 'departed') handleDeparture(now)
     else lease.acknowledge(answer.sequence)
   }
--- a/packages/execution/src/start-rules.ts
+++ b/packages/execution/src/start-rules.ts
@@ -11,6 +11,10 @@
   readonly startBefore: number
   readonly leaseUntil: number
   readonly isLeaving: boolean
+  /** Whether an operator has drained this agent. */
+  readonly isDrained: boolean
+  /** Whether the failure domain of this agent is evacuated. */
+  readonly isEvacuated: boolean
 }
 
 export interface StartRule {
@@ -23,6 +27,7 @@
 export const START_RULES: readonly StartRule[] = [
   { reason: 'stale-epoch', refuses: facts => facts.epoch < facts.highestEpoch },
   { reason: 'leaving', refuses: facts => facts.isLeaving },
+  { reason: 'evacuated', refuses: facts => facts.isEvacuated },
   { reason: 'lease-lapsed', refuses: facts => facts.now >= facts.leaseUntil },
   { reason: 'expired', refuses: facts => facts.now >= facts.startBefore }
 ]
--- a/packages/execution/src/task-runner.ts
+++ b/packages/execution/src/task-runner.ts
@@ -46,6 +46,8 @@
   readonly metrics: Metrics
   readonly leaseUntil: () => number
   readonly isLeaving: () => boolean
+  readonly isDrained: () => boolean
+  readonly isEvacuated: () => boolean
   readonly highestEpoch: (partition: number) => number
   /** Slots kept free of jobs for each urgent task that runs on average. */
   readonly reservedSlotsPerUrgentTask: () => number
@@ -92,7 +94,9 @@
       highestEpoch: partition === undefined ? 0 : options.highestEpoch(partition),
       startBefore: group.startBefore,
       leaseUntil: options.leaseUntil(),
-      isLeaving: options.isLeaving()
+      isLeaving: options.isLeaving(),
+      isDrained: options.isDrained(),
+      isEvacuated: options.isEvacuated()
     }
   }
 
--- a/packages/execution/tests/agent-under-test.ts
+++ b/packages/execution/tests/agent-under-test.ts
@@ -145,6 +145,16 @@
   }
 }
 
+/** Creates a message that tells one register without answering a heartbeat, unless `sequence` names one. */
+export function registersMessage (register: string, version: number, value: unknown = {}, sequence = 0): LinkMessage {
+  return {
+    method: 'announced',
+    parameters: {
+      sequence, standing: 'joined', entries: [], registers: [{ register, version, value }], configurationPosition: 0
+    }
+  }
+}
+
 /** Creates a group of tasks with the given indexes, in partition 7 by default. */
 export function createGroup (
   submission: string, indexes: readonly number[], overrides: Partial<DispatchGroup> = {}
--- a/packages/execution/tests/random-orders.test.ts
+++ b/packages/execution/tests/random-orders.test.ts
@@ -8,8 +8,8 @@
 import type { EntryIdentity } from '@baobabpost/common'
 import type { TaskOutcome } from '@baobabpost/messages'
 import {
-  announcedMessage, collectMessage, createAgentUnderTest, createGroup, dispatchMessage, FIRST_ENTRY, SECOND_ENTRY,
-  withdrawMessage, type AgentUnderTest
+  announcedMessage, collectMessage, createAgentUnderTest, createGroup, dispatchMessage, FIRST_ENTRY, registersMessage,
+  SECOND_ENTRY, withdrawMessage, type AgentUnderTest
 } from './agent-under-test.js'
 
 const SEED = Number(process.env['PROPERTY_SEED'] ?? 20_261_203)
@@ -42,6 +42,7 @@
   | { readonly kind: 'withdraw', readonly owner: number, readonly submission: number, readonly indexes: number[] }
   | { readonly kind: 'collect', readonly owner: number }
   | { readonly kind: 'announced', readonly back: number, readonly standing: 'joined' | 'pending' | 'departed' }
+  | { readonly kind: 'evacuation', readonly back: number, readonly isEvacuated: boolean }
   | { readonly kind: 'complete', readonly which: number, readonly result: TaskResult }
   | { readonly kind: 'acknowledge', readonly which: number }
   | { readonly kind: 'pause', readonly milliseconds: number }
@@ -77,6 +78,12 @@
       standing: fc.constantFrom('joined' as const, 'joined' as const, 'joined' as const, 'joined' as const, 'pending' as const, 'departed' as const)
     })
   },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('evacuation' as const), back: fc.constantFrom(0, 0, 1), isEvacuated: fc.boolean()
+    })
+  },
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('complete' as const), which: fc.nat({ max: 3 }), result }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('acknowledge' as const), which: fc.nat({ max: 20 }) }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('pause' as const), milliseconds: fc.constantFrom(10, 200, 700, 2_000, 4_000) }) },
@@ -111,6 +118,8 @@
   let leaseUntil = 0
   let hasDeparted = false
   let isLeaving = false
+  let isEvacuated = false
+  let evacuationVersion = 0
   let highestEpoch = 0
   let pausedMilliseconds = 0
   const running: Array<{ submission: string, index: number }> = []
@@ -146,6 +155,7 @@
     if (now >= model.startBefore) violations.push(`${key} started at ${now}, but had to start before ${model.startBefore}`)
     if (now >= leaseUntil || hasDeparted) violations.push(`${key} started without a lease`)
     if (isLeaving) violations.push(`${key} started while leaving`)
+    if (isEvacuated) violations.push(`${key} started in an evacuated failure domain`)
     if (running.length > 2) violations.push('more tasks run than there are slots')
   })
 
@@ -227,6 +237,17 @@
     agent.receive(SECOND_ENTRY, announcedMessage(number, [FIRST_ENTRY, SECOND_ENTRY], step.standing))
   }
 
+  /** Delivers the next version of the evacuation, or a late copy of an earlier one, which changes nothing. */
+  function evacuation (step: Extract<Step, { kind: 'evacuation' }>): void {
+    if (step.back === 0) {
+      evacuationVersion += 1
+      isEvacuated = step.isEvacuated
+    }
+    const version = evacuationVersion - step.back
+    if (version <= 0) return
+    agent.receive(FIRST_ENTRY, registersMessage('evacuation/dakar-1', version, step.isEvacuated ? {} : null))
+  }
+
   function complete (which: number, end: TaskResult): void {
     const [task] = running.splice(which, 1)
     if (task === undefined) return
@@ -253,6 +274,9 @@
       case 'announced':
         announced(step)
         break
+      case 'evacuation':
+        evacuation(step)
+        break
       case 'complete':
         complete(step.which, step.result)
         break
--- a/packages/execution/tests/start-rules.test.ts
+++ b/packages/execution/tests/start-rules.test.ts
@@ -2,12 +2,12 @@
 import { START_RULES } from '@baobabpost/execution'
 import type { NotRunReason } from '@baobabpost/messages'
 import {
-  announcedMessage, START_TIME, collectMessage, createAgentUnderTest, createCall, createGroup, dispatchMessage,
-  FIRST_ENTRY,
-  ownedWithdrawMessage,
-  SECOND_ENTRY, type AgentUnderTest
+  announcedMessage, collectMessage, createAgentUnderTest, createCall, createGroup, dispatchMessage, FIRST_ENTRY,
+  ownedWithdrawMessage, registersMessage, SECOND_ENTRY, START_TIME, type AgentUnderTest
 } from './agent-under-test.js'
 
+const EVACUATION = 'evacuation/dakar-1'
+
 /** For each start rule, an event after which the rule refuses a task that is queued or dispatched. */
 const CASES: ReadonlyArray<{ reason: NotRunReason, preventStart: (agent: AgentUnderTest) => void }> = [
   {
@@ -17,6 +17,7 @@
     }
   },
   { reason: 'leaving', preventStart: agent => { agent.execution.leave(agent.now()) } },
+  { reason: 'evacuated', preventStart: agent => { agent.receive(SECOND_ENTRY, registersMessage(EVACUATION, 9)) } },
   { reason: 'lease-lapsed', preventStart: agent => { agent.advance(3_000) } },
   { reason: 'expired', preventStart: agent => { agent.advance(1_400) } }
 ]
@@ -69,7 +70,7 @@
     expect(agent.violations.join()).toContain('start-allowed')
   })
 
-  test.each(['stale-epoch', 'leaving'] as const)('%s: without the rule a late dispatch starts, and the start is reported as a violation', reason => {
+  test.each(['stale-epoch', 'leaving', 'evacuated'] as const)('%s: without the rule a late dispatch starts, and the start is reported as a violation', reason => {
     const agent = createAgentUnderTest({ startRules: START_RULES.filter(rule => rule.reason !== reason) })
     agent.grantLease()
     CASES.find(one => one.reason === reason)?.preventStart(agent)
@@ -79,6 +80,60 @@
   })
 })
 
+describe('an agent that operators forbid to start anything', () => {
+  // Entries that lag, or were cut off, know nothing of the evacuation and send tasks all the same.
+  test.each([[EVACUATION, 'evacuated']] as const)(
+    '%s: refuses what entries send until it hears of a newer version', (register, reason) => {
+      const agent = createAgentUnderTest()
+      agent.grantLease()
+      agent.receive(SECOND_ENTRY, registersMessage(register, 9))
+      agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('first', [0])))
+      agent.receive(FIRST_ENTRY, registersMessage(register, 8, null))
+      agent.receive(FIRST_ENTRY, announcedMessage(0, [FIRST_ENTRY]))
+      agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('second', [0])))
+      agent.flush()
+      expect(agent.startedTasks).toEqual([])
+      expect(agent.outcomes.get('first/0')).toEqual({ status: 'not-run', reason })
+      expect(agent.outcomes.get('second/0')).toEqual({ status: 'not-run', reason })
+      agent.receive(FIRST_ENTRY, registersMessage(register, 10, null))
+      agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('third', [0])))
+      expect(agent.startedTasks).toHaveLength(1)
+    })
+
+  test('refuses its queued tasks at once, completes the running ones, and gives entries no window', () => {
+    const agent = createAgentWithQueuedTask(undefined)
+    agent.receive(SECOND_ENTRY, registersMessage(EVACUATION, 9))
+    agent.flush()
+    expect(agent.outcomes.get('job/2')).toEqual({ status: 'not-run', reason: 'evacuated' })
+    expect([...agent.execution.snapshot().windows.values()].every(window => window === 0)).toBe(true)
+    agent.succeed('job', 0)
+    agent.flush()
+    expect(agent.outcomes.get('job/0')).toMatchObject({ status: 'succeeded' })
+    expect(agent.abortedTasks).toEqual([])
+  })
+
+  test('knows it after a restart with the answer that gives it a lease, before any start', () => {
+    const agent = createAgentUnderTest()
+    agent.tick()
+    const sequence = agent.seedAnnounces[0]?.sequence ?? 0
+    agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('early', [0])))
+    agent.receive(FIRST_ENTRY, registersMessage(EVACUATION, 9, {}, sequence))
+    agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('late', [0])))
+    expect(agent.startedTasks).toEqual([])
+  })
+
+  test('ignores the evacuation of another domain and the drain of another agent, and no message extends its lease', () => {
+    const agent = createAgentUnderTest()
+    agent.grantLease()
+    const { leaseUntil } = agent.execution.snapshot()
+    agent.advance(1_000)
+    for (const register of ['evacuation/dakar-2', 'drain/agent-2']) agent.receive(FIRST_ENTRY, registersMessage(register, 9))
+    expect(agent.execution.snapshot().leaseUntil).toBe(leaseUntil)
+    agent.receive(FIRST_ENTRY, dispatchMessage(createGroup('job', [0])))
+    expect(agent.startedTasks).toHaveLength(1)
+  })
+})
+
 describe('task memory', () => {
   test('a repeated dispatch starts no task again, whether the task is queued, running or finished', () => {
     const agent = createAgentUnderTest({ slots: 1 })
--- a/packages/membership/src/agent-watch.ts
+++ b/packages/membership/src/agent-watch.ts
@@ -3,6 +3,7 @@
 import {
   NEVER_WRITTEN_VERSION, registerName, type AgentRegistration, type Announce, type Announced, type RegisterWrite
 } from '@baobabpost/messages'
+import { createAnnounceAnswers } from './announce-answers.js'
 import type { AgentView, MembershipEvent, MembershipOptions } from './membership.js'
 import type { PauseClock } from './pause-clock.js'
 import { rankOf } from './rank.js'
@@ -16,8 +17,6 @@
 /** Extra delay per rank, so that an entry appends only if those of a lower rank did not. */
 const RANK_DELAY_MILLISECONDS = 300
 const APPEND_RETRY_MILLISECONDS = 1_000
-/** Maximum number of registers in one answer to a heartbeat. */
-const MAXIMUM_ANSWER_REGISTERS = 100
 /** Maximum number of writes in one log record. */
 const MAXIMUM_RECORD_WRITES = 100
 const REMOVAL_CHECK_INTERVAL_MILLISECONDS = 1_000
@@ -55,6 +54,8 @@
   handleAnnounce: (announce: Announce) => readonly MembershipEvent[]
   /** Handles a changed registration; `null` where it was removed. */
   registrationChanged: (identity: AgentIdentity, registration: AgentRegistration | null) => readonly MembershipEvent[]
+  /** Tells agents at once of changed registers that forbid them to start anything, or allow it again. */
+  prohibitionsChanged: (registers: ReadonlySet<string>) => void
   tick: (now: number) => readonly MembershipEvent[]
   usable: () => readonly AgentView[]
   suspected: () => readonly AgentIdentity[]
@@ -74,6 +75,7 @@
   const departureAppendedAt = new Map<AgentIdentity, number>()
   /** Unix time at which each agent became suspected. */
   const suspectedSince = new Map<AgentIdentity, number>()
+  const answers = createAnnounceAnswers({ ...options, standingOf: announce => statusOf(announce.identity) })
   let pendingWrites: RegisterWrite[] = []
   let nextRemovalCheckAt = 0
 
@@ -166,20 +168,6 @@
     return hasContactWithAgents && 2 * suspectedRegistrations.length < joined.length
   }
 
-  function answerAnnounce (announce: Announce): void {
-    const delta = projection.changesSince(announce.configurationPosition, MAXIMUM_ANSWER_REGISTERS, 'policy')
-    outbox.send(announce.identity, {
-      method: 'announced',
-      parameters: {
-        sequence: announce.sequence,
-        standing: statusOf(announce.identity),
-        entries: options.entryAddresses(),
-        registers: delta.registers,
-        configurationPosition: delta.position
-      }
-    })
-  }
-
   function checkAgent (agentIdentity: AgentIdentity, agent: WatchedAgent, now: number): MembershipEvent[] {
     const silentMilliseconds = clock.runningMilliseconds() - agent.lastSeenAt
     if (silentMilliseconds < SUSPECT_AFTER_MILLISECONDS) {
@@ -234,6 +222,9 @@
   }
 
   return {
+    prohibitionsChanged (changed) {
+      answers.tellProhibitions(changed, [...agents.values()].map(({ announce }) => announce))
+    },
     handleAnnounce (announce) {
       let agent = agents.get(announce.identity)
       if (agent === undefined) {
@@ -251,7 +242,7 @@
       if (announce.sequence >= agent.announce.sequence) agent.announce = announce
       agent.lastSeenAt = clock.runningMilliseconds()
       suspectedSince.delete(announce.identity)
-      answerAnnounce(announce)
+      answers.answer(announce)
       if (statusOf(announce.identity) === 'departed') return []
       if (agent.announce.state === 'active') return reportUsable(agent)
       if (agent.reportedState === 'leaving') return []
--- a/packages/membership/src/create-membership.ts
+++ b/packages/membership/src/create-membership.ts
@@ -71,6 +71,7 @@
         if (kind !== 'agent') continue
         events.push(...watch.registrationChanged(name as AgentIdentity, value as AgentRegistration | null))
       }
+      watch.prohibitionsChanged(new Set(changes.map(({ register }) => register)))
       return [...events, ...reportEntryChanges()]
     },
     tick (now) {
--- a/packages/messages/src/operator.ts
+++ b/packages/messages/src/operator.ts
@@ -10,6 +10,9 @@
  * | `GET /v1/configuration/KIND/NAME/history` | `ConfigurationHistory` |
  * | `GET /v1/configuration-status` | `ConfigurationStatus` |
  * | `POST /v1/upstreams/AGENT/drain` | `DrainAccepted` |
+ * | `GET /v1/domains` | `DomainList` |
+ * | `POST /v1/domains/DOMAIN/evacuate` | `FailureDomain` |
+ * | `POST /v1/domains/DOMAIN/restore` | `FailureDomain` |
  * | `GET /v1/submissions/KEY/explanation` | `Explanation` |
  * | `GET /v1/report/burn` | `BurnReport` |
  *
@@ -85,6 +88,8 @@
   callsPending: NonNegativeInt,
   invariantViolations: NonNegativeInt,
   queues: Schema.Array(QueueLength),
+  /** Evacuated failure domains; absent if the entry does not know of evacuations. */
+  evacuatedDomains: Schema.optionalKey(Schema.Array(Name)),
   entries: Schema.Array(FleetEntry),
   agents: Schema.Array(FleetAgent)
 })
@@ -159,6 +164,27 @@
 export const DrainAccepted = Schema.Struct({ agent: AgentIdentity, standing: AgentStatus, unfinished: NonNegativeInt })
 export type DrainAccepted = typeof DrainAccepted.Type
 
+/** A failure domain, and how far its state is in force. */
+export const FailureDomain = Schema.Struct({
+  name: Name,
+  evacuated: Schema.Boolean,
+  /** Reason that the operator gave; absent if the domain is in service. */
+  reason: Schema.optionalKey(Schema.String),
+  /** Log offset of the last evacuation or restoration; 0 if there was none. */
+  version: NonNegativeInt,
+  /** Usable agents in the domain, and how many of them know this state. */
+  agents: NonNegativeInt,
+  agentsInformed: NonNegativeInt,
+  /** Live entries of the fleet, and how many of them know this state. */
+  entries: NonNegativeInt,
+  entriesInformed: NonNegativeInt
+})
+export type FailureDomain = typeof FailureDomain.Type
+
+/** Answer of `GET /v1/domains`, sorted by name. */
+export const DomainList = Schema.Struct({ domains: Schema.Array(FailureDomain) })
+export type DomainList = typeof DomainList.Type
+
 /** One step in the processing of a submission. */
 export const ExplanationStep = Schema.Struct({
   /** Unix time of the step. */
--- a/packages/messages/src/outcome.ts
+++ b/packages/messages/src/outcome.ts
@@ -19,6 +19,7 @@
   'lease-lapsed',
   'expired',
   'leaving',
+  'evacuated',
   'window-exceeded',
   'owner-lost'
 ] as const
--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -85,6 +85,10 @@
 export const Drain = Schema.Struct({ name: Name, reason: Schema.String.check(Schema.isMaxLength(200)) })
 export type Drain = typeof Drain.Type
 
+/** Register `evacuation/DOMAIN`: no agent in this failure domain gets or starts new work while the register exists. */
+export const Evacuation = Schema.Struct({ name: Name, reason: Schema.String.check(Schema.isMaxLength(200)) })
+export type Evacuation = typeof Evacuation.Type
+
 /** Register `partition/NUMBER`: the owner of a partition of submission keys; the version is the epoch. */
 export const PartitionOwner = Schema.Struct({
   owner: EntryIdentity,
@@ -123,6 +127,7 @@
   policy: Policy,
   objective: Objective,
   drain: Drain,
+  evacuation: Evacuation,
   burn: BurnBucket,
   partition: PartitionOwner,
   entry: EntryRegistration,
@@ -131,6 +136,20 @@
 
 export type RegisterKind = keyof typeof REGISTER_SCHEMAS
 
+/**
+ * Returns the names of the registers under which an agent must start nothing while they have a value. The drain is
+ * recorded under the agent's name, so it outlasts a restart of the agent.
+ *
+ * @example
+ * agentRegisterNames(identity, 'dakar-1') // { drain: 'drain/agent-7', evacuation: 'evacuation/dakar-1' }
+ */
+export function agentRegisterNames (
+  identity: AgentIdentity, failureDomain: string
+): { readonly drain: string, readonly evacuation: string } {
+  const name = identity.slice(0, identity.lastIndexOf('@'))
+  return { drain: registerName('drain', name), evacuation: registerName('evacuation', failureDomain) }
+}
+
 /**
  * Builds the name of a register.
  *
--- a/packages/outcomes/src/arrivals.ts
+++ b/packages/outcomes/src/arrivals.ts
@@ -173,7 +173,10 @@
       const fields = decision === undefined
         ? {}
         : { reason: decision.reason, retryAfterMilliseconds: decision.retryAfterMilliseconds }
-      lifecycle.answer(operation.waiter, problemResult('not-run', 'The queue does not take the job', fields), now)
+      const detail = decision?.reason === 'evacuated'
+        ? 'All failure domains with upstreams of the service are evacuated'
+        : 'The queue does not take the job'
+      lifecycle.answer(operation.waiter, problemResult('not-run', detail, fields), now)
       return
     }
     store.add(job)
--- a/packages/outcomes/src/outcomes.ts
+++ b/packages/outcomes/src/outcomes.ts
@@ -59,7 +59,7 @@
   | { readonly kind: 'admitted' }
   | {
     readonly kind: 'refused'
-    readonly reason: 'overloaded' | 'quota' | 'deadline'
+    readonly reason: 'overloaded' | 'quota' | 'deadline' | 'evacuated'
     readonly retryAfterMilliseconds: number
   }
 
--- a/packages/requests/src/call-state.ts
+++ b/packages/requests/src/call-state.ts
@@ -71,6 +71,7 @@
   'lease-lapsed': 'try-elsewhere',
   expired: 'try-elsewhere',
   leaving: 'try-elsewhere',
+  evacuated: 'try-elsewhere',
   'window-exceeded': 'try-elsewhere',
   'owner-lost': 'try-elsewhere',
   withdrawn: 'try-elsewhere',
