--- a/packages/execution/src/create-execution.ts
+++ b/packages/execution/src/create-execution.ts
@@ -40,8 +40,7 @@
   const epochs = createPartitionEpochs()
   const lease = createHeartbeatLease(options.leaseMilliseconds ?? DEFAULT_LEASE_MILLISECONDS)
   const entries = createEntryRegistry(options.entries)
-  const registers = createAgentRegisters(
-    options.identity, options.service, options.prefetchTasks ?? DEFAULT_PREFETCH_TASKS)
+  const registers = createAgentRegisters(options, options.prefetchTasks ?? DEFAULT_PREFETCH_TASKS)
   const resendMilliseconds = options.resendMilliseconds ?? DEFAULT_RESEND_MILLISECONDS
   const reporter = createReporter({
     outbox: options.outbox,
@@ -59,7 +58,9 @@
     invariants: options.invariants,
     metrics: options.metrics,
     leaseUntil: lease.expiresAt,
-    isLeaving: () => currentState() !== 'active' || registers.isDrained(),
+    isLeaving: () => currentState() !== 'active',
+    isDrained: registers.isDrained,
+    isEvacuated: registers.isEvacuated,
     highestEpoch: epochs.highest,
     reservedSlotsPerUrgentTask: registers.urgentReserve
   })
@@ -69,10 +70,10 @@
     entries,
     lease,
     heartbeatMilliseconds: options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT_MILLISECONDS,
-    capacity: () => {
-      const mayStart = currentState() === 'active' && !registers.isDrained() && runner.isUpstreamReachable()
-      return mayStart && !answers.isExhausted() ? options.slots + registers.prefetchTasks() : 0
-    },
+    capacity: () => currentState() === 'active' && runner.isUpstreamReachable() && !answers.isExhausted() &&
+      !registers.isDrained() && !registers.isEvacuated()
+      ? options.slots + registers.prefetchTasks()
+      : 0,
     hasFreeSlots: () => runner.runningCount() < options.slots,
     isLeaving: () => currentState() === 'leaving',
     configurationPosition: registers.position
@@ -250,12 +251,20 @@
     answers.releaseAnswer(task)
   }
 
+  /** Refuses the queued tasks if none may start any more, and tells entries of the window that has changed. */
+  function handleProhibition (now: number): void {
+    options.logger.info('starts allowed or forbidden by operators', {
+      drained: registers.isDrained(), evacuated: registers.isEvacuated(), queued: runner.queuedCount()
+    })
+    runner.refuseIneligible(now)
+    announcer.requestRound()
+  }
+
   function handleAnnounced (from: EntryIdentity, answer: Announced, now: number): void {
     const entry = entries.recordContact(from, now)
     if (state === 'leaving' && answer.sequence > lastSequenceBeforeLeaving) entry.hasAcknowledgedLeaving = true
     entries.recordAddresses(answer.entries, now)
-    registers.apply(answer.registers, answer.configurationPosition)
-    if (registers.isDrained()) runner.refuseQueued('leaving', now, () => true)
+    if (registers.apply(answer.registers, answer.configurationPosition)) handleProhibition(now)
     if (answer.standing === 'departed') handleDeparture(now)
     else lease.acknowledge(answer.sequence)
   }
--- a/packages/membership/src/agent-watch.ts
+++ b/packages/membership/src/agent-watch.ts
@@ -3,7 +3,7 @@
 import {
   NEVER_WRITTEN_VERSION, registerName, type AgentRegistration, type Announce, type Announced, type RegisterWrite
 } from '@baobabpost/messages'
-import { selectAgentConfiguration } from './agent-configuration.js'
+import { createAnnounceAnswers } from './announce-answers.js'
 import type { AgentView, MembershipEvent, MembershipOptions } from './membership.js'
 import type { PauseClock } from './pause-clock.js'
 import { rankOf } from './rank.js'
@@ -54,6 +54,8 @@
   handleAnnounce: (announce: Announce) => readonly MembershipEvent[]
   /** Handles a changed registration; `null` where it was removed. */
   registrationChanged: (identity: AgentIdentity, registration: AgentRegistration | null) => readonly MembershipEvent[]
+  /** Tells agents at once of changed registers that forbid them to start anything, or allow it again. */
+  prohibitionsChanged: (registers: ReadonlySet<string>) => void
   tick: (now: number) => readonly MembershipEvent[]
   usable: () => readonly AgentView[]
   suspected: () => readonly AgentIdentity[]
@@ -73,6 +75,7 @@
   const departureAppendedAt = new Map<AgentIdentity, number>()
   /** Unix time at which each agent became suspected. */
   const suspectedSince = new Map<AgentIdentity, number>()
+  const answers = createAnnounceAnswers({ ...options, standingOf: announce => statusOf(announce.identity) })
   let pendingWrites: RegisterWrite[] = []
   let nextRemovalCheckAt = 0
 
@@ -165,20 +168,6 @@
     return hasContactWithAgents && 2 * suspectedRegistrations.length < joined.length
   }
 
-  function answerAnnounce (announce: Announce): void {
-    const { registers, position } = selectAgentConfiguration(projection, announce)
-    outbox.send(announce.identity, {
-      method: 'announced',
-      parameters: {
-        sequence: announce.sequence,
-        standing: statusOf(announce.identity),
-        entries: options.entryAddresses(),
-        registers,
-        configurationPosition: position
-      }
-    })
-  }
-
   function checkAgent (agentIdentity: AgentIdentity, agent: WatchedAgent, now: number): MembershipEvent[] {
     const silentMilliseconds = clock.runningMilliseconds() - agent.lastSeenAt
     if (silentMilliseconds < SUSPECT_AFTER_MILLISECONDS) {
@@ -233,6 +222,9 @@
   }
 
   return {
+    prohibitionsChanged (changed) {
+      answers.tellProhibitions(changed, [...agents.values()].map(({ announce }) => announce))
+    },
     handleAnnounce (announce) {
       let agent = agents.get(announce.identity)
       if (agent === undefined) {
@@ -250,7 +242,7 @@
       if (announce.sequence >= agent.announce.sequence) agent.announce = announce
       agent.lastSeenAt = clock.runningMilliseconds()
       suspectedSince.delete(announce.identity)
-      answerAnnounce(announce)
+      answers.answer(announce)
       if (statusOf(announce.identity) === 'departed') return []
       if (agent.announce.state === 'active') return reportUsable(agent)
       if (agent.reportedState === 'leaving') return []
