Describe an agent's profile only when something in it changed

Cause: each listing, tick and heartbeat encoded the profile of the upstream as JSON to see whether it had changed. The figures of a busy machine could not be compared between two runs of the measuring command. Change: the profile is encoded only for another heartbeat or when acceptance changes. The command measures two versions at the same time (--compare), takes flags of Node.js (--flag) and tells the time in the system.

--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -8,7 +8,7 @@
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
 import { handleListAnswer } from './listings.js'
-import { leaseUntil, startWaitingRuns, handleStartAnswer, handleStopAnswer } from './orders.js'
+import { isAccepting, leaseUntil, startWaitingRuns, handleStartAnswer, handleStopAnswer } from './orders.js'
 import { createRunRegistryState, type RunRegistryPorts } from './run-registry-state.js'
 import { IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
 import type { RunRecord } from './run-record.js'
@@ -62,7 +62,15 @@
   const state = createRunRegistryState(options.incarnation, options.fencingToken)
   const ports: RunRegistryPorts = options
 
+  /** Heartbeat and acceptance of the profile that was described last: a profile depends on nothing else. */
+  let describedHeartbeat: UpstreamHeartbeat | undefined
+  let wasAccepting: boolean | undefined
+
   function refreshProfile (now: number): void {
+    const isAcceptingNow = isAccepting(state, now)
+    if (state.upstream.heartbeat === describedHeartbeat && isAcceptingNow === wasAccepting) return
+    describedHeartbeat = state.upstream.heartbeat
+    wasAccepting = isAcceptingNow
     const digest = JSON.stringify({ ...describeProfile(state, now), version: 0 })
     if (digest === state.profileDigest) return
     state.profileDigest = digest
--- a/tools/measure-call-cost.mjs
+++ b/tools/measure-call-cost.mjs
@@ -1,11 +1,13 @@
 /**
  * Measures what a job costs the bundled programs on loopback stand-ins: processor time, bytes, reads and writes.
  *
- * `node tools/measure-call-cost.mjs [--entries N] [--agents N] [--rate JOBS_PER_SECOND] [--seconds N] [--profile]`
+ * `node tools/measure-call-cost.mjs [--entries N] [--agents N] [--rate JOBS_PER_SECOND] [--seconds N] [--profile]
+ * [--compare DIRECTORY] [--flag=FLAG_OF_NODE]...`
  *
  * Prints one line for each role. The figures are sums over all processes of the role, for each job; without load
  * (`--rate 0`) for each second and process. With --profile, functions keep their names, and the share of processor time
- * by cause follows for each role. Linux only: the figures come from /proc.
+ * by cause follows for each role. With --compare, bundled programs of another version in DIRECTORY, as tools/bundle.mjs
+ * writes them, run the same load at the same time: on a busy machine only such figures can be compared. Linux only: the figures come from /proc.
  */
 import { execFileSync } from 'node:child_process'
 import { mkdtempSync, readdirSync, readFileSync, rmSync } from 'node:fs'
@@ -15,6 +17,7 @@
 import { parseArgs } from 'node:util'
 import { build } from 'esbuild'
 
+/** Third octet of the loopback addresses; programs to compare with get the next one. */
 const NETWORK = 120
 const CAPACITY = { processor: 64_000, memory: 131_072, accelerators: 0 }
 const CLOCK_TICK_MILLISECONDS = 10
@@ -48,7 +51,9 @@
     agents: { type: 'string', default: '2' },
     rate: { type: 'string', default: '22' },
     seconds: { type: 'string', default: '20' },
-    profile: { type: 'boolean', default: false }
+    profile: { type: 'boolean', default: false },
+    compare: { type: 'string' },
+    flag: { type: 'string', multiple: true, default: [] }
   }
 })
 const [entries, agents, rate, seconds] = [values.entries, values.agents, values.rate, values.seconds].map(Number)
@@ -58,6 +63,7 @@
   const io = Object.fromEntries(readFileSync(`/proc/${pid}/io`, 'utf8').trim().split('\n').map(line => line.split(': ')))
   return {
     milliseconds: (Number(fields[11]) + Number(fields[12])) * CLOCK_TICK_MILLISECONDS,
+    'of them in the system': Number(fields[12]) * CLOCK_TICK_MILLISECONDS,
     bytes: Number(io.rchar) + Number(io.wchar),
     reads: Number(io.syscr),
     writes: Number(io.syscw)
@@ -65,9 +71,9 @@
 }
 
 function sumUsage (processes, role) {
-  const sum = { milliseconds: 0, bytes: 0, reads: 0, writes: 0 }
+  const sum = {}
   for (const { pid } of processes.filter(process => process.role === role)) {
-    for (const [name, value] of Object.entries(readUsage(pid))) sum[name] += value
+    for (const [name, value] of Object.entries(readUsage(pid))) sum[name] = (sum[name] ?? 0) + value
   }
   return sum
 }
@@ -125,25 +131,16 @@
   }
 }
 
-const directory = mkdtempSync(join(tmpdir(), 'baobabpost-cost-'))
-try {
-  execFileSync(process.execPath, ['tools/bundle.mjs', directory, ...(values.profile ? ['--readable'] : [])])
-  const siteModule = join(directory, 'site.mjs')
-  await build({
-    entryPoints: ['platform/tests/stand-in-site.ts'],
-    outfile: siteModule,
-    bundle: true,
-    platform: 'node',
-    format: 'esm',
-    tsconfig: 'tsconfig.bundle.json',
-    banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url)" }
-  })
-  const { startStandInSite } = await import(siteModule)
-  const site = await startStandInSite(NETWORK, Array.from({ length: agents }, () => 1), {
+/** Starts a site with the bundled programs of a directory, runs the load and prints the figures. */
+async function measure (startStandInSite, network, programDirectory, label) {
+  const site = await startStandInSite(network, Array.from({ length: agents }, () => 1), {
     entries,
     capacity: CAPACITY,
-    programDirectory: directory,
-    nodeFlags: values.profile ? ['--cpu-prof', `--cpu-prof-dir=${directory}`] : []
+    programDirectory,
+    nodeFlags: [
+      ...values.profile ? ['--cpu-prof', `--cpu-prof-dir=${directory}`] : [],
+      ...programDirectory === directory ? values.flag : []
+    ]
   })
   if (rate > 0) await sendJobs(site, WARM_UP_SECONDS, 'a0')
   else await pause(1_000 * WARM_UP_SECONDS)
@@ -156,11 +153,31 @@
     const after = sumUsage(site.processes, role)
     const divisor = rate > 0 ? completed : elapsedSeconds * (role === 'entry' ? entries : agents)
     const figures = Object.keys(after).map(name => `${((after[name] - before[role][name]) / divisor).toFixed(2)} ${name}`)
-    console.log(`${role} (${entries} entries, ${agents} agents): ${figures.join(', ')} ${rate > 0 ? 'a job' : 'a second'}`)
+    console.log(`${label}: ${role} (${entries} entries, ${agents} agents): ${figures.join(', ')} ${rate > 0 ? 'a job' : 'a second'}`)
   }
-  if (rate > 0) console.log(`${completed} of ${Math.ceil(rate * seconds)} jobs completed in ${elapsedSeconds.toFixed(1)} s`)
+  if (rate > 0) console.log(`${label}: ${completed} of ${Math.ceil(rate * seconds)} jobs completed in ${elapsedSeconds.toFixed(1)} s`)
   await site.stop()
-  if (values.profile) for (const role of ['entry', 'agent']) printCauses(directory, site.processes, role)
+  if (values.profile && programDirectory === directory) for (const role of ['entry', 'agent']) printCauses(directory, site.processes, role)
+}
+
+const directory = mkdtempSync(join(tmpdir(), 'baobabpost-cost-'))
+try {
+  execFileSync(process.execPath, ['tools/bundle.mjs', directory, ...(values.profile ? ['--readable'] : [])])
+  const siteModule = join(directory, 'site.mjs')
+  await build({
+    entryPoints: ['platform/tests/stand-in-site.ts'],
+    outfile: siteModule,
+    bundle: true,
+    platform: 'node',
+    format: 'esm',
+    tsconfig: 'tsconfig.bundle.json',
+    banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url)" }
+  })
+  const { startStandInSite } = await import(siteModule)
+  await Promise.all([
+    measure(startStandInSite, NETWORK, directory, 'this version'),
+    ...values.compare === undefined ? [] : [measure(startStandInSite, NETWORK + 1, values.compare, values.compare)]
+  ])
 } finally {
   rmSync(directory, { recursive: true })
 }
