Log why an agent opens a connection to its upstream

Cause: new connections to upstreams are priced, and nothing told why they were opened. Change: the event "upstream connection opened" names the reason: the first one, others in use, or why the one before was closed; one line a second at most, with the number of connections since the last. Measured: no count of connections under load yet.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -36,6 +36,7 @@
   'entry found': 'An entry called for the first time since it started: `entry`, `incarnation`',
   'fence raised': 'The upstream rejected a fencing token as too old, and the agent raised it: `fence`, `reason`',
   'upstream found': 'The first heartbeat of an upstream instance arrived: `upstream`, `bornAt`, `service`, `processor`, `labels`',
+  'upstream connection opened': 'The agent opened connections to its upstream; at most one line a second: `address`, `reason` (first, others in use, or why the one before was closed), number of `open` ones besides it, number `opened` since the last line',
   'upstream serves': 'The upstream has no unknown runs and can get new ones: `fence` (the fencing token)',
   'upstream drains': 'The upstream accepts no new runs: `upstream`, `bornAt`, `sequence` of the heartbeat',
   'heartbeat skipped: out of date': 'A heartbeat came after a later one, or after a later start of the upstream: `upstream`, `bornAt` and `sequence` of the heartbeat, `knownBornAt` and `knownSequence` of the later one, `draining`',
