--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -46,6 +46,7 @@
   readonly id: string
   readonly standInTask: StandInTask
   readonly taskCount: number
+  readonly route?: string
   readonly priority?: number
   readonly maximumAttempts?: number
   readonly estimateMilliseconds?: number
@@ -229,7 +230,7 @@
     submissions.set(job.id, submission)
     const withdraw = entry.program.dispatcher.submit({
       id: job.id,
-      route: 'route',
+      route: job.route ?? 'route',
       service: SERVICE,
       priority: job.priority ?? 0,
       specification: JSON.stringify(job.standInTask),
