--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -49,6 +49,7 @@
   readonly route?: string
   readonly standInTask: StandInTask
   readonly taskCount: number
+  readonly route?: string
   readonly priority?: number
   readonly maximumAttempts?: number
   readonly estimateMilliseconds?: number
