Take work from slow, failing and silent upstreams by degrees

Cause: an upstream kept all of its work up to a failure share of 0.4 and lost all of it there. A slow-down was learned when the slow runs ended, the later the slower the upstream. Change: agents compare the time and the progress of present runs with the expected ones and tell the pace when most of several runs are late; a single late run says nothing. Entries give each upstream a share that falls with failures, pace and silence, sets aside at most a third of the capacity, and rises again by runs; probes go with jobs that have slack. No task is started twice. Both sides log what they decide.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -37,6 +37,8 @@
     ports.evacuationsChanged?.(view.name)
   }
   view.refusedSince = undefined
+  // A restarted agent was not silent: its new incarnation begins with what entries remember.
+  if (!view.isReachable && view.lastContactAt > 0 && view.incarnationSince < now) view.silentUntil = now
   view.isReachable = true
   if (answer.clock < view.lastAgentClock) return true
   view.lastAgentClock = answer.clock
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -31,6 +31,12 @@
   unconfirmedSize: Size
   /** Whether the agent was last told that its failure domain is evacuated; false for a new incarnation. */
   isToldEvacuated: boolean
+  /** When it answered again after a silence; undefined without one. Its share of the work rises again from then. */
+  silentUntil: number | undefined
+  /** Credit of an agent whose share of the work is below 1; it may be chosen at 1. */
+  shareCredit: number
+  /** Share of the work when it was last logged. */
+  loggedShare: number
   /** When tasks were last sent there; spaces the probes of an ejected agent. */
   lastSentAt: number
 }
@@ -61,6 +67,9 @@
     refusedSince: undefined,
     unconfirmedSize: EMPTY_SIZE,
     isToldEvacuated: false,
+    silentUntil: undefined,
+    shareCredit: 0,
+    loggedShare: 1,
     lastSentAt: 0
   }
 }
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -195,7 +195,7 @@
   const isBehindOthers = state.waiting.some(other => !other.isLate && !other.isAnswered)
   if (!isBehindOthers) {
     if (abandonIfHopeless(state, ports, job, now)) return
-    const agents = agentsFor(state, job.request.service)
+    const agents = agentsFor(state, job.request.service, now)
     if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) return
   }
   state.waiting.push(job)
@@ -245,7 +245,7 @@
     if (job.isAnswered || abandonIfHopeless(state, ports, job, now)) continue
     if (tried.has(job)) {
       const { service } = job.request
-      const agents = agentsByService.get(service) ?? agentsFor(state, service)
+      const agents = agentsByService.get(service) ?? agentsFor(state, service, now)
       agentsByService.set(service, agents)
       if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) continue
     }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -12,6 +12,7 @@
   BUSY_WATCH_MILLISECONDS, IDLE_WATCH_BOUNDS_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT, PROCESS_PAUSE_MILLISECONDS
 } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
+import { logShares } from './ejection.js'
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
 import { answerJob } from './job-completion.js'
 import { LearnedRunTimes } from './learned-run-times.js'
@@ -99,7 +100,8 @@
     stops,
     waiting: [],
     nextTurn: 0,
-    lastAssignPassAt: 0
+    lastAssignPassAt: 0,
+    lastShareLogAt: 0
   }
   const ports: DispatcherPorts = options
   let lastTickAt: number | undefined
@@ -156,6 +158,7 @@
     endRunsOfUnresponsiveAgents(state, ports, now)
     state.stops.flush(now)
     assignWaiting(state, ports, now)
+    logShares(state, ports, now)
   }
 
   function agentFound (name: string, address: string): AgentView | undefined {
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -45,6 +45,8 @@
   nextTurn: number
   /** When the last pass over the waiting jobs began, on the entry's steady clock in milliseconds. */
   lastAssignPassAt: number
+  /** When changed shares of upstreams were last looked for. */
+  lastShareLogAt: number
 }
 
 /** Orders of one job that are to be sent to one agent. */
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -3,17 +3,20 @@
 import { isUsable, type AgentView } from './agent-view.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherState } from './dispatcher-state.js'
-import { findEjectedAgents } from './ejection.js'
+import { findShares, hasCredit, PROBE_SHARE } from './ejection.js'
 import type { Job, JobTask } from './job.js'
 import type { PlacementChoice } from './placement.js'
 
+/** Share of its objective that a job has left if it has slack for a probe. */
+const PROBE_REMAINING_SHARE = 0.9
+
 /** Agents of a service that may get work, by their distance from the entry. */
 export interface AgentsByDistance {
   /** Agents in the entry's failure domain. */
   readonly near: readonly AgentView[]
   readonly far: readonly AgentView[]
-  /** Names of the ejected ones among them, which get one task at a time as a probe. */
-  readonly ejected: ReadonlySet<string>
+  /** Shares below 1 of the work that agents among them get, by name; with hardly any, one task at a time as a probe. */
+  readonly shares: ReadonlyMap<string, number>
   /** Whether the service has upstreams, and all of them are in evacuated failure domains. */
   readonly areAllEvacuated: boolean
 }
@@ -27,7 +30,7 @@
 }
 
 /** Returns the usable agents of a service. */
-export function agentsFor (state: DispatcherState, service: string): AgentsByDistance {
+export function agentsFor (state: DispatcherState, service: string, now: number): AgentsByDistance {
   const usable: AgentView[] = []
   let evacuatedCount = 0
   let otherCount = 0
@@ -40,14 +43,14 @@
     otherCount += 1
     if (isUsable(view)) usable.push(view)
   }
-  const ejected = findEjectedAgents(usable)
+  const shares = findShares(usable, now)
   const near: AgentView[] = []
   const far: AgentView[] = []
   for (const view of usable) {
     if (view.profile?.failureDomain === state.failureDomain) near.push(view)
     else far.push(view)
   }
-  return { near, far, ejected, areAllEvacuated: evacuatedCount > 0 && otherCount === 0 }
+  return { near, far, shares, areAllEvacuated: evacuatedCount > 0 && otherCount === 0 }
 }
 
 /** Counts the tasks of a step that are assigned to an agent or planned there. */
@@ -74,8 +77,14 @@
   return Math.max(0, job.request.arrivedAt + job.objectiveMilliseconds - now)
 }
 
-/** Whether an ejected agent may get a task as a probe: none was sent or planned there within the interval of probes. */
-function isProbeDue (view: AgentView, plan: JobPlan, now: number): boolean {
+/**
+ * Whether an agent with hardly any share may get a task as a probe: none was sent or planned there within the interval
+ * of probes, and the job has slack: it is late in any case, or has used little of its objective and no attempt.
+ */
+function isProbeDue (view: AgentView, task: JobTask, job: Job, plan: JobPlan, now: number): boolean {
+  const hasSlack = job.isLate ||
+    (task.failures === 0 && remainingMillisecondsOf(job, now) >= PROBE_REMAINING_SHARE * job.objectiveMilliseconds)
+  if (!hasSlack) return false
   if (now - view.lastSentAt < PROBE_INTERVAL_MILLISECONDS) return false
   for (const { agent } of plan.values()) if (agent === view) return false
   return true
@@ -83,10 +92,14 @@
 
 /** Returns the agents that may run a task; those where it ended without success only if there are no others. */
 function candidatesFor (
-  agents: readonly AgentView[], ejected: ReadonlySet<string>, task: JobTask, job: Job, plan: JobPlan, now: number
+  agents: readonly AgentView[], shares: ReadonlyMap<string, number>, task: JobTask, job: Job, plan: JobPlan, now: number
 ): readonly AgentView[] {
-  const eligible = agents.filter(view =>
-    mayRun(view, task, job, plan) && (!ejected.has(view.name) || isProbeDue(view, plan, now)))
+  const eligible = agents.filter(view => {
+    if (!mayRun(view, task, job, plan)) return false
+    const share = shares.get(view.name)
+    if (share === undefined) return true
+    return share <= PROBE_SHARE ? isProbeDue(view, task, job, plan, now) : hasCredit(view, share)
+  })
   const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
   return preferred.length > 0 ? preferred : eligible
 }
@@ -113,12 +126,12 @@
     remainingMilliseconds,
     now
   })
-  const near = candidatesFor(agents.near, agents.ejected, task, job, plan, now)
+  const near = candidatesFor(agents.near, agents.shares, task, job, plan, now)
   const nearChoice = choose(near)
   const isInTime = nearChoice !== undefined && nearChoice.waitMilliseconds === 0 &&
     nearChoice.finishMilliseconds <= remainingMilliseconds
   if (isInTime || agents.far.length === 0) return nearChoice
-  return choose([...near, ...candidatesFor(agents.far, agents.ejected, task, job, plan, now)])
+  return choose([...near, ...candidatesFor(agents.far, agents.shares, task, job, plan, now)])
 }
 
 /**
@@ -132,6 +145,7 @@
   const choice = chooseAgent(state, job, task, agents, plan, now)
   if (choice === undefined) return undefined
   plan.set(task, choice)
+  if (agents.shares.has(choice.agent.name)) choice.agent.shareCredit = 0
   choice.agent.unconfirmedSize = addSizes(choice.agent.unconfirmedSize, task.step.size)
   return choice
 }
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -5,7 +5,7 @@
 import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import type { RunRecord } from './run-record.js'
 import type { ListAnswer, ListedCompletion, Listing, UpstreamInstance } from './upstream.js'
-import { recordRunTime } from './run-time-reports.js'
+import { recordPace, recordRunTime } from './run-time-reports.js'
 import { createUpstreamState } from './upstream-state.js'
 
 /**
@@ -82,7 +82,7 @@
   if (completion.kind === 'done') {
     const milliseconds = now - record.orderedAt
     state.upstream.observations.recordDone(milliseconds, estimateMilliseconds)
-    recordRunTime(state, ports, record, milliseconds)
+    recordRunTime(state, ports, record, milliseconds, now)
   }
   if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
@@ -215,6 +215,7 @@
   for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
   if (isOutOfOrder) return
   stopUnknownRuns(state, ports, listing)
+  recordPace(state, ports, listing, now)
   recordProgress(state, ports, listing, now)
   endMissingRuns(state, ports, new Map(listing.running.map(({ task, run }) => [task, run])), requestedAt, now)
 }
--- a/packages/runs/src/run-time-reports.ts
+++ b/packages/runs/src/run-time-reports.ts
@@ -1,8 +1,10 @@
 /** What an agent tells entries of its upstream's run times, and what it takes over from them. */
 import { boundFactor, type RunOrder, type RunTimes, type Start, type UpstreamLoad } from '@baobabpost/fleet-calls'
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
+import type { PresentRun } from './pace.js'
 import type { RunRecord } from './run-record.js'
 import type { RunWork } from './run-time-model.js'
+import type { Listing } from './upstream.js'
 
 /** Routes of which a factor is kept; bounds the profile that a new entry gets. */
 const MAXIMUM_ROUTE_FACTORS = 64
@@ -40,9 +42,10 @@
 
 /** Records the time of a run that was done; logs what is learned if it has changed a lot. */
 export function recordRunTime (
-  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, milliseconds: number
+  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, milliseconds: number, now: number
 ): void {
   const { upstream } = state
+  upstream.pace.recordDone(milliseconds / upstream.runTimes.expect(record.work), now)
   upstream.runTimes.recordDone(record.work, milliseconds)
   const runTimes = upstream.runTimes.runTimes()
   const [, factor, , , runs] = runTimes
@@ -56,7 +59,28 @@
   ports.logger.info('run times learned', { fixed, factor, spread, tail, runs, source })
 }
 
+/** Compares the runs of a listing with their expected times; logs when most of them become late, and when not. */
+export function recordPace (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
+  const { upstream } = state
+  const present: PresentRun[] = []
+  for (const { task, run, percent } of listing.running) {
+    const record = state.runs.get(task)
+    if (record?.state !== 'running' || record.upstreamRunNumber !== run) continue
+    const expectedMilliseconds = upstream.runTimes.expect(record.work)
+    present.push({ task, run, percent, elapsedMilliseconds: now - record.orderedAt, expectedMilliseconds })
+  }
+  upstream.pace.observe(present, now)
+  const pace = upstream.pace.pace()
+  const isSlow = pace > 1
+  if (upstream.isLoggedSlow === isSlow) return
+  upstream.isLoggedSlow = isSlow
+  if (isSlow) ports.logger.warn('upstream slows down', { pace: Math.round(pace * 10) / 10, runs: present.length })
+  else ports.logger.info('upstream is in time again', { runs: present.length })
+}
+
 /** Returns the part of the load that describes run times. */
 export function describeRunTimes (state: RunRegistryState): Pick<UpstreamLoad, 'runTimes' | 'pace'> {
-  return { runTimes: state.upstream.runTimes.runTimes() }
+  const runTimes = state.upstream.runTimes.runTimes()
+  const pace = Math.round(state.upstream.pace.pace() * 100) / 100
+  return pace > 1 ? { runTimes, pace } : { runTimes }
 }
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,5 +1,6 @@
 /** What an agent knows of the current instance of its upstream. */
 import { createObservations, type Observations } from './observations.js'
+import { createPace, type Pace } from './pace.js'
 import { createRunTimeModel, type RunTimeModel } from './run-time-model.js'
 import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
 import type { UpstreamHeartbeat, UpstreamInstance } from './upstream.js'
@@ -30,6 +31,9 @@
   readonly clock: UpstreamClock
   readonly observations: Observations
   readonly runTimes: RunTimeModel
+  readonly pace: Pace
+  /** Whether the upstream was last logged as slowing down. */
+  isLoggedSlow: boolean
   /** Factor of the run times when they were last logged. */
   loggedFactor: number
   /** Number of the last completion that was processed. */
@@ -63,6 +67,8 @@
     clock: createUpstreamClock(),
     observations: createObservations(),
     runTimes: createRunTimeModel(routeFactor),
+    pace: createPace(),
+    isLoggedSlow: false,
     loggedFactor: 1,
     lastCompletionNumber: 0,
     lastListingAt: 0,
