Know the time of a task away from its rack

Cause: a task away from the rack of its data takes 1.5 to 3 times as long, which counted against its upstream; placement added a cost that was not that time. Entries expect the time away, tell it with the order, and leave it out of the route's factor; agents leave it out of the upstream's.

--- a/packages/dispatching/src/learned-run-times.ts
+++ b/packages/dispatching/src/learned-run-times.ts
@@ -73,15 +73,15 @@
  */
 export class LearnedRunTimes extends RunTimeEstimates {
   readonly #logger: EventLogger
-  readonly #farMultiplier: number
+  readonly #farMultiplier: number | undefined
   readonly #routes = new Map<string, RouteRunTimes>()
   readonly #upstreams = new Map<string, UpstreamRunTimes>()
   readonly #scales = new Map<string, ServiceScale>()
   readonly #deliveries = createRecentValues(
     DELIVERY_ANSWERS, Array.from({ length: ASSUMED_DELIVERIES }, () => USUAL_ANSWER_MARGIN_MILLISECONDS))
 
-  /** @param farMultiplier - Factor on the run time of a task away from the rack of its data. */
-  constructor (logger: EventLogger, farMultiplier = 1) {
+  /** @param farMultiplier - Factor on the run time of a task away from the rack of its data, where it is known. */
+  constructor (logger: EventLogger, farMultiplier?: number) {
     super()
     this.#logger = logger
     this.#farMultiplier = farMultiplier
@@ -98,6 +98,10 @@
     return { usualMilliseconds, plannedMilliseconds: usualMilliseconds * ratio }
   }
 
+  override knowsAwayTime (): boolean {
+    return this.#farMultiplier !== undefined
+  }
+
   override answerMargin (): number {
     const { minimum, maximum } = DELIVERY_BOUNDS_MILLISECONDS
     return Math.min(maximum, Math.max(minimum, this.#deliveries.quantile(DELIVERY_SHARE)))
@@ -181,7 +185,7 @@
   }
 
   #awayFactor (view: AgentView, { rack }: JobStep): number {
-    return rack === undefined || view.profile?.labels.includes(rack) === true ? 1 : this.#farMultiplier
+    return rack === undefined || view.profile?.labels.includes(rack) === true ? 1 : this.#farMultiplier ?? 1
   }
 
   /** Returns an upstream's factor relative to the geometric mean of its service: routes carry the common scale. */
--- a/packages/dispatching/src/placement.ts
+++ b/packages/dispatching/src/placement.ts
@@ -108,7 +108,9 @@
       cost += STALE_VIEW_COST_MILLISECONDS * staleness(view, request.now) +
         MAXIMUM_PREFERENCE_COST_MILLISECONDS * view.preference
       const { rack } = request.task.step
-      if (rack !== undefined && view.profile?.labels.includes(rack) !== true) cost += choice.finishMilliseconds
+      const isAway = rack !== undefined && view.profile?.labels.includes(rack) !== true
+      // Where the time away is known, it is part of the finish.
+      if (isAway && request.runTimes?.knowsAwayTime() !== true) cost += choice.finishMilliseconds
       if (cost >= bestCost) continue
       bestCost = cost
       best = choice
--- a/packages/dispatching/src/run-time-estimates.ts
+++ b/packages/dispatching/src/run-time-estimates.ts
@@ -23,6 +23,8 @@
 export abstract class RunTimeEstimates {
   /** Returns the times of a task of a step at an upstream. */
   abstract expect (view: AgentView, step: JobStep, route: string): ExpectedRun
+  /** Whether `expect` knows how much longer a task takes away from the rack of its data. */
+  abstract knowsAwayTime (): boolean
   /** Time that an answer takes beside the run: its start call, its report and the entry's own work. */
   abstract answerMargin (): number
   /** Factor on the estimates of a route by which a job's objective follows the true length of its tasks. */
@@ -56,6 +58,10 @@
     return expectBySlowness(view, step)
   }
 
+  override knowsAwayTime (): boolean {
+    return false
+  }
+
   override answerMargin (): number {
     return USUAL_ANSWER_MARGIN_MILLISECONDS
   }
--- a/packages/dispatching/tests/learned-run-times.test.ts
+++ b/packages/dispatching/tests/learned-run-times.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest'
 import { silentLogger } from '@baobabpost/common'
 import {
-  createAgentView, createRecentValues, LearnedRunTimes, plannedRatio, type AgentView, type JobRequest, type JobStep
+  createAgentView, createJob, createRecentValues, EarliestFinishPlacement, LearnedRunTimes, plannedRatio,
+  type AgentView, type JobRequest, type JobStep
 } from '@baobabpost/dispatching'
 import type { RunTimes } from '@baobabpost/fleet-calls'
 
@@ -138,6 +139,63 @@
   })
 })
 
+describe('a task with a rack', () => {
+  const away = stepOf(100, 'rack-b')
+  const near = stepOf(100, 'rack-a')
+
+  it('is expected to take as many times as long away from it, and its order says so', () => {
+    const { model, view } = createModel(2.5)
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96])
+    expect(model.expect(view, near, 'urgent').usualMilliseconds).toBeCloseTo(FIXED_MILLISECONDS + 100)
+    expect(model.expect(view, away, 'urgent').usualMilliseconds).toBeCloseTo(FIXED_MILLISECONDS + 250)
+    expect(model.describeOrder(view, away)).toEqual({ awayFactor: 2.5 })
+    expect(model.describeOrder(view, near)).toEqual({})
+  })
+
+  it('does not change the factor of its route by running away from its data', () => {
+    const { model, view } = createModel(2.5)
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96])
+    const request = requestOf('urgent', away)
+    for (let index = 0; index < 48; index += 1) {
+      model.recordDone({ view, request, step: away, milliseconds: FIXED_MILLISECONDS + 250 })
+    }
+    expect(model.factorOf('urgent')).toBeCloseTo(1)
+  })
+
+  // Where the settings give no factor, a deployment is served as before.
+  it('has no time away where no factor is known', () => {
+    const { model, view } = createModel()
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96])
+    expect(model.expect(view, away, 'urgent')).toEqual(model.expect(view, near, 'urgent'))
+    expect(model.describeOrder(view, away)).toEqual({})
+    expect(model.knowsAwayTime()).toBe(false)
+  })
+
+  it('goes to its rack while that is the earlier finish, and elsewhere when it is not', () => {
+    const { model, view } = createModel(2)
+    const distant = createAgentView('entry-1', 'agent-2', '10.1.0.2:7720')
+    answer(model, view, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96])
+    answer(model, distant, [FIXED_MILLISECONDS, 1, 0.05, 0.1, 96])
+    const rackStep = stepOf(1_000, 'rack-a')
+    distant.profile = { ...(distant.profile ?? expect.fail('no profile')), labels: ['rack-b'] }
+    const job = createJob(requestOf('urgent', rackStep), () => {})
+    const choose = (): string | undefined => new EarliestFinishPlacement().choose({
+      task: job.tasks[0] ?? expect.fail('no task'),
+      priority: 0,
+      route: 'urgent',
+      runTimes: model,
+      candidates: [distant, view],
+      usedAgents: new Set(),
+      failureDomain: 'domain-1',
+      remainingMilliseconds: 10_000,
+      now: 0
+    })?.agent.name
+    expect(choose()).toBe('agent-1')
+    view.load = { ...view.load, free: { ...CAPACITY, processor: 0 }, releaseRate: 1 }
+    expect(choose()).toBe('agent-2')
+  })
+})
+
 describe('the planned quantile', () => {
   it('rises with the number of tasks that must all be in time', () => {
     const ratios = [1, 2, 4, 8, 2_000].map(count => plannedRatio(count, 0.1, 0.2))
--- a/packages/runs/tests/run-time-reports.test.ts
+++ b/packages/runs/tests/run-time-reports.test.ts
@@ -55,6 +55,23 @@
     expect(Math.abs((runTimes?.[1] ?? 0) - 1)).toBeLessThan(0.1)
   })
 
+  // A task away from the rack of its data takes longer everywhere, which says nothing of the upstream.
+  it('are not made longer by runs away from the rack of their data', () => {
+    const test = createServing()
+    const size = { processor: 1_000, memory: 64, accelerators: 0 }
+    for (let run = 1; run <= 20; run += 1) {
+      const task = `5c0e7a21d94b36f8.0.0.${run}`
+      const orders = [{ task, run: 1, size, estimateMilliseconds: 100, awayFactor: run % 2 === 0 ? 2.5 : 1 }]
+      start(test, { route: 'urgent', orders })
+      test.answerLastStart('taken')
+      test.advance(run % 2 === 0 ? 260 : 110)
+      test.list({ ended: [{ number: run, task, run: 1, kind: 'done' }] })
+    }
+    const [, factor, spread] = test.watch().room.runTimes ?? [0, 0, 9]
+    expect(Math.abs(factor - 1)).toBeLessThan(0.1)
+    expect(spread).toBeLessThan(0.1)
+  })
+
   it('come with the factors of the routes for an entry that has just started, of a bounded number of routes', () => {
     const test = createServing()
     for (let index = 0; index < 100; index += 1) start(test, { route: `route-${index}`, estimateFactor: 1.2 })
