--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -150,7 +150,7 @@
  * Creates the state of a job from a request.
  *
  * @param answer - Called once, with the final answer.
- * @param options - Place that the job keeps from an earlier refusal, and factor on the estimates, since the objective is
+ * @param options - Place kept from an earlier refusal, and factor on the estimates, since the objective is
  *   a multiple of the tasks' true length.
  * @example
  * const job = createJob(request, answer => { respond(answer) })
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -108,15 +108,8 @@
   return new Promise(resolve => { setTimeout(resolve, milliseconds) })
 }
 
-/**
- * Creates a stand-in. It uses the global timers, so that a test can control the time with fake timers.
- *
- * @example
- * const standIn = createLeasedUpstream({ name: 'u-1', service: 'desk', capacity, speed: 1, now, observer })
- */
-export function createLeasedUpstream (options: LeasedUpstreamOptions): LeasedUpstream {
-  const { now, observer } = options
-  const faults: UpstreamFaults = {
+function createFaults (): UpstreamFaults {
+  return {
     isOrderDelayed: () => false,
     orderDelayMilliseconds: 3_000,
     hangs: false,
@@ -125,6 +118,17 @@
     reportsCold: true,
     isUnresponsive: false
   }
+}
+
+/**
+ * Creates a stand-in. It uses the global timers, so that a test can control the time with fake timers.
+ *
+ * @example
+ * const standIn = createLeasedUpstream({ name: 'u-1', service: 'desk', capacity, speed: 1, now, observer })
+ */
+export function createLeasedUpstream (options: LeasedUpstreamOptions): LeasedUpstream {
+  const { now, observer } = options
+  const faults = createFaults()
   let startedAt = 1_000
   let sequence = 0
   let draining = false
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,6 +1,7 @@
 /** What an agent knows of the current instance of its upstream. */
 import { createSlowStart, type SlowStart } from './slow-start.js'
 import { createObservations, type Observations } from './observations.js'
+import { createPace, type Pace } from './pace.js'
 import { createRunTimeModel, type RunTimeModel } from './run-time-model.js'
 import { createUpstreamClock, type UpstreamClock } from './upstream-clock.js'
 import type { UpstreamHeartbeat, UpstreamInstance } from './upstream.js'
@@ -35,6 +36,9 @@
   readonly clock: UpstreamClock
   readonly observations: Observations
   readonly runTimes: RunTimeModel
+  readonly pace: Pace
+  /** Whether the upstream was last logged as slowing down. */
+  isLoggedSlow: boolean
   /** Factor of the run times when they were last logged. */
   loggedFactor: number
   readonly slowStart: SlowStart
@@ -71,6 +75,8 @@
     clock: createUpstreamClock(),
     observations: createObservations(),
     runTimes: createRunTimeModel(routeFactor),
+    pace: createPace(),
+    isLoggedSlow: false,
     loggedFactor: 1,
     slowStart: createSlowStart(),
     lastCompletionNumber: 0,
