Count the limit of a call in bytes, and answer 400 to a body that is no request

Cause: the call server counted UTF-16 units, so that a body of three times its limit was accepted, and took a body that is not JSON for a fault of its own. Change: the limit counts bytes; a body that is no JSON-RPC request gets 400.

--- a/packages/fleet-calls/src/call-server.ts
+++ b/packages/fleet-calls/src/call-server.ts
@@ -41,7 +41,7 @@
 
   async function answerCall (body: string, outgoing: ServerResponse): Promise<void> {
     const call = parseJson(body)
-    if (!isJSONRPCRequest(call)) return sendResponse(outgoing, 400, '')
+    if (typeof call !== 'object' || call === null || !isJSONRPCRequest(call)) return sendResponse(outgoing, 400, '')
     const response = await answer(call, createConnection(outgoing))
     sendResponse(outgoing, 200, JSON.stringify(response))
   }
@@ -52,17 +52,19 @@
       incoming.resume()
       return sendResponse(outgoing, 404, '')
     }
-    let body = ''
-    incoming.setEncoding('utf8')
-    incoming.on('data', (chunk: string) => {
-      body += chunk
-      if (body.length <= MAXIMUM_BODY_BYTES) return
+    const chunks: Buffer[] = []
+    let receivedBytes = 0
+    incoming.on('data', (chunk: Buffer) => {
+      receivedBytes += chunk.length
+      chunks.push(chunk)
+      if (receivedBytes <= MAXIMUM_BODY_BYTES) return
       incoming.removeAllListeners('data').resume()
+      chunks.length = 0
       sendResponse(outgoing, 413, '')
     })
     incoming.on('end', () => {
       if (outgoing.writableEnded) return
-      answerCall(body, outgoing).catch((failure: unknown) => {
+      answerCall(Buffer.concat(chunks).toString('utf8'), outgoing).catch((failure: unknown) => {
         logger.error('call failed', { reason: String(failure) })
         sendResponse(outgoing, 500, '')
       })
--- a/packages/fleet-calls/tests/call-server.test.ts
+++ b/packages/fleet-calls/tests/call-server.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { request, type Server } from 'node:http'
+import { request, type IncomingMessage, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, expect, it } from 'vitest'
 import { silentLogger } from '@baobabpost/common'
@@ -49,3 +49,26 @@
 it('does not notify a handler when the connection closes after the answer', async () => {
   expect(await callAndObserveLoss(false)).toBe(false)
 })
+
+async function postBody (body: string): Promise<number | undefined> {
+  server = createCallServer({}, silentLogger)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  const outgoing = request({ host: '127.0.0.1', port, method: 'POST', path: CALL_PATH })
+  outgoing.on('error', () => {})
+  outgoing.end(body)
+  const [incoming] = await once(outgoing, 'response') as [IncomingMessage]
+  incoming.resume()
+  return incoming.statusCode
+}
+
+// They were answered as a fault of the server.
+it.each(['', 'null', '7', '{"jsonrpc":'])('refuses the body %j, which is no request', async body => {
+  expect(await postBody(body)).toBe(400)
+})
+
+// Characters of several bytes were counted as one or two, so that a body of three times the limit was accepted.
+it('refuses a body by its bytes', async () => {
+  expect(await postBody('\u20ac'.repeat(400_000))).toBe(413)
+})
