Split the handling of an upstream's lifetime from its listings

Change: what ends with an instance of an upstream has a file of its own, and so have the options of the stand-in. No behaviour changes.

--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -8,7 +8,8 @@
   createEvacuationRegister, type CallClient, type CallConnection, type CallHandlers, type EvacuationRegister, type Size
 } from '@baobabpost/fleet-calls'
 import { startAgentProgram, type AgentProgram, type Upstream } from '@baobabpost/runs'
-import { createLeasedUpstream, type LeasedUpstream, type StandInTask } from './leased-upstream.js'
+import { createLeasedUpstream } from './leased-upstream.js'
+import type { LeasedUpstream, StandInTask } from './leased-upstream-options.js'
 import { createMemoryNetwork, type MemoryNetwork } from './memory-network.js'
 import { createRunLog, type RunLog } from './run-log.js'
 
--- /dev/null
+++ b/packages/rehearsal/src/leased-upstream-options.ts
@@ -0,0 +1,92 @@
+/** Interface of the stand-in upstream: its options, its faults and what it tells an observer. */
+import type { Size } from '@baobabpost/fleet-calls'
+import type { CompletionKind, Upstream, UpstreamHeartbeat, UpstreamInstance } from '@baobabpost/runs'
+
+/** Content of a specification for the stand-in: run time at speed 1, size, and whether the task fails. */
+export interface StandInTask {
+  readonly milliseconds: number
+  readonly size: Size
+  readonly fails?: boolean
+  /** Factors on the run time by number of the task in its step; 1 for the others. */
+  readonly factors?: Readonly<Record<number, number>>
+}
+
+/** Faults of the stand-in; a test can set them at any time. */
+export interface UpstreamFaults {
+  /** Decides for each start or stop order whether it is handled `orderDelayMilliseconds` later and not answered. */
+  isOrderDelayed: () => boolean
+  orderDelayMilliseconds: number
+  /** Runs that start from now on never end by themselves. */
+  hangs: boolean
+  /** Runs that start from now on fail within a few milliseconds. */
+  failsAll: boolean
+  /** Runs that start before this time are cold and take `COLD_FACTOR` times as long. */
+  coldUntil: number
+  /** Whether heartbeats say how much longer the upstream is cold. */
+  reportsCold: boolean
+  /** No order is answered. */
+  isUnresponsive: boolean
+}
+
+/** Notified of starts and ends of runs at the stand-in. */
+export interface UpstreamObserver {
+  started: (upstream: string, task: string, overCapacity: boolean) => void
+  /** A start order was sent, also one that is repeated or delayed. */
+  ordered?: () => void
+  ended: (upstream: string, task: string, kind: CompletionKind) => void
+  /**
+   * A start order was sent to an upstream that had said it leaves.
+   *
+   * @param milliseconds - Time since the heartbeat that said so was acknowledged.
+   */
+  orderedAfterLeaving: (upstream: string, task: string, milliseconds: number) => void
+}
+
+export interface LeasedUpstream {
+  readonly upstream: Upstream
+  readonly faults: UpstreamFaults
+  report: () => UpstreamHeartbeat
+  /** Returns the current instance of the upstream. */
+  instance: () => UpstreamInstance
+  /** From now on, heartbeats say that the upstream leaves; until it crashes. */
+  setDraining: () => void
+  /** Changes the speed, also of the present runs, without a word in the heartbeats. */
+  setSpeed: (speed: number) => void
+  /** Records that an agent has acknowledged a heartbeat. */
+  acknowledge: (heartbeat: UpstreamHeartbeat) => void
+  /** Ends all runs, loses all state and starts a new instance under the same identity. */
+  crash: () => void
+  runningCount: () => number
+  /** Number of runs that were started, over all instances. */
+  startCount: () => number
+}
+
+export interface LeasedUpstreamOptions {
+  readonly name: string
+  readonly service: string
+  /** `domain-1` by default. */
+  readonly failureDomain?: string
+  readonly capacity: Size
+  /** Divisor of run times: 2 runs tasks in half the time. */
+  readonly speed: number
+  /** Part of each run time that does not depend on the task or the speed, in milliseconds; 0 by default. */
+  readonly fixedMilliseconds?: number
+  /** Clock of the stand-in, in milliseconds. */
+  readonly now: () => number
+  readonly observer: UpstreamObserver
+  /** Whether each instance has an id of its own; by default an upstream keeps its id when it starts again. */
+  readonly changesId?: boolean
+}
+
+/** Creates the faults of a stand-in without any. */
+export function createFaults (): UpstreamFaults {
+  return {
+    isOrderDelayed: () => false,
+    orderDelayMilliseconds: 3_000,
+    hangs: false,
+    failsAll: false,
+    coldUntil: 0,
+    reportsCold: true,
+    isUnresponsive: false
+  }
+}
--- a/packages/rehearsal/src/run-log.ts
+++ b/packages/rehearsal/src/run-log.ts
@@ -1,6 +1,6 @@
 /** Log of the runs and answers of a simulation, checked for violations of the dispatcher's guarantees. */
 import type { JobAnswer } from '@baobabpost/dispatching'
-import type { UpstreamObserver } from './leased-upstream.js'
+import type { UpstreamObserver } from './leased-upstream-options.js'
 
 /** Log of runs and answers. */
 export interface RunLog extends UpstreamObserver {
--- a/packages/rehearsal/src/uneven-workload.ts
+++ b/packages/rehearsal/src/uneven-workload.ts
@@ -1,6 +1,6 @@
 /** Workload of three kinds of job with their own routes, whose estimates are off by a factor of the kind. */
 import type { Fleet, FleetEntry, FleetJob, JobSubmission } from './create-fleet.js'
-import type { StandInTask } from './leased-upstream.js'
+import type { StandInTask } from './leased-upstream-options.js'
 
 /** A kind of job. */
 export interface JobKind {
--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -1,6 +1,6 @@
 /** Handles the upstream's heartbeats and its deregistration. */
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
-import { beginInstance } from './listings.js'
+import { beginInstance } from './upstream-instance.js'
 import { startWaitingRuns } from './orders.js'
 import type { UpstreamInstance, UpstreamHeartbeat } from './upstream.js'
 import type { UpstreamState } from './upstream-state.js'
--- /dev/null
+++ b/packages/runs/src/upstream-instance.ts
@@ -0,0 +1,94 @@
+/** The lifetime of an upstream's instances: what ends with one, and how the agent takes control of the next. */
+import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
+import type { RunRecord } from './run-record.js'
+import { endRun, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import type { UpstreamInstance } from './upstream.js'
+import { createUpstreamState } from './upstream-state.js'
+
+/** Takes control of the upstream anew after its runs have ended. What the instance said of itself stays known. */
+function giveUpControl (state: RunRegistryState, ports: RunRegistryPorts, reason: string): void {
+  const { instance, instanceKnownSince, leaseRenewedAt } = state.upstream
+  state.upstream.phase = 'unfenced'
+  // An instance that doesn't report its start can't be told from the next one.
+  if (instance?.startedAt === undefined) {
+    state.upstream = { ...createUpstreamState(instance, state.routeFactor), instanceKnownSince, leaseRenewedAt }
+  }
+  // Delayed orders to the earlier instance may reach the next one, which has not seen a fencing token yet.
+  state.fencingToken += 1
+  ports.logger.warn('upstream life ended', { reason })
+}
+
+/** Ends all runs of an upstream whose run lease has expired, and takes control of it anew. */
+function endUpstreamRuns (state: RunRegistryState, ports: RunRegistryPorts, reason: string, now: number): void {
+  for (const record of [...state.runs.values()]) {
+    endRun(state, ports, record, record.state === 'waiting' ? 'not-started' : 'lost', reason, now)
+  }
+  giveUpControl(state, ports, reason)
+}
+
+/**
+ * Ends the runs of an upstream at which nothing listens. A start order without an answer may still be carried out, by
+ * the next instance, until that is fenced or the lease of the order has expired; its run is displaced until then.
+ */
+export function handleUnreachable (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  const reason = 'nothing listens at the upstream'
+  const isNews = state.upstream.phase !== 'unfenced' ||
+    [...state.runs.values()].some(record => record.state !== 'displaced')
+  for (const record of [...state.runs.values()]) {
+    if (record.state === 'displaced') continue
+    if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
+    else if (record.isConfirmed) endRun(state, ports, record, 'lost', reason, now)
+    else displace(record, reason)
+  }
+  if (isNews) giveUpControl(state, ports, reason)
+  if (isRunLeaseOver(state, now)) {
+    for (const record of [...state.runs.values()]) endRun(state, ports, record, 'lost', record.stopReason, now)
+  }
+}
+
+function displace (record: RunRecord, reason: string): void {
+  record.state = 'displaced'
+  record.stopReason = reason
+}
+
+/**
+ * Replaces the known instance of the upstream; nothing that is known of it is kept for the next one. An order that was
+ * under way may have reached either, so its run ends only once a listing of the next instance, with the raised fencing
+ * token in force there, shows that it is gone.
+ */
+export function beginInstance (
+  state: RunRegistryState, ports: RunRegistryPorts, instance: UpstreamInstance, reason: string, now: number
+): void {
+  for (const record of [...state.runs.values()]) {
+    if (record.state === 'waiting') {
+      endRun(state, ports, record, 'not-started', reason, now)
+      continue
+    }
+    displace(record, reason)
+  }
+  const { leaseRenewedAt, instance: predecessor } = state.upstream
+  state.upstream = {
+    ...createUpstreamState(instance, state.routeFactor), instanceKnownSince: now, predecessor, leaseRenewedAt
+  }
+  state.fencingToken += 1
+  ports.logger.warn('upstream life ended', { reason })
+  ports.listImmediately()
+}
+
+/** Whether there is anything to give up when the upstream is gone. */
+function hasRunsOrControl (state: RunRegistryState): boolean {
+  return state.upstream.phase !== 'unfenced' || state.runs.size > 0
+}
+
+/** Whether the run lease has expired, even on a slow clock of the upstream. */
+function isRunLeaseOver (state: RunRegistryState, now: number): boolean {
+  return now - state.upstream.leaseRenewedAt >= RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
+}
+
+/** Ends all runs of an unresponsive upstream once their lease has expired even on a slow clock. */
+export function endExpiredRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  if (state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || !hasRunsOrControl(state)) return
+  if (!isRunLeaseOver(state, now)) return
+  endUpstreamRuns(state, ports, 'the run lease ended without an answer', now)
+}
