--- a/packages/runs/src/upstream-instance.ts
+++ b/packages/runs/src/upstream-instance.ts
@@ -33,7 +33,7 @@
  */
 export function handleUnreachable (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   const reason = 'nothing listens at the upstream'
-  const isNews = state.upstream.phase !== 'unfenced' ||
+  const isFirstFailure = state.upstream.phase !== 'unfenced' ||
     [...state.runs.values()].some(record => record.state !== 'displaced')
   for (const record of [...state.runs.values()]) {
     if (record.state === 'displaced') continue
@@ -41,7 +41,7 @@
     else if (record.isConfirmed) endRun(state, ports, record, 'lost', reason, now)
     else displace(record, reason)
   }
-  if (isNews) giveUpControl(state, ports, reason)
+  if (isFirstFailure) giveUpControl(state, ports, reason)
   if (isRunLeaseOver(state, now)) {
     for (const record of [...state.runs.values()]) endRun(state, ports, record, 'lost', record.stopReason, now)
   }
