--- a/packages/dispatching/src/admission.ts
+++ b/packages/dispatching/src/admission.ts
@@ -5,7 +5,10 @@
 } from './dispatch-limits.js'
 import type { PlacementChoice } from './placement.js'
 
-/** Margin of a run for which no planned time is known, as a share of its expected time. */
+/**
+ * Margin of a run that has to wait, as a share of its expected time. Smaller than the planned quantile of the run
+ * times: a job that would probably be in time is not refused.
+ */
 const RUN_TIME_MARGIN_SHARE = 0.15
 /** Margin for what an answer takes beside the wait and the run: its order, its listing and its report. */
 const ANSWER_MARGIN_MILLISECONDS = 25
@@ -93,11 +96,9 @@
  * latestStartMilliseconds(choice, 380) // 125 for a run of 200 ms
  */
 export function latestStartMilliseconds (
-  { waitMilliseconds, finishMilliseconds, plannedMilliseconds }: PlacementChoice, remainingMilliseconds: number
+  { waitMilliseconds, finishMilliseconds }: PlacementChoice, remainingMilliseconds: number
 ): number {
-  const runMilliseconds = plannedMilliseconds === undefined
-    ? (1 + RUN_TIME_MARGIN_SHARE) * (finishMilliseconds - waitMilliseconds)
-    : plannedMilliseconds - waitMilliseconds
+  const runMilliseconds = (1 + RUN_TIME_MARGIN_SHARE) * (finishMilliseconds - waitMilliseconds)
   return remainingMilliseconds - runMilliseconds - ANSWER_MARGIN_MILLISECONDS
 }
 
