Open the import circle around the dispatcher's state, and let the linter keep it open

Cause: dispatcher-state.ts imported types of confinement.ts, and confinement.ts and crash-evidence.ts imported the state. Rules for imports at hand pass over circles of types. Change: the confinements are a factory that closes over its state and gets what it reads; taking over crashes from agents is a file of its own. A rule of our own reports every circle of files, types included. Measured: the rule reported three files before and none now; 81 tests of dispatching, crashing tasks and the connection log pass.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,5 +1,6 @@
 import neostandard from 'neostandard'
 import typescriptEslint from 'typescript-eslint'
+import { noImportCircles } from './tools/no-import-circles.mjs'
 
 export default [
   { ignores: ['**/dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**'] },
@@ -11,7 +12,9 @@
       // One program over all sources: a program a package takes gigabytes and minutes.
       parserOptions: { project: './tsconfig.tests.json', tsconfigRootDir: import.meta.dirname }
     },
+    plugins: { baobabpost: { rules: { 'no-import-circles': noImportCircles } } },
     rules: {
+      'baobabpost/no-import-circles': 'error',
       '@typescript-eslint/consistent-type-imports': 'error',
       '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
       '@typescript-eslint/explicit-module-boundary-types': 'error',
--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -5,12 +5,12 @@
 } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
-import { learnCrashes } from './crash-evidence.js'
 import { BUSY_RETRY_MILLISECONDS, LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
 import type { Job, JobTask } from './job.js'
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
 import { releaseReservation } from './job-plan.js'
+import { learnCrashes } from './learn-crashes.js'
 
 /**
  * Applies the agent state at the head of an answer. Load and profile of an answer older than the view are ignored.
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -230,7 +230,7 @@
   const isBehindOthers = state.waiting.some(other => !other.isLate && !other.isAnswered)
   if (!isBehindOthers) {
     if (failIfBlamed(state, ports, job, now) || abandonIfHopeless(state, ports, job, now)) return
-    const agents = agentsFor(state, ports, job.request.service, now)
+    const agents = agentsFor(state, job.request.service, now)
     if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) return
   }
   state.waiting.push(job)
@@ -280,7 +280,7 @@
     if (job.isAnswered || failIfBlamed(state, ports, job, now) || abandonIfHopeless(state, ports, job, now)) continue
     if (tried.has(job)) {
       const { service } = job.request
-      const agents = agentsByService.get(service) ?? agentsFor(state, ports, service, now)
+      const agents = agentsByService.get(service) ?? agentsFor(state, service, now)
       agentsByService.set(service, agents)
       if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) continue
     }
--- a/packages/dispatching/src/crash-evidence.ts
+++ b/packages/dispatching/src/crash-evidence.ts
@@ -2,8 +2,6 @@
 import {
   CRASH_RETENTION_MILLISECONDS, CRASHES_BEFORE_RUNNING_ALONE, type CrashCandidate, type CrashFacts, type UpstreamCrash
 } from '@baobabpost/fleet-calls'
-import type { AgentView } from './agent-view.js'
-import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 
 /** Crashes from which a task is blamed if everything else at them was done since: one may be a coincidence. */
 const PROVEN_CRASHES_BEFORE_BLAME = 2
@@ -219,12 +217,3 @@
     isEmpty: () => crashes.size === 0
   }
 }
-
-/** Takes over what an agent's newest profile tells of crashes. */
-export function learnCrashes (
-  state: DispatcherState, ports: DispatcherPorts, view: AgentView, now: number
-): void {
-  for (const { id, candidates } of state.crashes.merge(view.incarnation, view.profile?.crashes, now)) {
-    ports.logger.info('crash of an upstream', { agent: view.name, crash: id, candidates: candidates.length })
-  }
-}
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -13,6 +13,7 @@
 import {
   BUSY_WATCH_MILLISECONDS, IDLE_WATCH_BOUNDS_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT, PROCESS_PAUSE_MILLISECONDS
 } from './dispatch-limits.js'
+import { createConfinements } from './confinement.js'
 import { createCrashEvidence } from './crash-evidence.js'
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { logShares } from './ejection.js'
@@ -92,6 +93,8 @@
       return task?.state === 'stopping' && task.assignment?.run === run
     }
   })
+  const crashes = createCrashEvidence()
+  const demand = createRouteDemand()
   const state: DispatcherState = {
     entry: options.entry,
     incarnation: options.incarnation,
@@ -102,9 +105,9 @@
     refusals: createRefusalLedger(),
     runTimes: options.runTimes ?? new LearnedRunTimes(options.logger),
     evacuations: options.evacuations,
-    crashes: createCrashEvidence(),
-    demand: createRouteDemand(),
-    confinements: new Map(),
+    crashes,
+    demand,
+    confinements: createConfinements({ crashes, demand, logger: options.logger }),
     agents: new Map(),
     jobs: new Map(),
     assigned: new Map(),
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -3,7 +3,7 @@
 import type { EvacuationRegister, RunOrder, Start, Stop } from '@baobabpost/fleet-calls'
 import type { Admission } from './admission.js'
 import type { AgentView } from './agent-view.js'
-import type { KnownConfinement } from './confinement.js'
+import type { Confinements } from './confinement.js'
 import type { CrashEvidence } from './crash-evidence.js'
 import type { Job, JobTask } from './job.js'
 import type { Placement } from './placement.js'
@@ -42,8 +42,7 @@
   readonly evacuations: EvacuationRegister | undefined
   readonly crashes: CrashEvidence
   readonly demand: RouteDemand
-  /** Confinements that were found last, by service. */
-  readonly confinements: Map<string, KnownConfinement>
+  readonly confinements: Confinements
   /** Agents by name. */
   readonly agents: Map<string, AgentView>
   /** Jobs without a final answer, or with tasks that still run, by identity. */
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -1,9 +1,9 @@
 /** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
 import { addSizes, EMPTY_SIZE, fitsInto } from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
-import { confinementOf, type Confinement } from './confinement.js'
+import type { Confinement } from './confinement.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
-import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
+import type { DispatcherState } from './dispatcher-state.js'
 import { findShares, hasCredit, PROBE_SHARE } from './ejection.js'
 import type { Job, JobStep, JobTask } from './job.js'
 import type { PlacementChoice } from './placement.js'
@@ -39,9 +39,7 @@
 }
 
 /** Returns the usable agents of a service. */
-export function agentsFor (
-  state: DispatcherState, ports: DispatcherPorts, service: string, now: number
-): AgentsByDistance {
+export function agentsFor (state: DispatcherState, service: string, now: number): AgentsByDistance {
   const usable: AgentView[] = []
   const known: AgentView[] = []
   let evacuatedCount = 0
@@ -62,7 +60,7 @@
     else far.push(view)
   }
   const areAllEvacuated = evacuatedCount > 0 && known.length === 0
-  const confinement = confinementOf(state, ports, service, known, now)
+  const confinement = state.confinements.of(service, known, now)
   return { near, far, known, shares, areAllEvacuated, confinement }
 }
 
