--- a/packages/dispatching/src/confinement.ts
+++ b/packages/dispatching/src/confinement.ts
@@ -52,7 +52,7 @@
 export function createConfinements ({ crashes, demand, logger }: ConfinementsOptions): Confinements {
   const knownByService = new Map<string, KnownConfinement>()
 
-  /** Crashed upstreams count, so that a route does not move on, and one with most of the demand keeps as large a part. */
+  /** Crashed upstreams count, so that a route does not move on; one with most of the demand keeps as large a part. */
   function findConfinement (service: string, views: readonly AgentView[], now: number): Confinement {
     const agentsByRoute = new Map<string, ReadonlySet<string>>()
     const atRisk = new Set<string>()
