Report from logs where jobs were lost, and why

Change: 'baobabpost report loss PATH' sorts all jobs that missed their objective by cause, route and time, with examples for 'job explain', as text or JSON. Refusals for capacity log how many of their tasks the free capacity holds. Parsing log lines is shared with 'job explain'.

--- a/packages/command-line/src/commands.ts
+++ b/packages/command-line/src/commands.ts
@@ -14,6 +14,7 @@
 import { JobShow } from './commands/job-show.js'
 import { JobSubmit } from './commands/job-submit.js'
 import { ReportBurn } from './commands/report-burn.js'
+import { ReportLoss } from './commands/report-loss.js'
 import { TemplateList } from './commands/template-list.js'
 import { TemplatePublish } from './commands/template-publish.js'
 import { TemplateShow } from './commands/template-show.js'
@@ -40,5 +41,6 @@
   'domain:restore': DomainRestore,
   'domain:list': DomainList,
   'fleet:status': FleetStatus,
-  'report:burn': ReportBurn
+  'report:burn': ReportBurn,
+  'report:loss': ReportLoss
 }
--- a/packages/command-line/src/job-trace.ts
+++ b/packages/command-line/src/job-trace.ts
@@ -1,15 +1,7 @@
 /** Finds the log lines of a job and derives the cause of its outcome from them. */
-import { compareLogLines, LOG_EVENTS, type LogEvent } from '@baobabpost/common'
-
-/** One log line of a job. */
-export interface JobTraceStep {
-  /** Unix time in milliseconds. */
-  readonly at: number
-  readonly vm: string
-  readonly event: LogEvent
-  /** Fields of the line besides time, level, message, role and VM. */
-  readonly fields: Readonly<Record<string, unknown>>
-}
+import { compareLogLines } from '@baobabpost/common'
+import { CALLER_REASONS } from './loss-causes.js'
+import { jobOf, parseLogLine, type LogStep } from './parse-log-line.js'
 
 /**
  * Cause of the outcome of a job.
@@ -39,53 +31,16 @@
 /** Log lines of a job in order of time, and the cause of its outcome. */
 export interface JobTrace {
   readonly job: string
-  readonly steps: readonly JobTraceStep[]
+  readonly steps: readonly LogStep[]
   readonly cause: JobCause
 }
 
-/** Fields of every log line. */
-const COMMON_FIELDS: ReadonlySet<string> = new Set(['time', 'level', 'message', 'role', 'vm'])
-/** Reasons in the final answer of a job that its caller abandoned. */
-const CALLER_REASONS: ReadonlySet<unknown> = new Set(['the caller left', 'cancelled', 'sent again'])
-
-function isEvent (name: unknown): name is LogEvent {
-  return typeof name === 'string' && name in LOG_EVENTS
-}
-
-/** Whether a parsed log line belongs to the job or to one of its tasks. */
-function namesJob (line: Readonly<Record<string, unknown>>, job: string): boolean {
-  return line['job'] === job || (typeof line['task'] === 'string' && line['task'].startsWith(`${job}.`))
-}
-
-function parseLine (line: string): Record<string, unknown> | undefined {
-  // A log collector may have put the time or the VM in front of each line.
-  const start = line.indexOf('{')
-  if (start < 0) return undefined
-  try {
-    const value: unknown = JSON.parse(line.slice(start))
-    return typeof value === 'object' && value !== null ? value as Record<string, unknown> : undefined
-  } catch {
-    return undefined
-  }
-}
-
-function parseStep (line: string, job: string): JobTraceStep | undefined {
-  if (!line.includes(job)) return undefined
-  const parsed = parseLine(line)
-  if (parsed === undefined || !namesJob(parsed, job) || !isEvent(parsed['message'])) return undefined
-  const fields: Record<string, unknown> = {}
-  for (const [name, value] of Object.entries(parsed)) {
-    if (!COMMON_FIELDS.has(name)) fields[name] = value
-  }
-  return { at: Date.parse(String(parsed['time'])), vm: String(parsed['vm']), event: parsed['message'], fields }
-}
-
-function listVms (steps: readonly JobTraceStep[]): string {
+function listVms (steps: readonly LogStep[]): string {
   return [...new Set(steps.map(({ vm }) => vm))].join(', ')
 }
 
 /** Finds a fault of the runs of a job that was late or not completed; the most significant fault is returned. */
-function findRunCause (steps: readonly JobTraceStep[]): JobCause | undefined {
+function findRunCause (steps: readonly LogStep[]): JobCause | undefined {
   const crashing = steps.find(({ event }) => event === 'task crashes its upstreams')
   if (crashing !== undefined) {
     const { task, crashes } = crashing.fields
@@ -108,7 +63,7 @@
 }
 
 /** Returns whether a job without a fault of its runs was delayed by waiting for free capacity or by slow runs. */
-function findWaitCause (steps: readonly JobTraceStep[], answer: JobTraceStep): JobCause {
+function findWaitCause (steps: readonly LogStep[], answer: LogStep): JobCause {
   const sent = steps.find(({ event }) => event === 'job sent')
   const received = steps.find(({ event }) => event === 'job received')
   const refusals = steps.filter(({ event, fields }) =>
@@ -121,7 +76,7 @@
   return { kind: 'slow-runs', detail: 'nothing was lost and there was room: its runs took longer than was expected' }
 }
 
-function findCause (steps: readonly JobTraceStep[]): JobCause {
+function findCause (steps: readonly LogStep[]): JobCause {
   const answer = steps.findLast(({ event }) => event === 'job answered')
   if (answer === undefined) {
     const last = steps.at(-1)
@@ -146,10 +101,10 @@
  * traceJob(readLogLines('logs'), '5c0e7a21d94b36f8')?.cause // { kind: 'lost-run', detail: '1 runs lost at side-1: …' }
  */
 export function traceJob (lines: Iterable<string>, job: string): JobTrace | undefined {
-  const steps: JobTraceStep[] = []
+  const steps: LogStep[] = []
   for (const line of lines) {
-    const step = parseStep(line, job)
-    if (step !== undefined) steps.push(step)
+    const step = line.includes(job) ? parseLogLine(line) : undefined
+    if (step !== undefined && jobOf(step) === job) steps.push(step)
   }
   if (steps.length === 0) return undefined
   steps.sort(compareLogLines)
--- a/packages/command-line/src/render-job-trace.ts
+++ b/packages/command-line/src/render-job-trace.ts
@@ -1,13 +1,14 @@
 /** Renders the log trace of a job as text. */
 import { formatInstant } from './format-time.js'
-import type { JobTraceStep, JobTrace } from './job-trace.js'
+import type { JobTrace } from './job-trace.js'
+import type { LogStep } from './parse-log-line.js'
 import { formatTable, type TableColumn } from './table.js'
 
 const COLUMNS: readonly TableColumn[] = [
   { title: 'TIME', isRightAligned: true }, { title: 'VM' }, { title: 'EVENT' }, { title: 'DETAIL' }
 ]
 
-function toRow ({ at, vm, event, fields }: JobTraceStep, firstTime: number, job: string): string[] {
+function toRow ({ at, vm, event, fields }: LogStep, firstTime: number, job: string): string[] {
   const detail: string[] = []
   for (const [name, value] of Object.entries(fields)) {
     if (name !== 'job' && value !== '') detail.push(`${name} ${String(value).replace(`${job}.`, '')}`)
--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -7,7 +7,7 @@
   'job sent': 'Tasks of a job were sent to an agent: `job`, `agent`, `tasks`, `patience` (maximum wait) in ms, `late` if the job is past its objective, `heardAgo` in ms since the last contact with the agent',
   'job answered': 'A job got its final answer: `job`, `route`, `outcome`, `reason`, `milliseconds`, `objective` in ms',
   'job refused: not supported': 'A job requires an option that is not supported: `job`, `route`, `option`',
-  'job refused: no capacity': 'A job does not fit within its objective by what is queued, and none of its tasks has started: `job`, `route`, `tasks`, `excess` (expected wait beyond the latest start) and `retryAfter` in ms, number of callers `promised` a later start',
+  'job refused: no capacity': 'A job does not fit within its objective by what is queued, and none of its tasks has started: `job`, `route`, `tasks`, `fitting` (how many such tasks the free capacity of all its upstreams holds), `excess` (expected wait beyond the latest start) and `retryAfter` in ms, number of callers `promised` a later start',
   'tasks released': 'A task of a job found no capacity in time; the tasks of the job that have not started are taken back: `job`, number of `agents` and `tasks`',
   'admission limited': 'The entry is overloaded and refuses jobs above a rate: `loopDelay` and `callDelay` (of its own work and of its calls) in ms, `jobsPerSecond`',
   'admission not limited any more': 'The entry accepts all jobs again: `loopDelay` and `callDelay` in ms',
--- a/packages/dispatching/src/job-release.ts
+++ b/packages/dispatching/src/job-release.ts
@@ -40,11 +40,14 @@
   let releaseRate = 0
   let processor = 0
   let excessWaitMilliseconds = Infinity
+  let fitting = 0
   for (const { step } of waiting) processor += step.size.processor
   for (const view of [...agents.near, ...agents.far]) {
     releaseRate += view.load.releaseRate
     const [task] = waiting
     if (task === undefined) continue
+    const freeProcessor = view.load.free.processor - view.unconfirmedSize.processor
+    fitting += Math.max(0, Math.floor(freeProcessor / Math.max(1, task.step.size.processor)))
     const choice = estimateChoice(view, {
       task,
       priority: request.priority,
@@ -71,6 +74,7 @@
     job: request.id,
     route: request.route,
     tasks: waiting.length,
+    fitting,
     excess: Math.round(excessWaitMilliseconds),
     retryAfter: retryAfterMilliseconds,
     promised: state.refusals.promisedCount()
