Correct estimates by how much those of their route tell

Cause: estimates are off at random, each job by another factor; the objective and the plan of a job took the estimate as it was. On the gazetteer the slope of run times over estimates is 0.45 to 0.52 by their logarithms, not 1, so jobs with low estimates were refused or placed by an objective shorter than theirs, and the opposite. Change: an entry keeps that regression for each route and moves the estimates of accepted jobs towards the usual one.

--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -121,8 +121,9 @@
   let lastTickAt: number | undefined
 
   function submit (
-    request: JobRequest, answer: (answer: JobAnswer) => void, now: number
+    submitted: JobRequest, answer: (answer: JobAnswer) => void, now: number
   ): (now: number) => void {
+    const request = state.runTimes.correctEstimates(submitted)
     const job = createJob(request, answer, {
       estimateFactor: state.runTimes.objectiveFactor(request), place: state.refusals.takePlace(request.id, now)
     })
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -5,8 +5,10 @@
 export interface JobStep {
   readonly taskCount: number
   readonly size: Size
-  /** Estimated run time of a task on an upstream of ordinary speed, in milliseconds. */
+  /** Estimated run time of a task on an upstream of ordinary speed, in milliseconds; corrected once it is accepted. */
   readonly estimateMilliseconds: number
+  /** Estimate as the caller sent it; the same as `estimateMilliseconds` if absent. */
+  readonly statedMilliseconds?: number
   /** Numbers (from 0) of the earlier steps that must be done before this one starts. */
   readonly dependsOn: readonly number[]
   /** Label that the upstream must have. */
--- a/packages/dispatching/src/learned-run-times.ts
+++ b/packages/dispatching/src/learned-run-times.ts
@@ -4,6 +4,7 @@
   boundFactor, readRunTimes, type RunOrder, type RunTimes, type RunTimeValues, type Start
 } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
+import { createEstimateCorrection, type EstimateCorrection } from './estimate-correction.js'
 import type { JobRequest, JobStep } from './job.js'
 import { plannedRatio } from './planned-quantile.js'
 import { createRecentValues, type RecentValues } from './recent-values.js'
@@ -42,6 +43,7 @@
 
 interface RouteRunTimes {
   readonly ratios: RecentValues
+  readonly correction: EstimateCorrection
   loggedFactor: number
 }
 
@@ -62,14 +64,16 @@
 
 function createRoute (assumedFactor: number, assumedRuns: number): RouteRunTimes {
   const assumed = Array.from({ length: assumedRuns }, () => assumedFactor)
-  return { ratios: createRecentValues(ROUTE_RUNS, assumed), loggedFactor: 1 }
+  return {
+    ratios: createRecentValues(ROUTE_RUNS, assumed), correction: createEstimateCorrection(), loggedFactor: 1
+  }
 }
 
 /**
  * Learns a factor for each route over all upstreams, and takes the rest from the agents.
  *
- * The load that it answers: estimates that are off by up to 40 % by kind of job, upstreams of uneven speed, and a fixed
- * part of each run, which one average by upstream mixes.
+ * The load that it answers: estimates that are off by up to 40 % by kind of job and by job, upstreams of uneven speed,
+ * and a fixed part of each run, which one average by upstream mixes.
  */
 export class LearnedRunTimes extends RunTimeEstimates {
   readonly #logger: EventLogger
@@ -113,6 +117,17 @@
     return known === undefined ? 1 : boundFactor(known.ratios.quantile(0.5))
   }
 
+  override correctEstimates (request: JobRequest): JobRequest {
+    const correction = this.#routes.get(request.route)?.correction
+    if (correction === undefined) return request
+    const steps = request.steps.map(step => ({
+      ...step,
+      estimateMilliseconds: correction.correct(step.estimateMilliseconds),
+      statedMilliseconds: step.estimateMilliseconds
+    }))
+    return { ...request, steps }
+  }
+
   override objectiveFactor ({ route, steps }: JobRequest): number {
     const { minimum, maximum } = OBJECTIVE_FACTOR_BOUNDS
     const factor = Math.min(maximum, Math.max(minimum, this.factorOf(route)))
@@ -125,15 +140,16 @@
   override recordDone ({ view, request, step, milliseconds }: CompletedRun): void {
     const upstream = this.#upstreams.get(view.name)
     if (upstream === undefined) return
-    const work = step.estimateMilliseconds * this.#awayFactor(view, step)
-    if (work <= 0) return
+    if (step.estimateMilliseconds <= 0) return
     let route = this.#routes.get(request.route)
     if (route === undefined) {
       route = createRoute(1, ASSUMED_FACTOR_RUNS)
       this.#routes.set(request.route, route)
     }
     const ownMilliseconds = Math.max(1, milliseconds - upstream.values.fixedMilliseconds)
-    route.ratios.add(ownMilliseconds / (work * this.#relativeFactor(upstream)))
+    const ordinaryMilliseconds = ownMilliseconds / (this.#awayFactor(view, step) * this.#relativeFactor(upstream))
+    route.correction.record(step.statedMilliseconds ?? step.estimateMilliseconds, ordinaryMilliseconds)
+    route.ratios.add(ordinaryMilliseconds / step.estimateMilliseconds)
     this.#logFactor(request.route, route)
   }
 
--- a/packages/dispatching/src/run-time-estimates.ts
+++ b/packages/dispatching/src/run-time-estimates.ts
@@ -27,6 +27,8 @@
   abstract knowsAwayTime (): boolean
   /** Time that an answer takes beside the run: its start call, its report and the entry's own work. */
   abstract answerMargin (): number
+  /** Returns the request with estimates that are corrected by how much the estimates of its route tell. */
+  abstract correctEstimates (request: JobRequest): JobRequest
   /** Factor on the estimates of a route by which a job's objective follows the true length of its tasks. */
   abstract objectiveFactor (request: JobRequest): number
   abstract recordDone (run: CompletedRun): void
@@ -66,6 +68,10 @@
     return USUAL_ANSWER_MARGIN_MILLISECONDS
   }
 
+  override correctEstimates (request: JobRequest): JobRequest {
+    return request
+  }
+
   override objectiveFactor (): number {
     return 1
   }
--- a/packages/rehearsal/src/uneven-workload.ts
+++ b/packages/rehearsal/src/uneven-workload.ts
@@ -27,8 +27,8 @@
   (sum, { share, taskCount, milliseconds }) => sum + share * taskCount * milliseconds, 0)
 /** How much longer the long tasks of `longTaskShare` take. */
 const LONG_TASK_FACTOR = 7
-/** Tasks of a kind differ by this share from its usual run time at most. */
-const VARIATION = 0.1
+/** Jobs of a kind differ by this share from its usual run time at most, if nothing else is given. */
+const USUAL_LENGTH_VARIATION = 0.1
 const SEED = 29
 
 export interface UnevenWorkloadOptions {
@@ -41,6 +41,10 @@
   readonly kinds?: readonly JobKind[]
   /** Share of the tasks that take `LONG_TASK_FACTOR` times their usual time; 0 by default. */
   readonly longTaskShare?: number
+  /** Jobs of a kind differ by this share from its usual run time at most. */
+  readonly lengthVariation?: number
+  /** Estimates are off by this share at most, each job by another factor, beside the factor of the kind. */
+  readonly estimateVariation?: number
   /** Factor, up to `maximumRateFactor`, on the rate of an entry at a time in seconds; 1 by default. */
   readonly rateFactor?: (entry: number, seconds: number) => number
   readonly maximumRateFactor?: number
@@ -88,8 +92,16 @@
   return kinds[kinds.length - 1] as JobKind
 }
 
-function createJob (random: () => number, index: number, kind: JobKind, longTaskShare: number): FleetJob {
-  const milliseconds = kind.milliseconds * (1 - VARIATION + 2 * VARIATION * random())
+/** Returns a factor between 1 - `variation` and 1 + `variation`. */
+function vary (random: () => number, variation: number): number {
+  return 1 - variation + 2 * variation * random()
+}
+
+function createJob (random: () => number, index: number, kind: JobKind, options: UnevenWorkloadOptions): FleetJob {
+  const { lengthVariation = USUAL_LENGTH_VARIATION, estimateVariation = 0, longTaskShare = 0 } = options
+  const milliseconds = kind.milliseconds * vary(random, lengthVariation)
+  const estimateMilliseconds = milliseconds * kind.estimateFactor *
+    (estimateVariation === 0 ? 1 : vary(random, estimateVariation))
   const factors: Record<number, number> = {}
   for (let task = 0; task < kind.taskCount; task += 1) {
     if (random() < longTaskShare) factors[task] = LONG_TASK_FACTOR
@@ -101,7 +113,7 @@
     standInTask,
     taskCount: kind.taskCount,
     priority: kind.priority,
-    estimateMilliseconds: milliseconds * kind.estimateFactor
+    estimateMilliseconds
   }
 }
 
@@ -135,14 +147,14 @@
  * await runUnevenWorkload(fleet, { jobsPerSecond: 60, ...seconds, settleMilliseconds: 2_000, advance })
  */
 export async function runUnevenWorkload (fleet: Fleet, options: UnevenWorkloadOptions): Promise<UnevenWorkloadResult> {
-  const { jobsPerSecond, kinds = UNEVEN_KINDS, longTaskShare = 0, maximumRateFactor = 1, advance } = options
+  const { jobsPerSecond, kinds = UNEVEN_KINDS, maximumRateFactor = 1, advance } = options
   const random = createRandom()
   const sent: SentJob[] = []
   const count = Math.round(jobsPerSecond * maximumRateFactor * options.seconds)
   for (let index = 0; index < count; index += 1) {
     const seconds = index / (jobsPerSecond * maximumRateFactor)
     options.onTime?.(seconds)
-    const job = createJob(random, index, drawKind(random, kinds), longTaskShare)
+    const job = createJob(random, index, drawKind(random, kinds), options)
     const kind = kinds.find(({ route }) => route === job.route)
     const number = Math.floor(fleet.entries.length * random())
     const entry: FleetEntry | undefined = fleet.entries[number]
