Load only the core of the log library

Cause: a third of the time in which a program loads its modules went to the fancy reporters of consola, which format colours and emoji. Log lines here are JSON and need none of them. Change: the logger imports consola/core.

--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,5 +1,5 @@
 /** Structured logs: one JSON object per line on standard error. */
-import { createConsola, LogLevels, type LogObject } from 'consola'
+import { createConsola, LogLevels, type LogObject } from 'consola/core'
 import { Schema } from 'effect'
 
 /** Log levels, from the most severe to the most verbose. */
