Let jobs wait while upstreams are about to serve

Cause: after all processes were stopped at once, entries are up before the upstreams have found their agents by heartbeats. Callers who came back were refused by the capacity of the few that were known; 20 to 90 ms later there was room.

--- a/packages/dispatching/src/admission.ts
+++ b/packages/dispatching/src/admission.ts
@@ -31,6 +31,8 @@
   readonly objectiveMilliseconds: number
   /** Whether a run of one of its waiting tasks was lost or failed, so that the job had its capacity before. */
   readonly hasLostRun: boolean
+  /** Whether upstreams of its service are about to serve, as after a restart. */
+  readonly isCapacityArriving: boolean
   /** Time since the job arrived. */
   readonly waitedMilliseconds: number
 }
@@ -138,6 +140,7 @@
     const isContended = choice.waitMilliseconds > 0 &&
       choice.finishMilliseconds - choice.waitMilliseconds + waitedMilliseconds <= objectiveMilliseconds
     if (!isContended) return mayWait && remainingMilliseconds > 0 ? 'wait' : 'late'
+    if (missed.isCapacityArriving && latestStartMilliseconds(choice, remainingMilliseconds) > 0) return 'wait'
     return hasLostRun ? 'late' : 'release'
   }
 }
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -1,6 +1,7 @@
 /** Assigns the waiting tasks of jobs to agents, and refuses or abandons jobs that can't be done in time. */
 import { CRASHES_BEFORE_RUNNING_ALONE } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
+import { isCapacityArriving } from './arriving-capacity.js'
 import { callerFor } from './caller.js'
 import {
   EVACUATED_RETRY_AFTER_MILLISECONDS, LATE_PRIORITY_OFFSET, LONE_WAIT_MILLISECONDS, MAXIMUM_ATTEMPTS_PER_PASS,
@@ -165,6 +166,7 @@
       remainingMilliseconds: remainingMillisecondsOf(job, now),
       objectiveMilliseconds: job.objectiveMilliseconds,
       waitedMilliseconds: now - request.arrivedAt,
+      isCapacityArriving: isCapacityArriving(state, request.service, now),
       hasLostRun: waiting.some(({ mayHaveStarted }) => mayHaveStarted)
     })
     if (decision === 'wait') return false
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -114,6 +114,7 @@
     stops,
     waiting: [],
     nextTurn: 0,
+    startedAt: Infinity,
     lastAssignPassAt: 0,
     lastShareLogAt: 0
   }
@@ -167,6 +168,7 @@
   function tick (now: number): void {
     const wasPaused = lastTickAt !== undefined && now - lastTickAt > PROCESS_PAUSE_MILLISECONDS
     lastTickAt = now
+    state.startedAt = Math.min(state.startedAt, now)
     // After a process pause, messages that arrived meanwhile are handled first: callers may have disconnected.
     if (wasPaused) {
       ports.logger.warn('this process stood still')
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -54,6 +54,8 @@
   waiting: Job[]
   /** Position, among the waiting jobs behind the first ones, of the next job that a pass tries. */
   nextTurn: number
+  /** When this entry began to place jobs, on its steady clock in milliseconds. */
+  startedAt: number
   /** When the last pass over the waiting jobs began, on the entry's steady clock in milliseconds. */
   lastAssignPassAt: number
   /** When changed shares of upstreams were last looked for. */
--- a/packages/dispatching/tests/admission.test.ts
+++ b/packages/dispatching/tests/admission.test.ts
@@ -52,7 +52,8 @@
     remainingMilliseconds: OBJECTIVE_MILLISECONDS,
     objectiveMilliseconds: OBJECTIVE_MILLISECONDS,
     waitedMilliseconds: 0,
-    hasLostRun: false
+    hasLostRun: false,
+    isCapacityArriving: false
   }
   const admission = new LatestStartAdmission()
 
