Refuse a job that was not started once its answer is of no use

Change: a job none of whose tasks has been sent is refused once it can't end within three times its objective. Jobs with tasks that may have run are answered as before, also late.

--- a/packages/command-line/src/loss-causes.ts
+++ b/packages/command-line/src/loss-causes.ts
@@ -33,6 +33,7 @@
   'no capacity within its objective': 'no-capacity',
   'no room within its objective': 'held',
   'no room before its deadline': 'held',
+  'no room while an answer is of use': 'held',
   deadline: 'held',
   'this entry is overloaded': 'overloaded',
   'all failure domains are evacuated': 'no-upstream',
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -5,7 +5,8 @@
 import { callerFor } from './caller.js'
 import {
   EVACUATED_RETRY_AFTER_MILLISECONDS, LATE_PRIORITY_OFFSET, LONE_WAIT_MILLISECONDS, MAXIMUM_ATTEMPTS_PER_PASS,
-  MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLOWNESS, RESERVED_CAPACITY_SHARE
+  MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLOWNESS, RESERVED_CAPACITY_SHARE,
+  USEFUL_OBJECTIVES
 } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, PendingOrders } from './dispatcher-state.js'
 import { mayHaveRun, type Job, type JobTask } from './job.js'
@@ -133,12 +134,19 @@
   return undefined
 }
 
-/** Abandons a job whose waiting tasks can not end before its deadline. Returns whether it did. */
+/**
+ * Abandons a job whose waiting tasks can not end before its deadline or, if none of its tasks has been sent, while an
+ * answer is of use. Returns whether it did.
+ */
 function abandonIfHopeless (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
   const waiting = job.tasks.filter(task => task.state === 'waiting')
   if (waiting.length === 0) return false
-  if (now + minimumRemainingMilliseconds(waiting) <= job.request.deadlineAt) return false
-  abandonJob(state, ports, job, 'no room before its deadline', now)
+  const { arrivedAt, deadlineAt } = job.request
+  const endsAt = now + minimumRemainingMilliseconds(waiting)
+  const isUseless = endsAt > arrivedAt + USEFUL_OBJECTIVES * job.objectiveMilliseconds && !mayHaveRun(job)
+  if (endsAt <= deadlineAt && !isUseless) return false
+  const reason = isUseless ? 'no room while an answer is of use' : 'no room before its deadline'
+  abandonJob(state, ports, job, reason, now)
   return true
 }
 
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -50,6 +50,8 @@
 export const LATE_PRIORITY_OFFSET = 4
 /** Share of an upstream's processor that late jobs leave free for jobs that can still meet their objective. */
 export const RESERVED_CAPACITY_SHARE = 0.1
+/** Multiple of its objective after which the answer to a job that has not been started is of no use to its caller. */
+export const USEFUL_OBJECTIVES = 3
 /** Maximum number of late jobs that wait at the entry; more would wait past their deadlines. */
 export const MAXIMUM_WAITING_LATE_JOBS = 40
 /** Lowest ratio of run time to estimate expected of any upstream; shows when a deadline can't be met any more. */
