--- a/packages/dispatching/src/admission.ts
+++ b/packages/dispatching/src/admission.ts
@@ -140,7 +140,7 @@
     const isContended = choice.waitMilliseconds > 0 &&
       choice.finishMilliseconds - choice.waitMilliseconds + waitedMilliseconds <= objectiveMilliseconds
     if (!isContended) return mayWait && remainingMilliseconds > 0 ? 'wait' : 'late'
-    if (missed.isCapacityArriving && latestStartMilliseconds(choice, remainingMilliseconds) > 0) return 'wait'
+    if (mayWait && missed.isCapacityArriving && latestStartMilliseconds(choice, remainingMilliseconds) > 0) return 'wait'
     return hasLostRun ? 'late' : 'release'
   }
 }
