Plan with the expected run time, and take safe upstreams first

Cause: a plan left room for the quantile at which all tasks of a job end in time, by the spread of run times over estimates. That spread is mostly what estimates are off by, and a job longer than estimated has a longer objective too. An upstream is safe for a task if the run may take 40 % longer than expected, and probable with 25 %; safe ones go first.

--- a/packages/dispatching/src/admission.ts
+++ b/packages/dispatching/src/admission.ts
@@ -5,10 +5,7 @@
 } from './dispatch-limits.js'
 import type { PlacementChoice } from './placement.js'
 
-/**
- * Margin of a run that has to wait, as a share of its expected time. Smaller than the planned quantile of the run
- * times: a job that would probably be in time is not refused.
- */
+/** Margin of a run that has to wait, as a share of its expected time: a job that is probably in time is not refused. */
 const RUN_TIME_MARGIN_SHARE = 0.15
 /** Margin for what an answer takes beside the wait and the run: its order, its listing and its report. */
 const ANSWER_MARGIN_MILLISECONDS = 25
@@ -140,7 +137,8 @@
     const isContended = choice.waitMilliseconds > 0 &&
       choice.finishMilliseconds - choice.waitMilliseconds + waitedMilliseconds <= objectiveMilliseconds
     if (!isContended) return mayWait && remainingMilliseconds > 0 ? 'wait' : 'late'
-    if (mayWait && missed.isCapacityArriving && latestStartMilliseconds(choice, remainingMilliseconds) > 0) return 'wait'
+    const hasSlack = mayWait && latestStartMilliseconds(choice, remainingMilliseconds) > 0
+    if (hasSlack && missed.isCapacityArriving) return 'wait'
     return hasLostRun ? 'late' : 'release'
   }
 }
--- a/packages/dispatching/src/learned-run-times.ts
+++ b/packages/dispatching/src/learned-run-times.ts
@@ -6,10 +6,9 @@
 import type { AgentView } from './agent-view.js'
 import { createEstimateCorrection, type EstimateCorrection } from './estimate-correction.js'
 import type { JobRequest, JobStep } from './job.js'
-import { plannedRatio } from './planned-quantile.js'
 import { createRecentValues, type RecentValues } from './recent-values.js'
 import {
-  expectBySlowness, RunTimeEstimates, USUAL_ANSWER_MARGIN_MILLISECONDS, type CompletedRun, type ExpectedRun
+  expectBySlowness, RunTimeEstimates, USUAL_ANSWER_MARGIN_MILLISECONDS, type CompletedRun
 } from './run-time-estimates.js'
 
 /** Runs that the factor of a route rests on: under a second of work of a usual route. */
@@ -17,13 +16,8 @@
 /** Runs that an assumed factor counts for: few where nothing is known, more where an agent told it. */
 const ASSUMED_FACTOR_RUNS = 3
 const TOLD_FACTOR_RUNS = 12
-/** Runs of a route from which its own spread counts. */
-const ROUTE_SPREAD_RUNS = 16
-/** Shares of the runs below the spread and below the tail, as at agents. */
+/** Share of the runs below the spread that is logged, as at agents. */
 const SPREAD_SHARE = 0.84
-const TAIL_SHARE = 0.95
-/** Largest tail in spreads, as at agents: the long tasks of a route are no property of its usual ones. */
-const MAXIMUM_TAIL_SPREADS = 3
 /** Bounds of the factor in an objective: estimates are off by up to 40 %. */
 const OBJECTIVE_FACTOR_BOUNDS = { minimum: 0.6, maximum: 1.67 }
 /**
@@ -91,15 +85,13 @@
     this.#farMultiplier = farMultiplier
   }
 
-  override expect (view: AgentView, step: JobStep, route: string): ExpectedRun {
+  override expect (view: AgentView, step: JobStep, route: string): number {
     const upstream = this.#upstreams.get(view.name)
     if (upstream === undefined) return expectBySlowness(view, step)
-    const { fixedMilliseconds, spread, tail } = upstream.values
+    const { fixedMilliseconds } = upstream.values
     const work = step.estimateMilliseconds * this.factorOf(route) * this.#awayFactor(view, step)
     const pace = Math.max(1, view.load.pace ?? 1)
-    const usualMilliseconds = pace * (fixedMilliseconds + work * this.#relativeFactor(upstream))
-    const ratio = this.#plannedRatio(route, step.taskCount, spread, tail)
-    return { usualMilliseconds, plannedMilliseconds: usualMilliseconds * ratio }
+    return pace * (fixedMilliseconds + work * this.#relativeFactor(upstream))
   }
 
   override knowsAwayTime (): boolean {
@@ -219,17 +211,6 @@
     else this.#scales.set(service, scale)
   }
 
-  /** Plans with the wider of the spreads at the upstream and on the route. */
-  #plannedRatio (route: string, taskCount: number, spread: number, tail: number): number {
-    const ratio = plannedRatio(taskCount, spread, tail)
-    const ratios = this.#routes.get(route)?.ratios
-    if (ratios === undefined || ratios.count() < ROUTE_SPREAD_RUNS) return ratio
-    const median = ratios.quantile(0.5)
-    const routeSpread = ratios.quantile(SPREAD_SHARE) / median - 1
-    const routeTail = Math.min(MAXIMUM_TAIL_SPREADS * routeSpread, ratios.quantile(TAIL_SHARE) / median - 1)
-    return Math.max(ratio, plannedRatio(taskCount, routeSpread, routeTail))
-  }
-
   #logFactor (name: string, route: RouteRunTimes): void {
     const factor = this.factorOf(name)
     const change = factor / route.loggedFactor
--- a/packages/dispatching/src/objective-placement.ts
+++ b/packages/dispatching/src/objective-placement.ts
@@ -10,6 +10,12 @@
 const COMPARED_UPSTREAMS = 12
 /** Number of further tasks for which an upstream should have capacity, since its reported capacity may be outdated. */
 const HEADROOM_TASKS = 2
+/**
+ * Margins on the expected run time, as shares of it, with which a job is safely and probably in time. Its tasks differ
+ * from each other; what its estimate is off by needs no margin, since the objective follows its true length.
+ */
+const SAFE_MARGIN_SHARE = 0.4
+const PROBABLE_MARGIN_SHARE = 0.25
 /** Cost of the upstream that the entry prefers least, as a share of its capacity. */
 const PREFERENCE_COST = 1
 /** Cost of a view as old as the entry lease, as a share of the upstream's capacity: its free capacity is uncertain. */
@@ -18,9 +24,9 @@
 const SPEED_COST = 0.2
 
 /**
- * Compares a few upstreams, drawn at random from those that have free capacity and meet the job's objective, and takes
- * the one with the lowest cost: busy, unfamiliar and needlessly fast upstreams cost more. Where none meets the
- * objective the earliest finish decides.
+ * Compares a few upstreams, drawn at random from those that have free capacity and meet the job's objective, the safe
+ * ones first, and takes the one with the lowest cost: busy, unfamiliar and needlessly fast upstreams cost more. Where
+ * none meets the objective the earliest finish decides.
  *
  * It answers the load of many entries whose views of the upstreams are outdated: choosing the best upstream by such
  * views sends the tasks of all entries to the same fast upstreams, which refuse them.
@@ -35,18 +41,13 @@
   }
 
   override choose (request: PlacementRequest): PlacementChoice | undefined {
-    const used: PlacementChoice[] = []
-    const roomy: PlacementChoice[] = []
-    const tight: PlacementChoice[] = []
+    const tiers: PlacementChoice[][] = []
     for (const view of request.candidates) {
       const choice = estimateChoice(view, request)
-      if (!meetsObjective(choice, request)) continue
-      if (freeAfter(choice, request) < HEADROOM_TASKS * request.task.step.size.processor) tight.push(choice)
-      else if (request.usedAgents.has(view.name)) used.push(choice)
-      else roomy.push(choice)
+      const tier = tierOf(choice, request)
+      if (tier !== undefined) (tiers[tier] ??= []).push(choice)
     }
-    // One call starts all tasks of a job at an agent, so an agent that has one of them gets more while it has capacity.
-    const inTime = [used, roomy, tight].find(({ length }) => length > 0) ?? []
+    const inTime = tiers.find(tier => tier !== undefined) ?? []
     let best: PlacementChoice | undefined
     let bestCost = Infinity
     for (const choice of this.#draw(inTime)) {
@@ -71,10 +72,21 @@
   }
 }
 
-function meetsObjective (choice: PlacementChoice, request: PlacementRequest): boolean {
-  if (choice.waitMilliseconds > 0) return false
-  const margin = request.runTimes?.answerMargin() ?? USUAL_ANSWER_MARGIN_MILLISECONDS
-  return (choice.plannedMilliseconds ?? choice.finishMilliseconds) + margin <= request.remainingMilliseconds
+/** Whether a run is in time, also if it takes longer than expected by this share. */
+function meetsObjective (choice: PlacementChoice, request: PlacementRequest, marginShare: number): boolean {
+  const answerMargin = request.runTimes?.answerMargin() ?? USUAL_ANSWER_MARGIN_MILLISECONDS
+  return (1 + marginShare) * choice.finishMilliseconds + answerMargin <= request.remainingMilliseconds
+}
+
+/**
+ * Returns the tier of a choice; a lower one goes first, and `undefined` is not in time. One call starts all tasks of a
+ * job at an agent, so an agent that has one of them gets more while it has capacity.
+ */
+function tierOf (choice: PlacementChoice, request: PlacementRequest): number | undefined {
+  if (choice.waitMilliseconds > 0 || !meetsObjective(choice, request, PROBABLE_MARGIN_SHARE)) return undefined
+  if (!meetsObjective(choice, request, SAFE_MARGIN_SHARE)) return 3
+  if (freeAfter(choice, request) < HEADROOM_TASKS * request.task.step.size.processor) return 2
+  return request.usedAgents.has(choice.agent.name) ? 0 : 1
 }
 
 /** Returns the processor that is left at an agent once it has the task, in thousandths of a core. */
--- a/packages/dispatching/src/run-time-estimates.ts
+++ b/packages/dispatching/src/run-time-estimates.ts
@@ -3,13 +3,6 @@
 import type { AgentView } from './agent-view.js'
 import type { JobRequest, JobStep } from './job.js'
 
-/** Expected times of a run at one upstream, from its order to the report of its end, in milliseconds. */
-export interface ExpectedRun {
-  readonly usualMilliseconds: number
-  /** Time in which all tasks of the step end with the chance that the objective needs. */
-  readonly plannedMilliseconds: number
-}
-
 /** A run that was done, as an entry sees it. */
 export interface CompletedRun {
   readonly view: AgentView
@@ -21,8 +14,8 @@
 
 /** Learned from: a completed run, an agent's answer, the time that calls and reports take. */
 export abstract class RunTimeEstimates {
-  /** Returns the times of a task of a step at an upstream. */
-  abstract expect (view: AgentView, step: JobStep, route: string): ExpectedRun
+  /** Returns the expected time of a run at an upstream, from its order to the report of its end, in milliseconds. */
+  abstract expect (view: AgentView, step: JobStep, route: string): number
   /** Whether `expect` knows how much longer a task takes away from the rack of its data. */
   abstract knowsAwayTime (): boolean
   /** Time that an answer takes beside the run: its start call, its report and the entry's own work. */
@@ -43,20 +36,17 @@
   abstract describeOrder (view: AgentView, step: JobStep): Pick<RunOrder, 'awayFactor'>
 }
 
-/** Margin of the expected run time in the earlier model, as a share of it. */
-const RUN_TIME_MARGIN_SHARE = 0.15
 /** Margin for what an answer takes beside the run, before any was measured. */
 export const USUAL_ANSWER_MARGIN_MILLISECONDS = 25
 
-/** Returns the times by the moving average of run time over estimate that each agent tells. */
-export function expectBySlowness (view: AgentView, step: JobStep): ExpectedRun {
-  const usualMilliseconds = step.estimateMilliseconds * view.load.slowness
-  return { usualMilliseconds, plannedMilliseconds: usualMilliseconds * (1 + RUN_TIME_MARGIN_SHARE) }
+/** Returns the expected time by the moving average of run time over estimate that each agent tells. */
+export function expectBySlowness (view: AgentView, step: JobStep): number {
+  return step.estimateMilliseconds * view.load.slowness
 }
 
 /** The earlier model: one average an upstream. Kept to compare with. */
 export class SlownessEstimates extends RunTimeEstimates {
-  override expect (view: AgentView, step: JobStep): ExpectedRun {
+  override expect (view: AgentView, step: JobStep): number {
     return expectBySlowness(view, step)
   }
 
