Prefer agents that would take an order

Cause: an agent refuses an order of an entry that has heard nothing of it within the lease of 570 ms; watches of agents without work last 660 ms in a small fleet and 4 s in a large one. Such orders came back as stale, a message each way later. Change: agents that were not heard of in time are chosen only if there are no others.

--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -1,5 +1,7 @@
 /** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
-import { addSizes, EMPTY_SIZE, fitsInto } from '@baobabpost/fleet-calls'
+import {
+  addSizes, EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, fitsInto, LEASE_MARGIN_MILLISECONDS
+} from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
 import type { Confinement } from './confinement.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
@@ -119,7 +121,15 @@
   return true
 }
 
-/** Returns the agents that may run a task; those where it ended without success only if there are no others. */
+/** Whether an agent would take an order sent now: it refuses those of an entry that it told nothing within the lease. */
+function isHeardInTime ({ lastContactAt }: AgentView, now: number): boolean {
+  return now - lastContactAt < ENTRY_LEASE_MILLISECONDS - LEASE_MARGIN_MILLISECONDS
+}
+
+/**
+ * Returns the agents that may run a task. Those where it ended without success, and those that would refuse the order as
+ * outdated, are among them only if there are no others.
+ */
 function candidatesFor (
   agents: readonly AgentView[], shares: ReadonlyMap<string, number>, task: JobTask, job: Job, plan: JobPlan, now: number
 ): readonly AgentView[] {
@@ -129,7 +139,7 @@
     if (share === undefined) return true
     return share <= PROBE_SHARE ? isProbeDue(view, task, job, plan, now) : hasCredit(view, share)
   })
-  const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
+  const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name) && isHeardInTime(view, now))
   return preferred.length > 0 ? preferred : eligible
 }
 
