--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -121,14 +121,14 @@
   return true
 }
 
-/** Whether an agent would take an order sent now: it refuses those of an entry that it told nothing within the lease. */
+/** Whether an agent would take an order sent now; it refuses those of entries that it told nothing within the lease. */
 function isHeardInTime ({ lastContactAt }: AgentView, now: number): boolean {
   return now - lastContactAt < ENTRY_LEASE_MILLISECONDS - LEASE_MARGIN_MILLISECONDS
 }
 
 /**
- * Returns the agents that may run a task. Those where it ended without success, and those that would refuse the order as
- * outdated, are among them only if there are no others.
+ * Returns the agents that may run a task. Those where it ended without success, and those that would refuse the order
+ * as outdated, are among them only if there are no others.
  */
 function candidatesFor (
   agents: readonly AgentView[], shares: ReadonlyMap<string, number>, task: JobTask, job: Job, plan: JobPlan, now: number
--- a/packages/rehearsal/tests/estimate-noise.test.ts
+++ b/packages/rehearsal/tests/estimate-noise.test.ts
@@ -55,8 +55,8 @@
   expect(corrected.inTime).toBeGreaterThan(uncorrected.inTime)
 }, 180_000)
 
-// With a margin for all of the spread of run times no upstream seemed fast enough for a job that has no other slack than
-// a share of its length, although a job longer than estimated has a longer objective too: most long jobs were refused.
+// With a margin for all of the spread of run times no upstream seemed fast enough for a job whose slack is a share of
+// its length, although a job longer than estimated has a longer objective too: most long jobs were refused.
 it('serves the long jobs of such a load nearly always in time', async () => {
   const result = await run(0.8, true)
   expect(result.byRoute.get('long')?.inTime).toBeGreaterThanOrEqual(0.9)
