--- a/packages/command-line/src/commands/report-loss.ts
+++ b/packages/command-line/src/commands/report-loss.ts
@@ -28,8 +28,8 @@
   }
 
   static override flags = {
-    interval: Flags.integer({ description: 'length of the intervals of time, in seconds', default: 2, min: 1 }),
-    weight: Flags.string({ description: 'weight of the jobs of a route in the shares, as ROUTE=WEIGHT', multiple: true, default: [] })
+    interval: Flags.integer({ summary: 'length of the intervals of time, in seconds', default: 2, min: 1 }),
+    weight: Flags.string({ summary: 'weight of the jobs of a route in the shares, as ROUTE=WEIGHT', multiple: true, default: [] })
   }
 
   async run (): Promise<LossReport> {
--- a/packages/docs-lists/src/lists.ts
+++ b/packages/docs-lists/src/lists.ts
@@ -2,7 +2,7 @@
 import { agentSettings } from '@baobabpost/agent'
 import { computeBurnReport, renderBurnPage, renderBurnTable } from '@baobabpost/burn-report'
 import {
-  COMMANDS, EXIT_CODES, OperatorCommand, renderExplanation, renderFleet, renderUpstreams
+  COMMANDS, EXIT_CODES, LOSS_CAUSES, OperatorCommand, renderExplanation, renderFleet, renderUpstreams
 } from '@baobabpost/command-line'
 import {
   ERROR_KINDS, errorAnswer, EVENT_METRICS, flagName, LOG_EVENTS, METRICS, variableName, type SettingDefinitions
@@ -51,6 +51,10 @@
   return formatMarkdownTable(['event', 'meaning and fields'], rows)
 }
 
+function renderLossCauses (): string {
+  return formatMarkdownTable(['cause', 'meaning'], Object.entries(LOSS_CAUSES).map(([cause, about]) => [inlineCode(cause), about]))
+}
+
 function renderCommands (): string {
   const rows = Object.entries(COMMANDS).map(([id, command]) => {
     const argumentNames = Object.entries(command.args ?? {}).map(([name, argument]) =>
@@ -121,6 +125,7 @@
   { page: 'docs/SETTINGS.md', name: 'upstream-settings', render: () => renderSettings(standInUpstreamSettings) },
   { page: 'docs/COMMANDS.md', name: 'commands', render: renderCommands },
   { page: 'docs/COMMANDS.md', name: 'connection-flags', render: renderConnectionFlags },
+  { page: 'docs/COMMANDS.md', name: 'loss-causes', render: renderLossCauses },
   { page: 'docs/COMMANDS.md', name: 'exit-codes', render: renderExitCodes },
   { page: 'docs/ARCHITECTURE.md', name: 'packages', render: renderPackages },
   { page: 'docs/README.md', name: 'pages', render: renderPages },
