Revert "Prefer agents that would take an order"

Change: as before. Measured: insufficient-capacity.test.ts without the change fails in its five listed cases alone.

--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -1,7 +1,5 @@
 /** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
-import {
-  addSizes, EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, fitsInto, LEASE_MARGIN_MILLISECONDS
-} from '@baobabpost/fleet-calls'
+import { addSizes, EMPTY_SIZE, fitsInto } from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
 import type { Confinement } from './confinement.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
@@ -121,15 +119,7 @@
   return true
 }
 
-/** Whether an agent would take an order sent now; it refuses those of entries that it told nothing within the lease. */
-function isHeardInTime ({ lastContactAt }: AgentView, now: number): boolean {
-  return now - lastContactAt < ENTRY_LEASE_MILLISECONDS - LEASE_MARGIN_MILLISECONDS
-}
-
-/**
- * Returns the agents that may run a task. Those where it ended without success, and those that would refuse the order
- * as outdated, are among them only if there are no others.
- */
+/** Returns the agents that may run a task; those where it ended without success only if there are no others. */
 function candidatesFor (
   agents: readonly AgentView[], shares: ReadonlyMap<string, number>, task: JobTask, job: Job, plan: JobPlan, now: number
 ): readonly AgentView[] {
@@ -139,7 +129,7 @@
     if (share === undefined) return true
     return share <= PROBE_SHARE ? isProbeDue(view, task, job, plan, now) : hasCredit(view, share)
   })
-  const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name) && isHeardInTime(view, now))
+  const preferred = eligible.filter(view => !task.avoidedAgents.has(view.name))
   return preferred.length > 0 ? preferred : eligible
 }
 
