--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -17,9 +17,7 @@
 } from './job-plan.js'
 import { isGivenUp, refuseForCapacity, releaseWaitingTasks } from './job-release.js'
 
-function sendPlan (
-  state: DispatcherState, ports: DispatcherPorts, job: Job, plan: JobPlan, now: number
-): void {
+function sendPlan (state: DispatcherState, ports: DispatcherPorts, job: Job, plan: JobPlan, now: number): void {
   const byAgent = new Map<string, PendingOrders>()
   const remainingMilliseconds = remainingMillisecondsOf(job, now)
   for (const [task, choice] of plan) {
@@ -206,11 +204,7 @@
  * @returns whether the job has no waiting tasks left.
  */
 function releaseJob (
-  state: DispatcherState,
-  ports: DispatcherPorts,
-  job: Job,
-  due: readonly JobTask[],
-  agents: AgentsByDistance,
+  state: DispatcherState, ports: DispatcherPorts, job: Job, due: readonly JobTask[], agents: AgentsByDistance,
   now: number
 ): boolean {
   if (mayHaveRun(job)) {
