Keep a full log pipe from holding up the exit of a process

Cause: since consola/core replaced consola, nothing opened the stream of standard output, which makes a pipe non-blocking; a write to a pipe that nobody reads held a thread, and the process did not exit. Change: the line sink opens the stream when it writes to standard output, and ignores its errors, as standard error does.

--- a/packages/common/src/line-sink.ts
+++ b/packages/common/src/line-sink.ts
@@ -54,6 +54,8 @@
  */
 export function createLineSink (options: LineSinkOptions): LineSink {
   const writeText = options.writeText ?? writeToStandardOutput
+  // Opening the stream makes a pipe non-blocking: a write to a full one would hold up the exit of the process.
+  if (options.writeText === undefined) process.stdout.on('error', () => {})
   const dropped = { ordinary: 0, essential: 0 }
   let waitingLines: string[] = []
   let waitingBytes = 0
