--- a/packages/fleet-calls/src/call-client.ts
+++ b/packages/fleet-calls/src/call-client.ts
@@ -41,7 +41,14 @@
   return decode(value)
 }
 
-function readAnswer (name: CallName, response: unknown): unknown {
+/**
+ * Decodes the response to a call.
+ *
+ * @throws CallError
+ * @example
+ * const { verdicts } = readAnswer('start', response) as StartAnswer
+ */
+export function readAnswer (name: CallName, response: unknown): unknown {
   if (!isJSONRPCResponse(response)) throw new CallError('rejected', `${name}: the answer is not a JSON-RPC response`)
   if (response.error !== undefined) throw new CallError('rejected', `${name}: ${response.error.message}`)
   const decoded = decodeAnswer(name, response.result)
--- a/packages/fleet-calls/src/index.ts
+++ b/packages/fleet-calls/src/index.ts
@@ -2,6 +2,7 @@
 export * from './agent-messages.js'
 export * from './call-client.js'
 export * from './call-error.js'
+export { createCallMethods, type AnswerRequest } from './call-methods.js'
 export * from './call-server.js'
 export * from './calls.js'
 export * from './crash-facts.js'
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,19 +1,22 @@
 /**
- * Bundles the entry and the agent into one file each and writes their V8 code caches, which shorten their start.
+ * Bundles the entry and the agent and writes a startup snapshot of each, `entry.blob` and `agent.blob`, with which a
+ * process starts with its modules loaded and its functions compiled. Only the Node.js binary that wrote a snapshot
+ * accepts it, and only with the same flags of V8.
  *
- * `node tools/bundle.mjs [DIRECTORY [CONSTANT=VALUE]] [--readable]`: DIRECTORY is `target` by default. CONSTANT=VALUE
- * overrides a constant of lease-lengths.ts, for tests which show that a wrong lease breaks a guarantee. With --readable,
- * functions keep their names, for profiles.
+ * `node tools/bundle.mjs [DIRECTORY [CONSTANT=VALUE]] [--readable] [--flag=FLAG_OF_V8]...`: DIRECTORY is `target` by
+ * default. CONSTANT=VALUE overrides a constant of lease-lengths.ts, for tests which show that a wrong lease breaks a
+ * guarantee. With --readable, functions keep their names, for profiles.
  */
 import { execFileSync } from 'node:child_process'
-import { copyFileSync, readFileSync } from 'node:fs'
+import { readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { build } from 'esbuild'
 
 const [directory = 'target', override] = process.argv.slice(2).filter(argument => !argument.startsWith('--'))
 const isReadable = process.argv.includes('--readable')
+const flags = process.argv.filter(argument => argument.startsWith('--flag=')).map(argument => argument.slice('--flag='.length))
 
-/** Programs with their Node.js flags. V8 accepts a code cache only under the flags with which it was written. */
+/** Programs with their flags of V8, which deploy/system.toml gives as well. */
 const PROGRAMS = { entry: ['--max-old-space-size=160'], agent: ['--max-old-space-size=96'] }
 
 function overrideLeaseConstant (build) {
@@ -41,8 +44,32 @@
   }
 }
 
+/** Modules of Node.js whose native state a startup snapshot can't hold. */
+const NETWORK_MODULES = /^(node:)?(http|https|net)$/
+
+/** Loads the network modules when one of their exports is first used, after the start from the snapshot. */
+const deferNetworkModules = {
+  name: 'defer network modules',
+  setup: ({ onResolve, onLoad }) => {
+    onResolve({ filter: NETWORK_MODULES }, ({ path, namespace }) =>
+      namespace === 'deferred' ? undefined : { path, namespace: 'deferred' })
+    onLoad({ filter: /./, namespace: 'deferred' }, async ({ path }) => {
+      const names = Object.keys((await import(path)).default)
+      return {
+        contents: `
+          let loaded
+          for (const name of ${JSON.stringify(names)}) {
+            Object.defineProperty(module.exports, name, {
+              enumerable: true, get: () => (loaded ??= require(${JSON.stringify(path)}))[name]
+            })
+          }`
+      }
+    })
+  }
+}
+
 await build({
-  entryPoints: { entry: 'platform/src/entry-main.ts', agent: 'platform/src/agent-main.ts' },
+  entryPoints: { entry: 'platform/src/entry-snapshot.ts', agent: 'platform/src/agent-snapshot.ts' },
   outdir: directory,
   outExtension: { '.js': '.cjs' },
   bundle: true,
@@ -53,10 +80,13 @@
   tsconfig: 'tsconfig.bundle.json',
   plugins: [
     leaveOutUnusedParts,
+    deferNetworkModules,
     ...(override === undefined ? [] : [{ name: 'override lease constant', setup: overrideLeaseConstant }])
   ]
 })
-copyFileSync('platform/start/start.cjs', join(directory, 'start.cjs'))
-for (const [program, flags] of Object.entries(PROGRAMS)) {
-  execFileSync(process.execPath, [...flags, join(directory, 'start.cjs'), program, '--compile'], { stdio: 'inherit' })
+for (const [program, programFlags] of Object.entries(PROGRAMS)) {
+  execFileSync(process.execPath, [
+    ...programFlags, ...flags,
+    '--snapshot-blob', join(directory, `${program}.blob`), '--build-snapshot', join(directory, `${program}.cjs`)
+  ], { stdio: 'inherit' })
 }
