Log how long a job may have waited to be read

Cause: after a stop of everything many callers leave within 200 ms of 'job received', and nothing showed whether their jobs had waited unread before. Change: the entry knows the time since it last read its input, less the time in which its event loop waited, and logs it with each job.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -3,7 +3,7 @@
 
 /** Events with their meaning and the fields of their log lines, besides time, level, role and VM. */
 export const LOG_EVENTS = {
-  'job received': 'A caller sent a job: `job`, `route`, `tasks`, `priority`, `estimate` and `patience` (maximum wait) in ms, `version` of the configuration',
+  'job received': 'A caller sent a job: `job`, `route`, `tasks`, `priority`, `estimate` and `patience` (maximum wait) in ms, `unread` (longest time in ms for which it waited to be read), `version` of the configuration',
   'job sent': 'Tasks of a job were sent to an agent: `job`, `agent`, `tasks`, `patience` (maximum wait) in ms, `late` if the job is past its objective, `heardAgo` in ms since the last contact with the agent',
   'job answered': 'A job got its final answer: `job`, `route`, `outcome`, `reason`, `milliseconds`, `objective` in ms',
   'job refused: not supported': 'A job requires an option that is not supported: `job`, `route`, `option`',
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -10,6 +10,7 @@
 import { createCallTiming } from './call-timing.js'
 import { WATCH_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
+import { createReadDelay, type LoopReading } from './read-delay.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
@@ -28,6 +29,8 @@
   agentFound: (name: string, address: string) => void
   /** Whether a job that arrives now is accepted; the entry refuses what its own processor and link do not carry. */
   admits: () => boolean
+  /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
+  unreadMilliseconds: () => number
   /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
   evacuationsChanged: (source: string) => void
   /** Whether the agent is known and answers calls. */
@@ -49,6 +52,8 @@
   readonly logger: EventLogger
   /** Steady clock in milliseconds. */
   readonly now: () => number
+  /** Total time for which the event loop has waited for input, in milliseconds; a process is never busy by default. */
+  readonly idle?: () => number
 }
 
 function isRefusal (failure: unknown): boolean {
@@ -164,10 +169,25 @@
     else logger.warn('admission limited', { ...delays, jobsPerSecond: Math.round(limit) })
   }
 
+  const readLoop = (): LoopReading => ({ now: now(), idle: options.idle?.() ?? now() })
+  const readDelay = createReadDelay(readLoop())
+  let isMarkDue = false
+
+  /** Marks the end of this turn of the event loop, in which all input that is there is read. */
+  function markTurn (): void {
+    if (isMarkDue) return
+    isMarkDue = true
+    setImmediate(() => {
+      isMarkDue = false
+      readDelay.markRead(readLoop())
+    })
+  }
+
   let tickedAt = now()
   const ticks = setInterval(() => {
     const loopDelay = now() - tickedAt - TICK_MILLISECONDS
     tickedAt = now()
+    markTurn()
     observeDelays(loopDelay, tickedAt)
     try {
       dispatcher.tick(tickedAt)
@@ -184,6 +204,10 @@
       if (view === undefined) return
       watch(view).catch((failure: unknown) => { logger.error('watch failed', { agent: name, reason: String(failure) }) })
     },
+    unreadMilliseconds: () => {
+      markTurn()
+      return readDelay.longest(readLoop())
+    },
     evacuationsChanged,
     admits: () => admissionRate.admit(now()),
     isReachable: name => {
