--- a/tools/measure-call-cost.mjs
+++ b/tools/measure-call-cost.mjs
@@ -162,7 +162,9 @@
 
 const directory = mkdtempSync(join(tmpdir(), 'baobabpost-cost-'))
 try {
-  execFileSync(process.execPath, ['tools/bundle.mjs', directory, ...(values.profile ? ['--readable'] : [])])
+  execFileSync(process.execPath, [
+    'tools/bundle.mjs', directory, ...values.profile ? ['--readable'] : [], ...values.flag.map(flag => `--flag=${flag}`)
+  ])
   const siteModule = join(directory, 'site.mjs')
   await build({
     entryPoints: ['platform/tests/stand-in-site.ts'],
