Use the room of an upstream with a reduced share rather than refuse a job

Cause: the oldest traced fault with a known cause: a job was refused for lack of capacity while both upstreams were idle. One had a reduced share for a pace of 10, which entries kept for seconds after its stalled runs had been stopped. Change: a plan that fails is tried again with whole shares, but for upstreams that only get probes. Measured: both new tests fail on the code before.

--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -226,12 +226,28 @@
   return choice
 }
 
+/** Returns the agents with whole shares but for those that only get probes, or undefined if no share changes. */
+function withWholeShares (agents: AgentsByDistance): AgentsByDistance | undefined {
+  const shares = new Map([...agents.shares].filter(([, share]) => share <= PROBE_SHARE))
+  return shares.size === agents.shares.size ? undefined : { ...agents, shares }
+}
+
 /**
  * Plans tasks of a job so that all of them end within its objective, and reserves capacity for them. As soon as one of
- * them can't, nothing is reserved.
+ * them can't, nothing is reserved. Reduced shares of upstreams send work elsewhere, but keep none of it waiting.
  */
 export function planWithinObjective (
   state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: AgentsByDistance, now: number
+): PlanResult {
+  const result = planAll(state, job, tasks, agents, now)
+  const whole = result.isInTime ? undefined : withWholeShares(agents)
+  if (whole === undefined) return result
+  const wholeResult = planAll(state, job, tasks, whole, now)
+  return wholeResult.isInTime ? wholeResult : result
+}
+
+function planAll (
+  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: AgentsByDistance, now: number
 ): PlanResult {
   const plan: JobPlan = new Map()
   const remainingMilliseconds = remainingMillisecondsOf(job, now)
--- a/packages/dispatching/src/preference.ts
+++ b/packages/dispatching/src/preference.ts
@@ -1,5 +1,5 @@
 /** Rank of agents that differs between entries, so that entries don't all choose the same upstream at once. */
-import { hashText } from '@baobabpost/common'
+import { createHash } from 'node:crypto'
 
 const RANGE = 2 ** 32
 
@@ -11,5 +11,5 @@
  * rankFor('entry-1', 'agent-7') // 0.42
  */
 export function rankFor (entry: string, agent: string): number {
-  return hashText(`${entry}\n${agent}`) / RANGE
+  return createHash('sha256').update(entry).update('\n').update(agent).digest().readUInt32BE() / RANGE
 }
--- a/packages/dispatching/tests/assignments.test.ts
+++ b/packages/dispatching/tests/assignments.test.ts
@@ -128,6 +128,18 @@
   })
 })
 
+describe('an upstream with a reduced share', () => {
+  // A job was refused for lack of capacity while the only upstream with room was kept for a part of the work.
+  it('gets a job at once that no other has room for', () => {
+    const { dispatcher, starts } = createEntry(6, FULL)
+    for (const view of dispatcher.agents()) {
+      if (view.name === 'agent-1') view.load = { ...EMPTY, failureShare: 0.25 }
+    }
+    for (let number = 0; number < 3; number += 1) submit(dispatcher, number, STEP)
+    expect(starts.map(({ agent }) => agent)).toEqual(['agent-1', 'agent-1', 'agent-1'])
+  })
+})
+
 describe('a step with a maximum number of tasks on one upstream', () => {
   // Only tasks that had been sent were counted, so that one plan could put all of a step on one upstream.
   it('is spread within one plan', () => {
--- a/packages/fleet-calls/src/member-table.ts
+++ b/packages/fleet-calls/src/member-table.ts
@@ -1,5 +1,5 @@
 /** Members of the fleet as one process knows them, and what of them another process still has to be told. */
-import { hashText } from '@baobabpost/common'
+import { createHash } from 'node:crypto'
 import type { Announce, AnnounceAnswer, Member } from './entry-messages.js'
 
 /** Table of the members. All times are on the process's steady clock, in milliseconds. */
@@ -38,7 +38,7 @@
 }
 
 function hashOf (member: Member): number {
-  return hashText(`${member.role} ${member.name} ${member.address}`)
+  return createHash('sha256').update(`${member.role} ${member.name} ${member.address}`).digest().readUInt32BE()
 }
 
 /**
--- a/packages/runs/src/run-time-reports.ts
+++ b/packages/runs/src/run-time-reports.ts
@@ -59,7 +59,7 @@
   ports.logger.info('run times learned', { fixed, factor, spread, tail, runs, source })
 }
 
-/** Compares the runs of a listing with their expected times; logs when most of them become late, and when not. */
+/** Compares the runs of a listing with their expected times; logs when most of them become late, and tells when not. */
 export function recordPace (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
   const { upstream } = state
   const present: PresentRun[] = []
@@ -74,8 +74,13 @@
   const isSlow = pace > 1
   if (upstream.isLoggedSlow === isSlow) return
   upstream.isLoggedSlow = isSlow
-  if (isSlow) ports.logger.warn('upstream slows down', { pace: Math.round(pace * 10) / 10, runs: present.length })
-  else ports.logger.info('upstream is in time again', { runs: present.length })
+  if (isSlow) {
+    ports.logger.warn('upstream slows down', { pace: Math.round(pace * 10) / 10, runs: present.length })
+    return
+  }
+  ports.logger.info('upstream is in time again', { runs: present.length })
+  // Entries would keep work away from the upstream until they next hear of it.
+  ports.wake()
 }
 
 /** Returns the part of the load that describes run times. */
--- a/packages/runs/tests/registry-under-test.ts
+++ b/packages/runs/tests/registry-under-test.ts
@@ -16,6 +16,8 @@
   readonly registry: RunRegistry
   readonly starts: Array<{ readonly record: RunRecord, readonly order: StartOrder }>
   readonly stops: Array<{ readonly record: RunRecord, readonly order: StopOrder }>
+  /** How often the watches of all entries were answered. */
+  readonly wakes: { readonly count: number }
   /** Advances the time by `milliseconds` and returns it. */
   advance: (milliseconds: number) => number
   /** Requests a listing and answers it a millisecond later; without runs, and with the agent's time, by default. */
@@ -60,6 +62,7 @@
   let now = 10_000
   const starts: RegistryUnderTest['starts'] = []
   const stops: RegistryUnderTest['stops'] = []
+  const wakes = { count: 0 }
   const registry = createRunRegistry({
     incarnation: 'agent-1',
     fencingToken: 7,
@@ -68,7 +71,7 @@
     sendStop: (record, order) => { stops.push({ record, order }) },
     stopUnknownRun: () => {},
     listImmediately: () => {},
-    wake: () => {}
+    wake: session => { if (session === undefined) wakes.count += 1 }
   })
   /** The entry that calls; its lease begins with its second call. */
   const caller = (heardFrom = 'agent-1') => ({ entry: 'entry-1', incarnation: 'entry-1-1', heardAt: now, heardFrom })
@@ -94,6 +97,7 @@
     registry,
     starts,
     stops,
+    wakes,
     advance: milliseconds => { now += milliseconds; return now },
     list: (listing, clock) => { requestListing()(listing, clock) },
     requestListing,
--- a/packages/runs/tests/run-time-reports.test.ts
+++ b/packages/runs/tests/run-time-reports.test.ts
@@ -55,6 +55,23 @@
     expect(Math.abs((runTimes?.[1] ?? 0) - 1)).toBeLessThan(0.1)
   })
 
+  // Entries kept work away for seconds from an upstream whose stalled runs had been stopped.
+  it('tell all entries at once when the upstream is in time again', () => {
+    const test = createServing()
+    const running = ['5c0e7a21d94b36f8.0.0.1', '5c0e7a21d94b36f8.0.0.2'].map(task => ({ task, run: 1, percent: 10 }))
+    for (const { task } of running) {
+      test.order(1, task)
+      test.answerLastStart('taken')
+    }
+    test.advance(1_000)
+    test.list({ running })
+    expect(test.watch().room.pace).toBeGreaterThan(1)
+    const before = test.wakes.count
+    test.list({ ended: running.map(({ task }, index) => ({ number: index + 1, task, run: 1, kind: 'stopped' })) })
+    expect(test.watch().room.pace).toBeUndefined()
+    expect(test.wakes.count).toBeGreaterThan(before)
+  })
+
   // A task away from the rack of its data takes longer everywhere, which says nothing of the upstream.
   it('are not made longer by runs away from the rack of their data', () => {
     const test = createServing()
