Let one announcement in three wait for its connection while a process starts

Cause: with 60 ms for each connection a process didn't find a seed in its first 8 s that is more than 30 ms away, or behind a link that is full for longer. Change: one attempt in three has no limit but the timeout of the announcement; the others go on beside it.

--- a/packages/fleet-calls/src/create-fleet-directory.ts
+++ b/packages/fleet-calls/src/create-fleet-directory.ts
@@ -21,6 +21,11 @@
  * back, and the kernel of one that has it answers at once, however busy its processes are.
  */
 const STARTUP_CONNECT_TIMEOUT_MILLISECONDS = 60
+/**
+ * One in so many attempts has no such limit, for an address that is far away or behind a full link. Others go on beside
+ * it.
+ */
+const ATTEMPTS_FOR_A_PATIENT_ONE = 3
 /** Least time since its last announcement after which a member is no longer reported to others. */
 const MINIMUM_MEMBER_AGE_MILLISECONDS = 20_000
 /** Intervals between its announcements that a live member may miss. */
@@ -57,6 +62,8 @@
 interface Announcement {
   /** When it was sent. */
   readonly at: number
+  /** Number of announcements to the address since its last answer. */
+  readonly unanswered: number
   /** Revision up to which the entry at the address has told its members; undefined before its first answer. */
   readonly told: { readonly directory: string, readonly revision: number } | undefined
 }
@@ -109,20 +116,24 @@
 
   async function announceTo (address: string): Promise<void> {
     const last = announcements.get(address)
-    const at = now()
-    pendingAddresses.add(address)
-    let told = last?.told
+    const attempt = (last?.unanswered ?? 0) + 1
+    const limit = connectTimeout(attempt)
+    const isBlocking = limit !== undefined || !isStartingUp()
+    announcements.set(address, { at: now(), told: last?.told, unanswered: attempt })
+    if (isBlocking) pendingAddresses.add(address)
     try {
-      const answer = await client.call(address, 'announce', {
-        member: self, digest: table.digestFor(self.role, now()), ...(told === undefined ? {} : { since: told })
-      }, ANNOUNCE_TIMEOUT_MILLISECONDS, isStartingUp() ? STARTUP_CONNECT_TIMEOUT_MILLISECONDS : undefined)
-      told = { directory: answer.directory, revision: answer.revision }
-      for (const member of answer.members) addMember(member)
+      const { directory, revision, members } = await client.call(address, 'announce', {
+        member: self,
+        digest: table.digestFor(self.role, now()),
+        ...(last?.told === undefined ? {} : { since: last.told })
+      }, ANNOUNCE_TIMEOUT_MILLISECONDS, limit)
+      const at = announcements.get(address)?.at ?? now()
+      announcements.set(address, { at, told: { directory, revision }, unanswered: 0 })
+      for (const member of members) addMember(member)
     } catch (failure) {
       options.logger.debug('announcement got no answer', { address, reason: String(failure) })
     } finally {
-      pendingAddresses.delete(address)
-      announcements.set(address, { at, told })
+      if (isBlocking) pendingAddresses.delete(address)
     }
   }
 
@@ -135,6 +146,12 @@
     return now() - startedAt < STARTUP_MILLISECONDS
   }
 
+  /** Returns the time within which the connection of an attempt must be open; undefined without a limit. */
+  function connectTimeout (attempt: number): number | undefined {
+    if (!isStartingUp() || attempt % ATTEMPTS_FOR_A_PATIENT_ONE === 0) return undefined
+    return STARTUP_CONNECT_TIMEOUT_MILLISECONDS
+  }
+
   function announceInterval (entry: string | undefined): number {
     if (entry === undefined && isStartingUp()) return STARTUP_ANNOUNCE_INTERVAL_MILLISECONDS
     return self.role === 'entry' && entry !== undefined ? entryAnnounceInterval() : ANNOUNCE_INTERVAL_MILLISECONDS
--- a/packages/fleet-calls/tests/fleet-directory.test.ts
+++ b/packages/fleet-calls/tests/fleet-directory.test.ts
@@ -19,17 +19,21 @@
   readonly silent: Set<string>
   /** Addresses of VMs without power: no connection to them opens. */
   readonly off: Set<string>
+  /** Addresses to which connections take `DISTANT_MILLISECONDS` to open. */
+  readonly distant: Set<string>
   start: (name: string, role: Member['role'], address: string) => Process
 }
 
 const SEEDS = ['10.2.0.1:1', '10.2.0.2:1', '10.2.0.3:1']
 /** Network delay of a call and its answer. */
 const CALL_MILLISECONDS = 2
+const DISTANT_MILLISECONDS = 150
 
 function createSimulatedFleet (): SimulatedFleet {
   const processes: Process[] = []
   const silent = new Set<string>()
   const off = new Set<string>()
+  const distant = new Set<string>()
   let incarnations = 0
 
   function start (name: string, role: Member['role'], address: string): Process {
@@ -39,9 +43,10 @@
         to: string, _name: string, parameters: Announce, timeout: number, connectTimeout = timeout
       ): Promise<AnnounceAnswer> => {
         process.announcements += 1
-        if (off.has(to)) {
-          await new Promise(resolve => { setTimeout(resolve, connectTimeout) })
-          throw new CallError('unanswered', 'no connection')
+        const connectMilliseconds = off.has(to) ? Infinity : distant.has(to) ? DISTANT_MILLISECONDS : 0
+        if (connectMilliseconds > 0) {
+          await new Promise(resolve => { setTimeout(resolve, Math.min(connectTimeout, connectMilliseconds)) })
+          if (connectMilliseconds > connectTimeout) throw new CallError('unanswered', 'no connection')
         }
         await new Promise(resolve => { setTimeout(resolve, CALL_MILLISECONDS) })
         const callee = processes.findLast(other => other.member.address === to)
@@ -74,7 +79,7 @@
     processes.push(process)
     return process
   }
-  return { processes, silent, off, start }
+  return { processes, silent, off, distant, start }
 }
 
 function startFleet (entries: number, agents: number): SimulatedFleet {
@@ -117,6 +122,15 @@
     expect(entry.known.size).toBe(agents.length)
   })
 
+  it('finds seeds whose connections take longer than that to open', async () => {
+    fleet = createSimulatedFleet()
+    const agent = fleet.start('agent-1', 'agent', '10.1.0.1:1')
+    fleet.start('entry-1', 'entry', SEEDS[0] ?? '')
+    for (const seed of SEEDS) fleet.distant.add(seed)
+    await vi.advanceTimersByTimeAsync(600)
+    expect(agent.known.size).toBe(1)
+  })
+
   // Each answer listed every member, and each entry announced itself to each other one every 2 s: 11 MB/s for 35
   // entries and 160 agents, most of it between failure domains.
   it('costs a calm entry the same bytes in a fleet that is three times as large', async () => {
