Log what an agent believed of a run when it ended

The line of a run's end doesn't say whether the upstream had confirmed it, a stop that gets no answer leaves no line at all, the fencing token of an order isn't logged, and neither is that a run is given up on the run lease alone. Change: `run ended` also gives `confirmed`, `upstreamRun` and `state`; `run ordered` and `start repeated` give `fence`. New events `stop repeated`, for the second, fourth, eighth ... order of a stop, and `unconfirmed run given up`, with the instance and the ages of the order and of the last renewal. No logic changes.

--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -176,6 +176,8 @@
     absenceConclusiveFrom: undefined,
     stopReason: '',
     stopOrderedAt: 0,
+    firstStopOrderedAt: 0,
+    stopAttempts: 0,
     isStopDue: false,
     isSuperseded: false
   }
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -50,11 +50,19 @@
       run: record.upstreamRunNumber,
       attempt: record.runNumberAttempts,
       reason: record.lastRefusal,
-      milliseconds: Math.round(now - record.orderedAt)
+      milliseconds: Math.round(now - record.orderedAt),
+      fence: state.fencingToken
     })
   } else {
     const waited = Math.round(now - record.acceptedAt)
-    ports.logger.info('run ordered', { task, run, entry: record.session.entry, waited, free: freeCapacity(state, now).processor })
+    ports.logger.info('run ordered', {
+      task,
+      run,
+      entry: record.session.entry,
+      waited,
+      free: freeCapacity(state, now).processor,
+      fence: state.fencingToken
+    })
   }
   record.state = 'ordered'
   record.orderedAt = now
@@ -98,9 +106,25 @@
   sendStop(state, ports, record, now)
 }
 
+/** Logs the second, fourth, eighth ... stop order for a run. */
+function logRepeatedStop (ports: RunRegistryPorts, record: RunRecord, now: number): void {
+  const { stopAttempts } = record
+  if (!Number.isInteger(Math.log2(stopAttempts))) return
+  ports.logger.warn('stop repeated', {
+    task: record.order.task,
+    run: record.upstreamRunNumber,
+    attempt: stopAttempts,
+    reason: record.stopReason,
+    milliseconds: Math.round(now - record.firstStopOrderedAt)
+  })
+}
+
 function sendStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
   record.isStopDue = false
   record.stopOrderedAt = now
+  record.stopAttempts += 1
+  if (record.stopAttempts === 1) record.firstStopOrderedAt = now
+  else logRepeatedStop(ports, record, now)
   ports.sendStop(record, {
     task: record.order.task,
     run: record.upstreamRunNumber,
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -55,6 +55,10 @@
   stopReason: string
   /** Agent time of the last stop order; 0 before the first. */
   stopOrderedAt: number
+  /** Agent time of the first stop order; 0 before it. */
+  firstStopOrderedAt: number
+  /** Number of stop orders that were sent. */
+  stopAttempts: number
   /** Whether the stop order has to be sent again, because the last one failed. */
   isStopDue: boolean
   /** Whether another entry has ordered the same task since, because the caller sent its job again there. */
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -175,7 +175,10 @@
     entry: record.session.entry,
     outcome,
     reason,
-    milliseconds: Math.round(milliseconds)
+    milliseconds: Math.round(milliseconds),
+    confirmed: record.isConfirmed,
+    upstreamRun: record.upstreamRunNumber,
+    state: record.state
   })
   if (isUrgent) ports.wake(record.session)
 }
--- a/packages/runs/src/upstream-instance.ts
+++ b/packages/runs/src/upstream-instance.ts
@@ -33,6 +33,24 @@
   })
 }
 
+/** Ends a run as lost, and logs it if its start order may yet be carried out. */
+function giveUpRun (
+  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, reason: string, now: number
+): void {
+  if (!record.isConfirmed) {
+    const { instance, leaseRenewedAt } = state.upstream
+    ports.logger.warn('unconfirmed run given up', {
+      task: record.order.task,
+      run: record.upstreamRunNumber,
+      upstream: instance?.id,
+      bornAt: instance?.startedAt,
+      orderedAgo: Math.round(now - record.orderedAt),
+      renewedAgo: Math.round(now - leaseRenewedAt)
+    })
+  }
+  endRun(state, ports, record, 'lost', reason, now)
+}
+
 /** Takes control of the upstream anew after its runs have ended. What the instance said of itself stays known. */
 function giveUpControl (state: RunRegistryState): void {
   const { instance, instanceKnownSince, leaseRenewedAt } = state.upstream
@@ -49,7 +67,8 @@
 function endUpstreamRuns (state: RunRegistryState, ports: RunRegistryPorts, reason: string, now: number): void {
   recordEnd(state, ports, reason, 'silent', now)
   for (const record of [...state.runs.values()]) {
-    endRun(state, ports, record, record.state === 'waiting' ? 'not-started' : 'lost', reason, now)
+    if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
+    else giveUpRun(state, ports, record, reason, now)
   }
   giveUpControl(state)
 }
@@ -72,7 +91,7 @@
   }
   if (isFirstFailure) giveUpControl(state)
   if (isRunLeaseOver(state, now)) {
-    for (const record of [...state.runs.values()]) endRun(state, ports, record, 'lost', record.stopReason, now)
+    for (const record of [...state.runs.values()]) giveUpRun(state, ports, record, record.stopReason, now)
   }
 }
 
