Let the run lease expire while a run that must end can't be stopped

Where an upstream loses stop orders and answers listings, each listing and each start order renewed the lease of all that runs there, also of runs whose entry's lease had ended, whose entry had restarted, whose job was given up or ordered by another entry, and of runs that the agent doesn't know. Such a run lived on to its end. The caller's repeat after 1,300 ms, and an entry that lost contact with the agent, rely on 570 ms of entry lease and 653 ms of run lease. Change: list and start orders carry the lease end that was granted before while such a run's stop isn't confirmed, or its entry's lease is over though the agent hasn't noticed yet, or a listing shows a run that isn't in the registry. Where the start order had no answer either, the agent raises its fencing token by one: a listing with it proves that the order is dead, so an upstream that loses all orders doesn't stay without a lease. Runs that are stopped only to be started again are renewed as before.

--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -10,10 +10,11 @@
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
 import { handleListAnswer } from './listings.js'
 import {
-  isAccepting, leaseUntil, startWaitingRuns, handleStartAnswer, handleStopAnswer, repeatDueStops
+  isAccepting, startWaitingRuns, handleStartAnswer, handleStopAnswer, repeatDueStops
 } from './orders.js'
 import { createRunRegistryState, type RunRegistryPorts } from './run-registry-state.js'
 import { IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
+import { renewLease } from './run-lease.js'
 import type { RunRecord } from './run-record.js'
 import type { ListAnswer, ListOrder, OrderAnswer, UpstreamHeartbeat } from './upstream.js'
 
@@ -133,10 +134,9 @@
     },
     nextListOrder: (waitMilliseconds, now) => {
       const isRenewing = state.upstream.phase === 'serving' && state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS
-      if (isRenewing) state.upstream.leaseRenewedAt = now
       return {
         fencingToken: state.fencingToken,
-        leaseUntil: isRenewing ? leaseUntil(state, now) : undefined,
+        leaseUntil: isRenewing ? renewLease(state, now) : undefined,
         acknowledgedCompletion: state.upstream.lastCompletionNumber,
         waitMilliseconds,
         instance: state.upstream.instance
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -170,6 +170,7 @@
     runNumberAttempts: 0,
     lastRefusal: '',
     orderedAt: 0,
+    orderedFence: 0,
     isConfirmed: false,
     percent: 0,
     lastProgressAt: now,
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -3,8 +3,8 @@
   MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
-import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
-import type { RunRecord } from './run-record.js'
+import { raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
+import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import type { ListAnswer, ListedCompletion, Listing } from './upstream.js'
 import { recordPace, recordRunTime } from './run-time-reports.js'
 import { beginInstance, endExpiredRuns, handleUnreachable } from './upstream-instance.js'
@@ -50,16 +50,27 @@
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
 
+/**
+ * Whether a run is gone if a listing does not show it. After a listing, the upstream rejects a start order with a lower
+ * fencing token; that is of no use to a run which is to start again, since its stop may still be under way.
+ */
+function isAbsenceConclusive (record: RunRecord, usedFencingToken: number, requestedAt: number): boolean {
+  const isToEnd = record.state === 'stopping' && record.stopReason !== ORDER_UNANSWERED
+  if (isToEnd && record.orderedFence < usedFencingToken) return true
+  return record.absenceConclusiveFrom !== undefined && requestedAt >= record.absenceConclusiveFrom
+}
+
 /** Ends runs that are neither listed nor completed: the upstream never started them, or lost them. */
 function endMissingRuns (
   state: RunRegistryState,
   ports: RunRegistryPorts,
   listedRuns: ReadonlyMap<string, number>,
+  usedFencingToken: number,
   requestedAt: number,
   now: number
 ): void {
   for (const record of [...state.runs.values()]) {
-    if (record.absenceConclusiveFrom === undefined || requestedAt < record.absenceConclusiveFrom) continue
+    if (!isAbsenceConclusive(record, usedFencingToken, requestedAt)) continue
     const isListed = listedRuns.get(record.order.task) === record.upstreamRunNumber
     if (record.state === 'unsure') resolveUnconfirmedRun(state, ports, record, isListed, now)
     else if (!isListed) endMissingRun(state, ports, record, now)
@@ -89,21 +100,16 @@
   record.absenceConclusiveFrom = now
 }
 
-/**
- * Stops the listed runs that are not in the registry.
- *
- * @returns their number.
- */
-function stopUnknownRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): number {
-  let unknownRunCount = 0
+/** Stops the listed runs that are not in the registry, and records their number. */
+function stopUnknownRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): void {
+  state.upstream.unknownRunCount = 0
   for (const { task, run } of listing.running) {
     const record = state.runs.get(task)
     if (record !== undefined && record.state !== 'waiting' && record.upstreamRunNumber === run) continue
-    unknownRunCount += 1
+    state.upstream.unknownRunCount += 1
     ports.logger.warn('stopping a run that is not in the book', { task, run, phase: state.upstream.phase })
     ports.stopUnknownRun({ task, run, fencingToken: state.fencingToken, instance: state.upstream.instance })
   }
-  return unknownRunCount
 }
 
 /** Records the progress of the listed runs, and stops stalled ones. */
@@ -153,9 +159,9 @@
  */
 function clearEarlierRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
   for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
-  const unknownCount = stopUnknownRuns(state, ports, listing)
+  stopUnknownRuns(state, ports, listing)
   const displacedCount = settleDisplacedRuns(state, ports, listing, now)
-  if (unknownCount + displacedCount > 0) {
+  if (state.upstream.unknownRunCount + displacedCount > 0) {
     state.upstream.phase = 'clearing'
     return
   }
@@ -191,7 +197,8 @@
   stopUnknownRuns(state, ports, listing)
   recordPace(state, ports, listing, now)
   recordProgress(state, ports, listing, now)
-  endMissingRuns(state, ports, new Map(listing.running.map(({ task, run }) => [task, run])), requestedAt, now)
+  const listedRuns = new Map(listing.running.map(({ task, run }) => [task, run]))
+  endMissingRuns(state, ports, listedRuns, usedFencingToken, requestedAt, now)
 }
 
 /** Handles the answer to a list order that was sent at `requestedAt`. */
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,5 +1,4 @@
 /** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
-import { RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
 import {
   FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
@@ -8,12 +7,10 @@
   type RunRegistryState
 } from './run-registry-state.js'
 import { mayStartBesideOthers, mustRunAlone } from './lone-runs.js'
-import { hasReservedCapacity, type RunRecord } from './run-record.js'
+import { renewLease } from './run-lease.js'
+import { hasReservedCapacity, ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import type { OrderAnswer } from './upstream.js'
 
-/** Stop reason of a run whose start order got no answer: the run is stopped only to be started again. */
-export const ORDER_UNANSWERED = 'order unanswered'
-
 /** Whether the failure domain of the upstream is evacuated. */
 export function isEvacuated (state: RunRegistryState): boolean {
   return state.upstream.heartbeat !== undefined && state.evacuations.isEvacuated(state.upstream.heartbeat.failureDomain)
@@ -26,12 +23,6 @@
   return now - state.upstream.lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
 }
 
-/** Returns the end of a run lease renewed now, on the upstream's clock; undefined while that clock is unknown. */
-export function leaseUntil (state: RunRegistryState, now: number): number | undefined {
-  const clock = state.upstream.clock.timeAt(now)
-  return clock === undefined ? undefined : clock + RUN_LEASE_MILLISECONDS
-}
-
 /**
  * Sends a start order, unless no run may start here any more; then the run ends. First and repeated orders both go out
  * here, so that a condition of a start can't hold for one and be forgotten for the other.
@@ -66,14 +57,14 @@
   }
   record.state = 'ordered'
   record.orderedAt = now
+  record.orderedFence = state.fencingToken
   record.absenceConclusiveFrom = undefined
-  state.upstream.leaseRenewedAt = now
   ports.sendStart(record, {
     task,
     run: record.upstreamRunNumber,
     specification: record.specification,
     fencingToken: state.fencingToken,
-    leaseUntil: leaseUntil(state, now),
+    leaseUntil: renewLease(state, now),
     instance: state.upstream.instance
   })
 }
@@ -133,11 +124,23 @@
   })
 }
 
+/**
+ * Raises the fencing token above that of the start order of an unconfirmed run that must not start any more. A listing
+ * with the new token then proves that the run is gone, even if no stop gets through.
+ */
+function outdateStart (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord): void {
+  if (record.isConfirmed || record.stopReason === ORDER_UNANSWERED || record.orderedFence < state.fencingToken) return
+  state.fencingToken += 1
+  ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'a stop failed' })
+  ports.listImmediately()
+}
+
 /**
  * Repeats a stop order that failed: at once if it took as long as its timeout, else with the next tick. A connection
  * that is reset, or an upstream that rejects every fencing token, fails an order within a millisecond.
  */
 function repeatStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
+  outdateStart(state, ports, record)
   if (now - record.stopOrderedAt >= ORDER_TIMEOUT_MILLISECONDS) sendStop(state, ports, record, now)
   else record.isStopDue = true
 }
--- /dev/null
+++ b/packages/runs/src/run-lease.ts
@@ -0,0 +1,37 @@
+/** Lease of the runs at an upstream: its renewal by list and start orders, and its end. */
+import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
+import type { RunRegistryState } from './run-registry-state.js'
+
+/** Whether a run must end, and nothing but the end of the run lease ensures that it does. */
+function dependsOnLeaseEnd (record: RunRecord, now: number): boolean {
+  if (record.state === 'waiting' || record.state === 'displaced') return false
+  const isStopping = record.state === 'stopping'
+  if (isStopping && record.absenceConclusiveFrom !== undefined) return false
+  return now >= record.session.leaseUntil || (isStopping && record.stopReason !== ORDER_UNANSWERED)
+}
+
+function isRenewable (state: RunRegistryState, now: number): boolean {
+  if (state.upstream.unknownRunCount > 0) return false
+  for (const record of state.runs.values()) if (dependsOnLeaseEnd(record, now)) return false
+  return true
+}
+
+/**
+ * Returns the lease end that an order sent now carries, on the upstream's clock; undefined while that clock is unknown.
+ * The lease holds for all runs there, so it keeps the end that was granted before while one of them must end and its
+ * stop is not confirmed: entries rely on the end of the lease where a stop is lost.
+ */
+export function renewLease (state: RunRegistryState, now: number): number | undefined {
+  const { upstream } = state
+  if (!isRenewable(state, now)) return upstream.leaseUntil
+  upstream.leaseRenewedAt = now
+  const clock = upstream.clock.timeAt(now)
+  upstream.leaseUntil = clock === undefined ? undefined : clock + RUN_LEASE_MILLISECONDS
+  return upstream.leaseUntil
+}
+
+/** Whether the run lease has expired, even on a slow clock of the upstream. */
+export function isRunLeaseOver (state: RunRegistryState, now: number): boolean {
+  return now - state.upstream.leaseRenewedAt >= RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
+}
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -15,6 +15,9 @@
  */
 export type RunState = 'waiting' | 'ordered' | 'unsure' | 'running' | 'stopping' | 'displaced'
 
+/** Stop reason of a run whose start order got no answer: the run is stopped only to be started again. */
+export const ORDER_UNANSWERED = 'order unanswered'
+
 /** The runs of one start call; the entry is notified once all of them are done. */
 export interface RunGroup {
   /** Number of runs that have not ended. */
@@ -40,6 +43,8 @@
   lastRefusal: string
   /** Agent time of the last start order; 0 before the first. */
   orderedAt: number
+  /** Fencing token of the last start order; 0 before the first. */
+  orderedFence: number
   /** Whether the upstream has confirmed that the run started. */
   isConfirmed: boolean
   /** Highest progress that a listing showed, 0 to 100. */
--- a/packages/runs/src/upstream-instance.ts
+++ b/packages/runs/src/upstream-instance.ts
@@ -1,7 +1,7 @@
 /** The lifetime of an upstream's instances: what ends with one, and how the agent takes control of the next. */
-import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
 import { crashCandidates, describeCandidate, logCandidates } from './crash-candidates.js'
 import { MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
+import { isRunLeaseOver } from './run-lease.js'
 import type { RunRecord } from './run-record.js'
 import { endRun, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import type { UpstreamInstance } from './upstream.js'
@@ -130,11 +130,6 @@
   return state.upstream.phase !== 'unfenced' || state.runs.size > 0
 }
 
-/** Whether the run lease has expired, even on a slow clock of the upstream. */
-function isRunLeaseOver (state: RunRegistryState, now: number): boolean {
-  return now - state.upstream.leaseRenewedAt >= RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
-}
-
 /** Ends all runs of an unresponsive upstream once their lease has expired even on a slow clock. */
 export function endExpiredRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   if (state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || !hasRunsOrControl(state)) return
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -52,6 +52,10 @@
   unansweredListings: number
   /** Agent time of the last order that renewed the lease of all runs: a list or a start order. */
   leaseRenewedAt: number
+  /** Lease end that this order carried, on the upstream's clock; undefined before the first. */
+  leaseUntil: number | undefined
+  /** Number of runs in the newest listing that were not in the registry. */
+  unknownRunCount: number
 }
 
 /**
@@ -83,6 +87,8 @@
     lastListingAt: 0,
     lastListingClock: 0,
     unansweredListings: 0,
-    leaseRenewedAt: 0
+    leaseRenewedAt: 0,
+    leaseUntil: undefined,
+    unknownRunCount: 0
   }
 }
--- /dev/null
+++ b/packages/runs/tests/lost-stops.test.ts
@@ -0,0 +1,108 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { ENTRY_LEASE_MILLISECONDS, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { createRegistryUnderTest, heartbeat, TASK, type RegistryUnderTest } from './registry-under-test.js'
+
+const OTHER_TASK = '5c0e7a21d94b36f8.0.0.1'
+const RUNNING = { running: [{ task: TASK, run: 1, percent: 10 }] }
+
+let agent: RegistryUnderTest
+
+beforeEach(() => {
+  agent = createRegistryUnderTest()
+  agent.registry.handleHeartbeat(heartbeat(), agent.advance(1))
+  agent.list()
+  agent.order(1)
+})
+
+/** Loses stop orders while listings are answered; returns the latest lease end that an order carries meanwhile. */
+function loseStops (milliseconds: number): number {
+  const endsAt = agent.advance(0) + milliseconds
+  let latest = 0
+  while (agent.advance(50) < endsAt) {
+    agent.registry.tick(agent.advance(0))
+    if (agent.stops.length > 0) agent.answerLastStop('unanswered')
+    latest = Math.max(latest, agent.nextLease() ?? 0)
+    agent.list(RUNNING)
+  }
+  return latest
+}
+
+describe('the run lease, while a stop gets no answer and listings do', () => {
+  // Its caller's repeat ran elsewhere, while the run of the lost entry lived on to its end.
+  it('is not renewed for a run whose entry is lost, although the agent has not noticed that yet', () => {
+    agent.answerLastStart('taken')
+    agent.watch()
+    const leaseEndsAt = agent.advance(0) + ENTRY_LEASE_MILLISECONDS
+    while (agent.advance(50) < leaseEndsAt) agent.list(RUNNING)
+    agent.list(RUNNING)
+    expect(loseStops(1_500)).toBeLessThan(leaseEndsAt + RUN_LEASE_MILLISECONDS)
+  })
+
+  it('is not renewed for a run that its entry stops, nor by starts of others', () => {
+    agent.answerLastStart('taken')
+    agent.stop(1)
+    const stoppedAt = agent.advance(0)
+    agent.watch()
+    agent.order(1, OTHER_TASK)
+    expect(agent.starts[1]?.order.leaseUntil).toBeLessThanOrEqual(stoppedAt + RUN_LEASE_MILLISECONDS)
+    expect(loseStops(500)).toBeLessThanOrEqual(stoppedAt + RUN_LEASE_MILLISECONDS)
+  })
+
+  it('is renewed again once the stop is confirmed', () => {
+    agent.answerLastStart('taken')
+    agent.stop(1)
+    loseStops(300)
+    agent.watch()
+    agent.answerLastStop('taken')
+    expect(agent.nextLease()).toBe(agent.advance(0) + RUN_LEASE_MILLISECONDS)
+  })
+
+  it('is renewed while a start order without an answer is stopped only to be repeated', () => {
+    agent.answerLastStart('unanswered')
+    agent.advance(1)
+    agent.list()
+    agent.answerLastStop('unanswered')
+    agent.watch()
+    expect(agent.nextLease()).toBe(agent.advance(0) + RUN_LEASE_MILLISECONDS)
+  })
+
+  it('is not renewed for a run that is not in the registry, until a listing shows none', () => {
+    agent.answerLastStart('taken')
+    agent.list({ running: [...RUNNING.running, { task: OTHER_TASK, run: 1, percent: 0 }] })
+    const listedAt = agent.advance(0)
+    agent.advance(100)
+    expect(agent.nextLease()).toBeLessThanOrEqual(listedAt + RUN_LEASE_MILLISECONDS)
+    agent.list(RUNNING)
+    expect(agent.nextLease()).toBe(agent.advance(0) + RUN_LEASE_MILLISECONDS)
+  })
+})
+
+describe('a run whose start and stop both got no answer', () => {
+  it('ends once a listing with a higher fencing token does not show it', () => {
+    agent.answerLastStart('unanswered')
+    agent.stop(1)
+    const outdated = agent.requestListing()
+    agent.answerLastStop('unanswered')
+    outdated()
+    expect(agent.watch().reports).toEqual([])
+    agent.list()
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'not-started' }])
+  })
+})
+
+describe('a run that is stopped only to be started again', () => {
+  // The answer to its late stop counted for the second start order, and the run was reported lost when it had started.
+  it('is not started again while its stop is under way, although another run has raised the fencing token', () => {
+    agent.order(1, OTHER_TASK)
+    agent.answerLastStart('unanswered')
+    agent.advance(1)
+    agent.list()
+    expect(agent.stops).toHaveLength(1)
+    agent.stop(1)
+    for (const { record } of agent.starts.slice(0, 1)) {
+      agent.registry.handleStopAnswer(record, { outcome: 'unanswered', clock: undefined }, 7, agent.advance(50))
+    }
+    agent.list()
+    expect(agent.starts).toHaveLength(2)
+  })
+})
--- a/packages/runs/tests/registry-under-test.ts
+++ b/packages/runs/tests/registry-under-test.ts
@@ -26,6 +26,8 @@
   requestListing: () => (listing?: Partial<Listing>, clock?: number) => void
   answerLastStart: (outcome: OrderOutcome) => void
   answerLastStop: (outcome: OrderOutcome) => void
+  /** Returns the lease end that the next list order carries. */
+  nextLease: () => number | undefined
   /** Requests a listing, which times out. */
   loseListing: () => void
   /** Requests a listing, which fails a millisecond later. */
@@ -101,6 +103,7 @@
     advance: milliseconds => { now += milliseconds; return now },
     list: (listing, clock) => { requestListing()(listing, clock) },
     requestListing,
+    nextLease: () => registry.nextListOrder(0, now).leaseUntil,
     failListing: outcome => {
       const requestedAt = now
       const order = registry.nextListOrder(0, requestedAt)
