Hold a run whose order got no answer when its upstream falls silent

An upstream may start again under its id, with its clock and its fencing token anew, and an order without an answer may be carried out seconds later. That instance takes the order: the lease end that it names lies far ahead on the new clock. That the run lease has expired proves it for the instance of the order alone. Change: in both cases a run whose start order got no answer is displaced, as where the next instance is seen, and ends with the first listing, under the raised fencing token, that doesn't show it. Without any listing it ends once its order is 3 s old; that is logged as `unconfirmed run given up`. Confirmed and waiting runs end as before. The task of a held run isn't started elsewhere meanwhile: its caller gets a late or no result, for the few orders under way when an upstream falls silent for good. Measured: `may start again and carry out an order without an answer, whose run is not reported lost with the run lease` fails on the code before.

--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -36,5 +36,7 @@
 export const MAXIMUM_UNANSWERED_REPETITIONS = 2
 /** Retention of the tombstone of an order; delayed copies of the order go stale within the entry lease. */
 export const TOMBSTONE_RETENTION_MILLISECONDS = 2_000
+/** Age of an order without an answer from which it is not expected to be carried out: delays last up to seconds. */
+export const LATE_ORDER_MILLISECONDS = 3_000
 /** Maximum number of runs in an agent's queue: a few seconds of work. */
 export const MAXIMUM_WAITING_RUNS = 400
--- a/packages/runs/src/upstream-instance.ts
+++ b/packages/runs/src/upstream-instance.ts
@@ -1,6 +1,6 @@
 /** The lifetime of an upstream's instances: what ends with one, and how the agent takes control of the next. */
 import { crashCandidates, describeCandidate, logCandidates } from './crash-candidates.js'
-import { MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
+import { LATE_ORDER_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
 import { isRunLeaseOver } from './run-lease.js'
 import type { RunRecord } from './run-record.js'
 import { endRun, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
@@ -33,24 +33,6 @@
   })
 }
 
-/** Ends a run as lost, and logs it if its start order may yet be carried out. */
-function giveUpRun (
-  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, reason: string, now: number
-): void {
-  if (!record.isConfirmed) {
-    const { instance, leaseRenewedAt } = state.upstream
-    ports.logger.warn('unconfirmed run given up', {
-      task: record.order.task,
-      run: record.upstreamRunNumber,
-      upstream: instance?.id,
-      bornAt: instance?.startedAt,
-      orderedAgo: Math.round(now - record.orderedAt),
-      renewedAgo: Math.round(now - leaseRenewedAt)
-    })
-  }
-  endRun(state, ports, record, 'lost', reason, now)
-}
-
 /** Takes control of the upstream anew after its runs have ended. What the instance said of itself stays known. */
 function giveUpControl (state: RunRegistryState): void {
   const { instance, instanceKnownSince, leaseRenewedAt } = state.upstream
@@ -63,26 +45,40 @@
   state.fencingToken += 1
 }
 
-/** Ends all runs of an upstream whose run lease has expired, and takes control of it anew. */
-function endUpstreamRuns (state: RunRegistryState, ports: RunRegistryPorts, reason: string, now: number): void {
-  recordEnd(state, ports, reason, 'silent', now)
+/** Ends the displaced runs whose start order can't be carried out any more, though no listing has proved it. */
+function endOutdatedRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  if (!isRunLeaseOver(state, now)) return
   for (const record of [...state.runs.values()]) {
-    if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
-    else giveUpRun(state, ports, record, reason, now)
+    const orderedAgo = now - record.orderedAt
+    if (record.state !== 'displaced') continue
+    if (!record.isConfirmed) {
+      if (orderedAgo < LATE_ORDER_MILLISECONDS) continue
+      const { instance, leaseRenewedAt } = state.upstream
+      ports.logger.warn('unconfirmed run given up', {
+        task: record.order.task,
+        run: record.upstreamRunNumber,
+        upstream: instance?.id,
+        bornAt: instance?.startedAt,
+        orderedAgo: Math.round(orderedAgo),
+        renewedAgo: Math.round(now - leaseRenewedAt)
+      })
+    }
+    endRun(state, ports, record, 'lost', record.stopReason, now)
   }
-  giveUpControl(state)
 }
 
 /**
- * Ends the runs of an upstream at which nothing listens. A start order without an answer may still be carried out, by
- * the next instance, until that is fenced or the lease of the order has expired; its run is displaced until then.
+ * Ends the confirmed runs of an upstream that is gone, or whose run lease has expired, and takes control of it anew. A
+ * start order without an answer may still be carried out by the next instance, on whose clock its lease has not
+ * expired; its run is displaced until that instance is fenced, or the order too old.
  */
-export function handleUnreachable (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
-  const reason = 'nothing listens at the upstream'
+function loseUpstream (
+  state: RunRegistryState, ports: RunRegistryPorts, reason: string, evidence: 'gone' | 'silent', now: number
+): void {
   const isFirstFailure = state.upstream.phase !== 'unfenced' ||
     [...state.runs.values()].some(record => record.state !== 'displaced')
-  if (isFirstFailure) recordEnd(state, ports, reason, 'gone', now)
-  state.crashes.settleSuspected(true)
+  if (isFirstFailure) recordEnd(state, ports, reason, evidence, now)
+  if (evidence === 'gone') state.crashes.settleSuspected(true)
   for (const record of [...state.runs.values()]) {
     if (record.state === 'displaced') continue
     if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
@@ -90,9 +86,12 @@
     else displace(record, reason)
   }
   if (isFirstFailure) giveUpControl(state)
-  if (isRunLeaseOver(state, now)) {
-    for (const record of [...state.runs.values()]) giveUpRun(state, ports, record, record.stopReason, now)
-  }
+  endOutdatedRuns(state, ports, now)
+}
+
+/** Handles that nothing listens at the upstream. */
+export function handleUnreachable (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  loseUpstream(state, ports, 'nothing listens at the upstream', 'gone', now)
 }
 
 function displace (record: RunRecord, reason: string): void {
@@ -134,5 +133,5 @@
 export function endExpiredRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   if (state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS || !hasRunsOrControl(state)) return
   if (!isRunLeaseOver(state, now)) return
-  endUpstreamRuns(state, ports, 'the run lease ended without an answer', now)
+  loseUpstream(state, ports, 'the run lease ended without an answer', 'silent', now)
 }
--- a/packages/runs/tests/instance-evidence.test.ts
+++ b/packages/runs/tests/instance-evidence.test.ts
@@ -3,6 +3,8 @@
 import { createRegistryUnderTest, heartbeat, TASK, type RegistryUnderTest } from './registry-under-test.js'
 
 const LATER_START = { id: 'i-1', startedAt: 5_000 }
+/** Age up to which an order without an answer may be carried out. */
+const LATE_ORDER_MILLISECONDS = 3_000
 
 let agent: RegistryUnderTest
 
@@ -22,14 +24,14 @@
   })
 
   // Its entry would start the task elsewhere, while the next instance may yet carry out the order.
-  it('does not end a run whose order got no answer before its lease has expired', () => {
+  it('does not end a run whose order got no answer while that may still be carried out', () => {
     agent.order(1)
     const orderedAt = agent.advance(0)
     agent.answerLastStart('unanswered')
     agent.failListing('unreachable')
-    while (agent.advance(10) < orderedAt + RUN_LEASE_BOUND_MILLISECONDS) agent.failListing('unreachable')
+    while (agent.advance(10) < orderedAt + LATE_ORDER_MILLISECONDS - 10) agent.failListing('unreachable')
     expect(agent.watch().reports).toEqual([])
-    agent.advance(60)
+    agent.advance(20)
     agent.failListing('unreachable')
     expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
   })
@@ -46,6 +48,42 @@
   })
 })
 
+describe('an upstream that answers no more', () => {
+  const OTHER_TASK = '5c0e7a21d94b36f8.0.0.1'
+  const THIRD_TASK = '5c0e7a21d94b36f8.0.0.2'
+
+  beforeEach(() => {
+    agent.order(1)
+    agent.answerLastStart('taken')
+    agent.order(1, OTHER_TASK)
+    agent.answerLastStart('unanswered')
+    const orderedAt = agent.advance(0)
+    while (agent.advance(0) < orderedAt + RUN_LEASE_BOUND_MILLISECONDS + 200) agent.loseListing()
+  })
+
+  // Under its id, with its clock and fencing token anew, the order is valid; the task was started elsewhere by then.
+  it('may start again and carry out an order without an answer, whose run is not reported lost with the run lease', () => {
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+    agent.list({ startedAt: LATER_START.startedAt, running: [{ task: OTHER_TASK, run: 1, percent: 0 }] }, 100)
+    agent.list({ startedAt: LATER_START.startedAt, running: [{ task: OTHER_TASK, run: 1, percent: 0 }] }, 120)
+    expect(agent.watch().reports).toHaveLength(1)
+    agent.list({ startedAt: LATER_START.startedAt }, 140)
+    expect(agent.watch().reports).toMatchObject([{ task: TASK }, { task: OTHER_TASK, outcome: 'lost' }])
+  })
+
+  it('and does again ends such a run with its first listing under the raised fencing token', () => {
+    agent.list()
+    expect(agent.watch().reports).toMatchObject([{ task: TASK }, { task: OTHER_TASK, outcome: 'lost' }])
+    expect(agent.order(1, THIRD_TASK).verdicts).toEqual(['accepted'])
+  })
+
+  it('for good does not hold such a run for ever', () => {
+    const silentAt = agent.advance(0)
+    while (agent.advance(0) < silentAt + LATE_ORDER_MILLISECONDS) agent.loseListing()
+    expect(agent.watch().reports).toMatchObject([{ task: TASK }, { task: OTHER_TASK, outcome: 'lost' }])
+  })
+})
+
 describe('a deregistration', () => {
   beforeEach(() => {
     agent.order(1)
--- a/packages/runs/tests/lease-of-runs.test.ts
+++ b/packages/runs/tests/lease-of-runs.test.ts
@@ -1,7 +1,9 @@
 import { describe, expect, it } from 'vitest'
 import { RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
-import { createRegistryUnderTest, heartbeat } from './registry-under-test.js'
+import { createRegistryUnderTest, heartbeat, TASK } from './registry-under-test.js'
 
+/** Age up to which an order without an answer may be carried out. */
+const LATE_ORDER_MILLISECONDS = 3_000
 const OTHER_TASK = '5c0e7a21d94b36f8.0.0.1'
 
 describe('the runs of an upstream that answers no more', () => {
@@ -19,6 +21,8 @@
     while (agent.advance(0) < orderedAt + RUN_LEASE_BOUND_MILLISECONDS - 70) agent.loseListing()
     expect(agent.watch().reports).toEqual([])
     for (let lost = 0; lost < 4; lost += 1) agent.loseListing()
-    expect(agent.watch().reports).toMatchObject([{ outcome: 'lost' }, { outcome: 'lost' }])
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+    while (agent.advance(0) < orderedAt + LATE_ORDER_MILLISECONDS) agent.loseListing()
+    expect(agent.watch().reports).toMatchObject([{ outcome: 'lost' }, { task: OTHER_TASK, outcome: 'lost' }])
   })
 })
