Keep one odd completion from hiding those that follow

Cause: a listed completion numbered 1e300, or 9e15, raised the number up to which completions are skipped and acknowledged. The true ones that followed were skipped and forgotten at the upstream: a run that had ended `done` was reported lost, and its entry ran the task again. A row out of order hid those with lower numbers in the same listing. Change: completions are handled in the order of their numbers. One whose number is no whole one, or far above the last, is applied to the run that it names, but isn't acknowledged; it is logged once for an instance.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -46,6 +46,7 @@
   'share of an upstream': 'An agent gets less work than its capacity allows, or more again: `agent`, `share` (0 to 1), `failureShare`, `pace`, `silence` (ms since it answered again; 0 without one)',
   'run stands still': 'A run is stopped because it stalled: `task`, `run`, `percent`, `milliseconds` without progress',
   'stopping a run that is not in the book': 'The upstream runs a task that is not in the run registry of the agent: `task`, `run`, `phase`',
+  'completion with an odd number': 'The upstream lists a completion whose number is no whole one, or far above the others; it is applied, but not acknowledged, and logged once for an instance: `number`, `last` number, `task`, `run`, `kind`',
   'entry found': 'An entry called for the first time since it started: `entry`, `incarnation`',
   'fence raised': 'The upstream rejected a fencing token as too old, and the agent raised it: `fence`, `reason`',
   'upstream found': 'The first heartbeat of an upstream instance arrived: `upstream`, `bornAt`, `service`, `processor`, `labels`',
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -1,6 +1,7 @@
 /** Handles the upstream's listings: completions, progress of runs, and unknown runs. */
 import {
-  MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
+  MAXIMUM_COMPLETION_GAP, MAXIMUM_COMPLETION_NUMBER, MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS,
+  STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
@@ -31,11 +32,39 @@
   return remainingCount
 }
 
+/** Whether the number of a completion can be the upstream's: one far above the others would hide all that follow. */
+function isPlausibleNumber (number: number, lastNumber: number): boolean {
+  const maximum = lastNumber === 0 ? MAXIMUM_COMPLETION_NUMBER : lastNumber + MAXIMUM_COMPLETION_GAP
+  return Number.isSafeInteger(number) && number >= 1 && number <= maximum
+}
+
+function logOddCompletion (
+  state: RunRegistryState, ports: RunRegistryPorts, { number, task, run, kind }: ListedCompletion
+): void {
+  if (state.upstream.hasLoggedOddCompletion) return
+  state.upstream.hasLoggedOddCompletion = true
+  ports.logger.warn('completion with an odd number', { number, last: state.upstream.lastCompletionNumber, task, run, kind })
+}
+
+/** Handles the completions of a listing in the order of their numbers. */
+function handleCompletions (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
+  const completions = [...listing.ended].sort((left, right) => left.number - right.number)
+  for (const completion of completions) {
+    const { number } = completion
+    const { lastCompletionNumber } = state.upstream
+    if (isPlausibleNumber(number, lastCompletionNumber)) {
+      if (number <= lastCompletionNumber) continue
+      state.upstream.lastCompletionNumber = number
+    } else {
+      logOddCompletion(state, ports, completion)
+    }
+    handleCompletion(state, ports, completion, now)
+  }
+}
+
 function handleCompletion (
   state: RunRegistryState, ports: RunRegistryPorts, completion: ListedCompletion, now: number
 ): void {
-  if (completion.number <= state.upstream.lastCompletionNumber) return
-  state.upstream.lastCompletionNumber = completion.number
   const record = state.runs.get(completion.task)
   if (record === undefined || record.state === 'waiting' || record.upstreamRunNumber !== completion.run) return
   const estimateMilliseconds = record.order.estimateMilliseconds
@@ -158,7 +187,7 @@
  * a listing has none, the upstream serves.
  */
 function clearEarlierRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
-  for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
+  handleCompletions(state, ports, listing, now)
   stopUnknownRuns(state, ports, listing)
   const displacedCount = settleDisplacedRuns(state, ports, listing, now)
   if (state.upstream.unknownRunCount + displacedCount > 0) {
@@ -192,7 +221,7 @@
     if (!isOutOfOrder && usedFencingToken >= state.fencingToken) clearEarlierRuns(state, ports, listing, now)
     return
   }
-  for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
+  handleCompletions(state, ports, listing, now)
   if (isOutOfOrder) return
   stopUnknownRuns(state, ports, listing)
   recordPace(state, ports, listing, now)
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -44,6 +44,8 @@
   readonly slowStart: SlowStart
   /** Number of the last completion that was processed. */
   lastCompletionNumber: number
+  /** Whether a completion with an implausible number was logged; it is listed again and again. */
+  hasLoggedOddCompletion: boolean
   /** Agent time of the last listing; 0 before the first. */
   lastListingAt: number
   /** Highest clock of the upstream in a listing, in milliseconds. */
@@ -84,6 +86,7 @@
     loggedFactor: 1,
     slowStart: createSlowStart(),
     lastCompletionNumber: 0,
+    hasLoggedOddCompletion: false,
     lastListingAt: 0,
     lastListingClock: 0,
     unansweredListings: 0,
