Raise a rejected fencing token by a small step that doubles

Cause: an agent whose fencing token is rejected added 100,000, which is a hundred seconds: tokens begin with the time of day in milliseconds. Its next incarnation then began below it. An upstream that started again meanwhile has seen no token: it takes the lower one, the agent lists nothing and serves, and a late order of the former incarnation has the higher token and starts. Change: the first increment is 1,000, each rejection in a row doubles it up to 100,000, and it is 1,000 again once the upstream has served.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -1,7 +1,7 @@
 /** Handles the upstream's listings: completions, progress of runs, and unknown runs. */
 import {
-  MAXIMUM_COMPLETION_GAP, MAXIMUM_COMPLETION_NUMBER, MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS,
-  STALL_TIMEOUT_MILLISECONDS
+  FENCING_TOKEN_STEP, MAXIMUM_COMPLETION_GAP, MAXIMUM_COMPLETION_NUMBER, MAXIMUM_UNANSWERED_LISTINGS,
+  MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
@@ -195,6 +195,7 @@
     return
   }
   state.upstream.phase = 'serving'
+  state.fencingTokenStep = FENCING_TOKEN_STEP
   state.isCleared = true
   ports.logger.info('upstream serves', { fence: state.fencingToken })
 }
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,6 +1,6 @@
 /** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
 import {
-  FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
+  MAXIMUM_FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import {
   reserveCapacity, endRun, freeCapacity, hasCapacityFor, recordUpstreamClock, type RunRegistryPorts,
@@ -155,7 +155,8 @@
 /** Raises the fencing token after the upstream rejected `usedFencingToken` as too old. */
 export function raiseFencingToken (state: RunRegistryState, ports: RunRegistryPorts, usedFencingToken: number): void {
   if (usedFencingToken < state.fencingToken) return
-  state.fencingToken = usedFencingToken + FENCING_TOKEN_STEP
+  state.fencingToken = usedFencingToken + state.fencingTokenStep
+  state.fencingTokenStep = Math.min(MAXIMUM_FENCING_TOKEN_STEP, 2 * state.fencingTokenStep)
   ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'upstream has seen a higher one' })
 }
 
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -17,8 +17,13 @@
 export const RETRY_DELAY_MILLISECONDS = 20
 /** Age of the last listing above which no new runs are accepted: about three listing intervals. */
 export const MAXIMUM_LISTING_AGE_MILLISECONDS = 700
-/** Increment of the fencing token when the upstream has seen a higher one. */
-export const FENCING_TOKEN_STEP = 100_000
+/**
+ * First increment of the fencing token when the upstream has seen a higher one; each rejection in a row doubles it. A
+ * second, so that the token of the next incarnation, which is its start time in milliseconds, exceeds the raised one.
+ */
+export const FENCING_TOKEN_STEP = 1_000
+/** Largest increment; an upstream that rejects every token does not raise it without bound within hours. */
+export const MAXIMUM_FENCING_TOKEN_STEP = 100_000
 /** Smallest forward jump of the upstream's clock, relative to the agent's, that counts as a suspension of the VM. */
 export const MINIMUM_SUSPENSION_MILLISECONDS = 200
 /** Maximum drift of the upstream's clock relative to the agent's, as a share of the elapsed time. */
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -9,7 +9,7 @@
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import { limitCapacity } from './slow-start.js'
-import { OBSERVATION_WEIGHT, TOMBSTONE_RETENTION_MILLISECONDS } from './run-limits.js'
+import { FENCING_TOKEN_STEP, OBSERVATION_WEIGHT, TOMBSTONE_RETENTION_MILLISECONDS } from './run-limits.js'
 import type { StartOrder, StopOrder } from './upstream.js'
 import { createUpstreamState, type UpstreamState } from './upstream-state.js'
 
@@ -45,6 +45,8 @@
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
   isCleared: boolean
   fencingToken: number
+  /** Next increment of the fencing token when the upstream has seen a higher one. */
+  fencingTokenStep: number
   /** Newest factor on the callers' estimates that an entry told, by route. */
   readonly routeFactors: Map<string, number>
   /** Returns that factor of a route; 1 for one that no entry told. */
@@ -81,6 +83,7 @@
     upstream: createUpstreamState(undefined, routeFactor),
     isCleared: false,
     fencingToken,
+    fencingTokenStep: FENCING_TOKEN_STEP,
     routeFactors,
     routeFactor,
     crashes: createCrashRecord(incarnation),
