Rely on the leases that an agent tells, not on one's own constants

Cause: an entry moves the tasks of a silent agent when both leases have ended, and took their lengths from constants of its own build. The entry lease was 600 ms before and is 570 ms since, so beside an agent of an earlier build an entry believed a run dead 30 ms before the agent lets go of it. A later change of either length would do the same. Nothing between the processes told it: two processes relied on one constant. Change: agents tell `leases` in their profile, which is sent once per version. An entry uses what the incarnation of that agent told, for a silent agent, for one that refuses connections and for the runs of a former incarnation. Without them, or with values that no build keeps, it uses the longest of any build before (600 ms and 652.8 ms). Its watches of an agent with runs last at most half of the entry lease told. A caller's repeat after 1,300 ms is covered by the agent alone: 600 + 40 + 653 = 1,293 ms with the earliest builds, 1,263 ms with this one.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -1,9 +1,9 @@
 /** Handles answers of agents (run reports, verdicts on starts), failed calls, and unresponsive agents. */
 import {
-  EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS,
+  EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, readLeases, UNTOLD_LEASES,
   type RunReport, type Start, type StartAnswer, type StopAnswer, type Verdict, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import type { AgentView } from './agent-view.js'
+import { latestRunEnd, longestRunLease, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
 import { BUSY_RETRY_MILLISECONDS, LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
@@ -26,7 +26,9 @@
     if (view.incarnation !== '') view.formerIncarnations.add(view.incarnation)
     view.incarnation = answer.incarnation
     view.incarnationSince = now
+    view.formerRunLeaseMilliseconds = longestRunLease(view)
     view.mayHaveFormerRuns = true
+    view.leases = UNTOLD_LEASES
     view.acknowledgedSequence = 0
     view.lastAgentClock = 0
     view.profile = undefined
@@ -47,6 +49,7 @@
   view.load = answer.room
   if (answer.profile !== undefined) {
     view.profile = answer.profile
+    view.leases = readLeases(answer.profile.leases)
     learnCrashes(state, ports, view, now)
   }
   state.runTimes.applyAnswer(view)
@@ -282,17 +285,10 @@
   else view.refusedSince ??= now
 }
 
-/** Returns the time by which all runs of an unresponsive agent have ended, on the entry's steady clock. */
-export function latestRunEnd (view: AgentView): number {
-  const endAfterLastContact = view.lastContactAt + ENTRY_LEASE_MILLISECONDS + RUN_LEASE_BOUND_MILLISECONDS
-  const endAfterRefusal = view.refusedSince === undefined ? Infinity : view.refusedSince + RUN_LEASE_BOUND_MILLISECONDS
-  return Math.min(endAfterLastContact, endAfterRefusal) + 2 * LEASE_MARGIN_MILLISECONDS
-}
-
 /** Ends the assignments to agents, or to their earlier incarnations, whose leases have all ended. */
 export function endRunsOfUnresponsiveAgents (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   for (const view of state.agents.values()) {
-    const formerRunsEndAt = view.incarnationSince + RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
+    const formerRunsEndAt = view.incarnationSince + view.formerRunLeaseMilliseconds + LEASE_MARGIN_MILLISECONDS
     if (now >= formerRunsEndAt) endFormerRuns(state, ports, view, now)
     if (view.isReachable || view.incarnation === '' || now < latestRunEnd(view)) continue
     endLostRuns(state, ports, view, 'agent silent', now)
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -1,5 +1,8 @@
 /** An entry's view of one agent and its upstream. */
-import { EMPTY_SIZE, type UpstreamProfile, type UpstreamLoad, type Size } from '@baobabpost/fleet-calls'
+import {
+  EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, UNTOLD_LEASES, type LeaseLengths, type Size, type UpstreamLoad,
+  type UpstreamProfile
+} from '@baobabpost/fleet-calls'
 import { rankFor } from './preference.js'
 
 /** An agent as an entry sees it. Times are on the entry's steady clock in milliseconds, unless stated otherwise. */
@@ -15,6 +18,10 @@
   incarnationSince: number
   /** Whether runs of earlier incarnations may still be running. */
   mayHaveFormerRuns: boolean
+  /** Longest run lease of the incarnations whose runs may still be running, in milliseconds. */
+  formerRunLeaseMilliseconds: number
+  /** Leases that the current incarnation keeps. */
+  leases: LeaseLengths
   profile: UpstreamProfile | undefined
   load: UpstreamLoad
   /** Agent's steady clock in its newest answer, in milliseconds. */
@@ -58,6 +65,8 @@
     formerIncarnations: new Set(),
     incarnationSince: 0,
     mayHaveFormerRuns: false,
+    formerRunLeaseMilliseconds: 0,
+    leases: UNTOLD_LEASES,
     profile: undefined,
     load: UNKNOWN_LOAD,
     lastAgentClock: 0,
@@ -78,3 +87,16 @@
 export function isUsable (view: AgentView): boolean {
   return view.isReachable && view.profile?.accepting === true
 }
+
+/** Returns the longest lease of the runs that an agent and its earlier incarnations may have, in milliseconds. */
+export function longestRunLease (view: AgentView): number {
+  return Math.max(view.leases.runMilliseconds, view.mayHaveFormerRuns ? view.formerRunLeaseMilliseconds : 0)
+}
+
+/** Returns the time by which all runs of an unresponsive agent have ended, on the entry's steady clock. */
+export function latestRunEnd (view: AgentView): number {
+  const runMilliseconds = longestRunLease(view)
+  const endAfterLastContact = view.lastContactAt + view.leases.entryMilliseconds + runMilliseconds
+  const endAfterRefusal = view.refusedSince === undefined ? Infinity : view.refusedSince + runMilliseconds
+  return Math.min(endAfterLastContact, endAfterRefusal) + 2 * LEASE_MARGIN_MILLISECONDS
+}
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -202,7 +202,8 @@
   /** An agent that was lost, or has just started, answers at once: until then it gets no work. */
   function watchMilliseconds (view: AgentView): number {
     if (!view.isReachable) return 0
-    return hasWorkAt(view) ? BUSY_WATCH_MILLISECONDS : idleWatchMilliseconds()
+    if (!hasWorkAt(view)) return idleWatchMilliseconds()
+    return Math.min(BUSY_WATCH_MILLISECONDS, view.leases.entryMilliseconds / 2)
   }
 
   function hasWorkAt (view: AgentView): boolean {
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -6,7 +6,7 @@
 export const CALL_TIMEOUT_MILLISECONDS = 150
 /** Longest timeout of a start or stop call: an order that is older than the entry lease is refused in any case. */
 export const MAXIMUM_CALL_TIMEOUT_MILLISECONDS = 400
-/** Maximum wait of a watch call to an agent with tasks of this entry: half of the entry lease. */
+/** Maximum wait of a watch call to an agent with tasks of this entry; half of its entry lease if that is shorter. */
 export const BUSY_WATCH_MILLISECONDS = 280
 /** Maximum wait of a watch call to an agent without tasks of this entry, for each known agent of the fleet. */
 export const IDLE_WATCH_MILLISECONDS_PER_AGENT = 60
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -2,6 +2,7 @@
 import { Schema } from 'effect'
 import { CrashFacts } from './crash-facts.js'
 import { EvacuationState } from './evacuations.js'
+import { LeaseLengths } from './lease-lengths.js'
 import { RememberedRunTimes, RunTimes } from './run-times.js'
 import { Size } from './size.js'
 
@@ -35,7 +36,9 @@
   /** Newest factor on the callers' estimates that an entry told, by route; for entries that have just started. */
   routeFactors: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
   /** Recent crashes of the upstream; absent without any. */
-  crashes: Schema.optionalKey(CrashFacts)
+  crashes: Schema.optionalKey(CrashFacts),
+  /** Leases that the agent keeps; absent from builds before they were told, see `UNTOLD_LEASES`. */
+  leases: Schema.optionalKey(LeaseLengths)
 })
 export type UpstreamProfile = typeof UpstreamProfile.Type
 
--- a/packages/fleet-calls/src/lease-lengths.ts
+++ b/packages/fleet-calls/src/lease-lengths.ts
@@ -4,7 +4,11 @@
  * A client whose connection broke sends its job again 1,300 ms later, to any entry. No run of the first attempt may
  * be left then, even if the entry failed and the agent after it. Both leases together, including the drift of the
  * upstream's clock, are therefore shorter than that.
+ *
+ * An agent tells the leases that it keeps, and entries rely on what they were told: an agent of another build may keep
+ * other lengths.
  */
+import { Schema } from 'effect'
 
 /** Time for which an agent keeps an entry's runs after it sent the newest answer that the entry has received. */
 export const ENTRY_LEASE_MILLISECONDS = 570
@@ -17,3 +21,38 @@
 
 /** Allowance for late timers and for messages in transit when one process relies on a lease kept by another. */
 export const LEASE_MARGIN_MILLISECONDS = 20
+
+/** Leases that an agent keeps for the runs of an entry, in milliseconds. */
+export const LeaseLengths = Schema.Struct({
+  /** Time for which the agent keeps an entry's runs after it sent the newest answer that the entry has received. */
+  entryMilliseconds: Schema.Number,
+  /** Longest real time for which the upstream keeps runs after the agent last renewed their lease. */
+  runMilliseconds: Schema.Number
+})
+export type LeaseLengths = typeof LeaseLengths.Type
+
+/** Leases that agents of this build keep. */
+export const KEPT_LEASES: LeaseLengths = {
+  entryMilliseconds: ENTRY_LEASE_MILLISECONDS, runMilliseconds: RUN_LEASE_BOUND_MILLISECONDS
+}
+
+/** Leases of an agent that has told none: the longest that any build kept before agents told them. */
+export const UNTOLD_LEASES: LeaseLengths = { entryMilliseconds: 600, runMilliseconds: 652.8 }
+
+/** Longest lease that an entry believes: several times the longest of any build. Others come from a faulty process. */
+const MAXIMUM_LEASE_MILLISECONDS = 10_000
+
+function isPlausible (milliseconds: number): boolean {
+  return milliseconds > 0 && milliseconds <= MAXIMUM_LEASE_MILLISECONDS
+}
+
+/**
+ * Returns the leases to rely on for an agent, given what it has told.
+ *
+ * @example
+ * readLeases(profile.leases).entryMilliseconds // 570
+ */
+export function readLeases (told: LeaseLengths | undefined): LeaseLengths {
+  if (told === undefined) return UNTOLD_LEASES
+  return isPlausible(told.entryMilliseconds) && isPlausible(told.runMilliseconds) ? told : UNTOLD_LEASES
+}
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -1,8 +1,8 @@
 /** Handles the entries' calls to an agent: start, stop and watch. */
 import {
-  EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, type CallingEntry, type EvacuationState, type RunOrder, type Start,
-  type StartAnswer, type Stop, type StopAnswer, type UpstreamLoad, type UpstreamProfile, type Verdict, type Watch,
-  type WatchAnswer
+  EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, KEPT_LEASES, type CallingEntry, type EvacuationState, type RunOrder,
+  type Start, type StartAnswer, type Stop, type StopAnswer, type UpstreamLoad, type UpstreamProfile, type Verdict,
+  type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import {
   acknowledgeReports, addReport, createSession, renewSession, type EntrySession
@@ -79,6 +79,7 @@
     capacity: heartbeat?.capacity ?? { processor: 0, memory: 0, accelerators: 0 },
     labels: heartbeat?.labels ?? [],
     accepting: isAccepting(state, now),
+    leases: KEPT_LEASES,
     ...(heartbeat?.instance.startedAt === undefined ? {} : { instance: heartbeat.instance.startedAt }),
     ...(crashes === undefined ? {} : { crashes })
   }
