Decode messages of earlier and later builds, whatever they add

Cause: an answer that does not decode is the dangerous kind of difference between builds: the other process has acted on the call. A verdict, an outcome or a sixth run time of a later build made the whole answer of an agent fail, so that an entry of this build would have heard of no run there any more. Change: verdicts, outcomes and what follows the five run times decode as whatever a later build says. An order with an unknown verdict is stopped, and its task starts again after the agent's report; an unknown outcome ends the run. The fields of announcements that the earliest builds lack are optional: such a process is told all members.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -30,6 +30,7 @@
   'store lost': 'The platform’s store stopped answering: `reason`',
   'store regained': 'The store answers again: number of `failures`',
   'start got no answer': 'A start request to the upstream (`task`, `run`) or to an agent (`agent`, number of `tasks`) got no answer',
+  'verdict not known': 'An agent of another build answered an order of `task` with a `verdict` that this build does not know; the order is stopped: `agent`',
   'stop got no answer': 'A stop request to an agent got no answer: `agent`, `reason`',
   'announcement got no answer': 'An entry did not answer an announcement: `address`, `reason`',
   'peer gave no configuration': 'An entry did not answer a request for its configuration: `address`, `reason`',
--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -1,7 +1,7 @@
 /** Handles answers of agents (run reports, verdicts on starts), failed calls, and unresponsive agents. */
 import {
-  EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, readLeases, UNTOLD_LEASES,
-  type RunReport, type Start, type StartAnswer, type StopAnswer, type Verdict, type WatchAnswer
+  EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
+  type Start, type StartAnswer, type StopAnswer, type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import { latestRunEnd, longestRunLease, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
@@ -143,7 +143,7 @@
   const assignedTask = state.assigned.get(report.task)
   const assignment = assignedTask?.task.assignment
   if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== report.run) return
-  switch (report.outcome) {
+  switch (readOutcome(report.outcome)) {
     case 'done': {
       const { job: { request }, task: { step } } = assignedTask
       state.runTimes.recordDone({ view, request, step, milliseconds: report.milliseconds })
@@ -154,6 +154,7 @@
     case 'stopped':
     case 'lapsed':
     case 'lost':
+    case 'unknown':
       assignedTask.task.mayHaveStarted = true
       return endAssignment(state, ports, assignedTask, `${report.outcome} ${report.reason}`, now)
     case 'superseded':
@@ -193,10 +194,10 @@
 }
 
 function handleVerdict (
-  state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, verdict: Verdict, now: number
+  state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, verdict: string, now: number
 ): void {
   const { task } = assignedTask
-  switch (verdict) {
+  switch (readVerdict(verdict)) {
     case 'accepted':
       return
     case 'stale':
@@ -209,6 +210,10 @@
     case 'busy':
       task.notBefore = now + BUSY_RETRY_MILLISECONDS
       return endAssignment(state, ports, assignedTask, verdict, now)
+    // The agent may have accepted the order: the report on its stop tells.
+    case 'unknown':
+      ports.logger.warn('verdict not known', { agent: task.assignment?.agent, task: task.name, verdict })
+      return stopTasks(state, [task], now)
   }
 }
 
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -1,4 +1,10 @@
-/** Schemas of the calls that entries make to agents. */
+/**
+ * Schemas of the calls that entries make to agents.
+ *
+ * Processes of several builds call each other while machines are replaced. A message of another build must decode: a
+ * process that can't read an answer doesn't know what the other one did. So a new field is optional, a reader ignores
+ * fields that it does not know, and decodes names that a later build may add as strings.
+ */
 import { Schema } from 'effect'
 import { CrashFacts } from './crash-facts.js'
 import { EvacuationState } from './evacuations.js'
@@ -67,6 +73,17 @@
  */
 export const RunOutcome = Schema.Literals(['done', 'failed', 'stopped', 'lapsed', 'lost', 'not-started', 'superseded'])
 export type RunOutcome = typeof RunOutcome.Type
+const isRunOutcome = Schema.is(RunOutcome)
+
+/**
+ * Returns an outcome, or `unknown` for one of a later build.
+ *
+ * @example
+ * readOutcome('lapsed') // 'lapsed'
+ */
+export function readOutcome (outcome: string): RunOutcome | 'unknown' {
+  return isRunOutcome(outcome) ? outcome : 'unknown'
+}
 
 /** Report of a run's outcome, sent until the entry acknowledges it. */
 export const RunReport = Schema.Struct({
@@ -74,7 +91,8 @@
   sequence: Schema.Number,
   task: Schema.String,
   run: Schema.Number,
-  outcome: RunOutcome,
+  /** A `RunOutcome`, or one of a later build. Whatever it is, the run is over. */
+  outcome: Schema.String,
   reason: Schema.String,
   /** Time from the start order to the end of the run; 0 if it was never ordered. */
   milliseconds: Schema.Number
@@ -147,11 +165,22 @@
 /** An agent's decision on one order. */
 export const Verdict = Schema.Literals(['accepted', 'stale', 'not-accepting', 'no-room', 'busy', 'stopped'])
 export type Verdict = typeof Verdict.Type
+const isVerdict = Schema.is(Verdict)
+
+/**
+ * Returns a verdict, or `unknown` for one of a later build.
+ *
+ * @example
+ * readVerdict('no-room') // 'no-room'
+ */
+export function readVerdict (verdict: string): Verdict | 'unknown' {
+  return isVerdict(verdict) ? verdict : 'unknown'
+}
 
 export const StartAnswer = Schema.Struct({
   ...AGENT_STATE,
-  /** One for each order, in the same sequence. */
-  verdicts: Schema.Array(Verdict)
+  /** One for each order, in the same sequence: a `Verdict`, or one of a later build. */
+  verdicts: Schema.Array(Schema.String)
 })
 export type StartAnswer = typeof StartAnswer.Type
 
--- a/packages/fleet-calls/src/create-fleet-directory.ts
+++ b/packages/fleet-calls/src/create-fleet-directory.ts
@@ -128,7 +128,8 @@
         ...(last?.told === undefined ? {} : { since: last.told })
       }, ANNOUNCE_TIMEOUT_MILLISECONDS, limit)
       const at = announcements.get(address)?.at ?? now()
-      announcements.set(address, { at, told: { directory, revision }, unanswered: 0 })
+      const told = directory === undefined || revision === undefined ? undefined : { directory, revision }
+      announcements.set(address, { at, told, unanswered: 0 })
       for (const member of members) addMember(member)
     } catch (failure) {
       options.logger.debug('announcement got no answer', { address, reason: String(failure) })
--- a/packages/fleet-calls/src/entry-messages.ts
+++ b/packages/fleet-calls/src/entry-messages.ts
@@ -14,8 +14,11 @@
 /** Announces a process to an entry. */
 export const Announce = Schema.Struct({
   member: Member,
-  /** Digest of the live members that the process knows, itself included; it lacks nothing if the entry's is equal. */
-  digest: Schema.Number,
+  /**
+   * Digest of the live members that the process knows, itself included; it lacks nothing if the entry's is equal.
+   * Absent from the earliest builds, which are told all members.
+   */
+  digest: Schema.optionalKey(Schema.Number),
   /** Revision of the entry's table in its last answer to the process, absent before the first answer. */
   since: Schema.optionalKey(Schema.Struct({ directory: Schema.String, revision: Schema.Number }))
 })
@@ -23,10 +26,10 @@
 
 /** The members that the announced process needs and lacks. */
 export const AnnounceAnswer = Schema.Struct({
-  /** Differs at each start of the entry, whose revisions begin anew. */
-  directory: Schema.String,
-  /** Revision of the entry's table; rises with each change. */
-  revision: Schema.Number,
+  /** Differs at each start of the entry, whose revisions begin anew; absent from the earliest builds. */
+  directory: Schema.optionalKey(Schema.String),
+  /** Revision of the entry's table; rises with each change. Absent from the earliest builds. */
+  revision: Schema.optionalKey(Schema.Number),
   members: Schema.Array(Member)
 })
 export type AnnounceAnswer = typeof AnnounceAnswer.Type
--- a/packages/fleet-calls/src/run-times.ts
+++ b/packages/fleet-calls/src/run-times.ts
@@ -4,11 +4,11 @@
 /**
  * Learned run times of one instance of an upstream: a fixed part in milliseconds; the factor on the expected work;
  * spread and tail, the shares of the expected time by which 84 and 95 of 100 runs are longer at most; and the number of
- * runs that this rests on. A tuple, since it is part of every answer of an agent.
+ * runs that this rests on. A tuple, since it is part of every answer of an agent; a later build may append to it.
  */
-export const RunTimes = Schema.Tuple([
+export const RunTimes = Schema.TupleWithRest(Schema.Tuple([
   Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number
-])
+]), [Schema.Unknown])
 export type RunTimes = typeof RunTimes.Type
 
 /** Run times that an agent told of an instance of its upstream. */
