Decode the rows of an upstream's listing one by one

Cause: one row of `running` or `ended` that did not decode hid all others: the listing counted as none, and after four such listings the agent gave its upstream up and its runs were reported as lost. Numbers had no bounds: a clock of 1e999 made every later listing out of order and ended the leases of all entries, and a completion numbered 1e300 hid all later ones. The reason of a refusal and the kind of an end were looked up in objects: for `constructor` the outcome was a function, so that a refused run stayed ordered for ever and the report of an end could not be decoded by its entry. A row that does not decode is skipped and logged, at most once a second for each list, and counted in `baobabpost_entries_skipped_total`; a completion of an unknown kind is one too, where it was taken for a failure. A run whose progress can't be read stays listed.

--- a/packages/common/src/event-metrics.ts
+++ b/packages/common/src/event-metrics.ts
@@ -17,6 +17,7 @@
   baobabpost_evacuations_position: { type: 'gauge', about: 'Position of the operators’ log up to which the process knows the evacuations' },
   baobabpost_evacuations_age_seconds: { type: 'gauge', about: 'Time since the store, or a process that knows at least as much, last confirmed this knowledge' },
   baobabpost_evacuation_returned_runs_total: { type: 'counter', about: 'Waiting runs that an agent gave back to their entries because its failure domain was evacuated' },
+  baobabpost_entries_skipped_total: { type: 'counter', about: 'Entries of lists that could not be decoded and were skipped, by list' },
   baobabpost_log_lines_dropped: { type: 'gauge', about: 'Log lines dropped since the start' }
 } as const
 
@@ -76,6 +77,12 @@
     help: EVENT_METRICS.baobabpost_evacuation_returned_runs_total.about,
     registers: [...registries]
   })
+  const skippedEntries = new Counter({
+    name: 'baobabpost_entries_skipped_total',
+    help: EVENT_METRICS.baobabpost_entries_skipped_total.about,
+    labelNames: ['list'],
+    registers: [...registries]
+  })
   createGauge('baobabpost_open', options.countOpen)
   if (options.offeredShare !== undefined) createGauge('baobabpost_offered_share', options.offeredShare)
   if (options.evacuations !== undefined) createEvacuationGauges(options.evacuations)
@@ -116,6 +123,8 @@
       events.inc({ event, outcome })
       const returned = fields?.['returned']
       if (event === 'evacuations changed' && typeof returned === 'number') returnedRuns.inc(returned)
+      const skipped = fields?.['skipped']
+      if (typeof skipped === 'number') skippedEntries.inc({ list: String(fields?.['list'] ?? '') }, skipped)
       const milliseconds = fields?.['milliseconds']
       if (typeof milliseconds !== 'number') return
       if (event === 'job answered') responses.observe({ outcome }, milliseconds / 1_000)
