Bound the numbers and addresses of calls, and take members one by one

Cause: calls took any number that JSON can hold, and any text as an address. One member of an answer that did not decode hid all others. A connection to port 99999 or to a host with a line break throws at once: the call failed with a RangeError, which its callers don't treat as a failed call (by reading, the tasks of a start then stay assigned until the leases end). A position of 1e300 or 9e15 counts as newer than every other copy of the evacuated domains and spreads to the whole fleet; an agent's clock of 1e300 makes all its later answers outdated. Change: the schemas of calls use the bounds of wire-values.ts; an address is an IP with a port from 1 to 65,535. The directory decodes members one by one. The client fails every call with a CallError, also where nothing could be sent, and reads errors without a message.

--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -4,6 +4,7 @@
 import { EvacuationState } from './evacuations.js'
 import { RememberedRunTimes, RunTimes } from './run-times.js'
 import { Size } from './size.js'
+import { Amount, Count, SteadyTime, UnixTime } from './wire-values.js'
 
 /** The calling entry, and the newest agent time that it has received. */
 export const CallingEntry = Schema.Struct({
@@ -12,7 +13,7 @@
   /** Differs at each start of the entry. */
   incarnation: Schema.String,
   /** Agent's steady clock in the newest answer that the entry received, in milliseconds; 0 before the first. */
-  heardAt: Schema.Number,
+  heardAt: SteadyTime,
   /** Incarnation of the agent that gave that answer; absent before the first. */
   heardFrom: Schema.optionalKey(Schema.String),
   /** The evacuated failure domains; absent where evacuations are not enabled, or not known yet. */
@@ -23,7 +24,7 @@
 /** Properties of an upstream that change rarely. */
 export const UpstreamProfile = Schema.Struct({
   /** Rises with each change, within one incarnation of the agent. */
-  version: Schema.Number,
+  version: Count,
   service: Schema.String,
   failureDomain: Schema.String,
   capacity: Size,
@@ -31,9 +32,9 @@
   /** Whether new runs may start here. */
   accepting: Schema.Boolean,
   /** Start of the upstream's instance in Unix milliseconds; absent if the upstream does not report it. */
-  instance: Schema.optionalKey(Schema.Number),
+  instance: Schema.optionalKey(UnixTime),
   /** Newest factor on the callers' estimates that an entry told, by route; for entries that have just started. */
-  routeFactors: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
+  routeFactors: Schema.optionalKey(Schema.Record(Schema.String, Amount)),
   /** Recent crashes of the upstream; absent without any. */
   crashes: Schema.optionalKey(CrashFacts)
 })
@@ -44,17 +45,17 @@
   /** Capacity that is not reserved for runs which run, are being stopped or may yet start. */
   free: Size,
   /** Processor demand of the waiting tasks by priority, in thousandths of a core. */
-  waiting: Schema.Array(Schema.Number),
+  waiting: Schema.Array(Amount),
   /** Processor capacity expected to be released per millisecond, in thousandths of a core. */
-  releaseRate: Schema.Number,
+  releaseRate: Amount,
   /** Moving average of run time divided by estimate. */
-  slowness: Schema.Number,
+  slowness: Amount,
   /** Moving average of the share of failed runs, 0 to 1. */
-  failureShare: Schema.Number,
+  failureShare: Amount,
   /** Learned run times; absent from an agent that does not learn them. */
   runTimes: Schema.optionalKey(RunTimes),
   /** How much longer the present runs take than the learned run times say; absent while they don't. */
-  pace: Schema.optionalKey(Schema.Number)
+  pace: Schema.optionalKey(Amount)
 })
 export type UpstreamLoad = typeof UpstreamLoad.Type
 
@@ -68,13 +69,13 @@
 /** Report of a run's outcome, sent until the entry acknowledges it. */
 export const RunReport = Schema.Struct({
   /** Rises by 1 with each report to one incarnation of an entry. */
-  sequence: Schema.Number,
+  sequence: Count,
   task: Schema.String,
-  run: Schema.Number,
+  run: Count,
   outcome: RunOutcome,
   reason: Schema.String,
   /** Time from the start order to the end of the run; 0 if it was never ordered. */
-  milliseconds: Schema.Number
+  milliseconds: Amount
 })
 export type RunReport = typeof RunReport.Type
 
@@ -82,10 +83,10 @@
 export const Watch = Schema.Struct({
   caller: CallingEntry,
   /** Sequence number up to which the agent drops reports. */
-  acknowledged: Schema.Number,
+  acknowledged: Count,
   /** Version of the profile that the entry has; 0 for none. */
-  profileVersion: Schema.Number,
-  waitMilliseconds: Schema.Number
+  profileVersion: Count,
+  waitMilliseconds: Amount
 })
 export type Watch = typeof Watch.Type
 
@@ -94,7 +95,7 @@
   /** Differs at each start of the agent. */
   incarnation: Schema.String,
   /** Agent's steady clock, in milliseconds. */
-  clock: Schema.Number,
+  clock: SteadyTime,
   /** Whether no run of an earlier incarnation of the agent is left. */
   cleared: Schema.Boolean,
   /** Absent if the entry has the current version. */
@@ -110,14 +111,14 @@
 /** Order to start one task. */
 export const RunOrder = Schema.Struct({
   task: Schema.String,
-  run: Schema.Number,
+  run: Count,
   size: Size,
   /** Expected run time on an upstream of ordinary speed, in milliseconds. */
-  estimateMilliseconds: Schema.Number,
+  estimateMilliseconds: Amount,
   /** Factor on that time for a task away from the rack of its data; absent near it. */
-  awayFactor: Schema.optionalKey(Schema.Number),
+  awayFactor: Schema.optionalKey(Amount),
   /** Number of upstreams that crashed under the task, of which no other task is the known cause; absent for none. */
-  crashCount: Schema.optionalKey(Schema.Number)
+  crashCount: Schema.optionalKey(Count)
 })
 export type RunOrder = typeof RunOrder.Type
 
@@ -126,15 +127,15 @@
   caller: CallingEntry,
   specification: Schema.String,
   /** 0 is the highest priority. */
-  priority: Schema.Number,
+  priority: Amount,
   /** Maximum wait of the tasks for free capacity; 0 for none. */
-  patienceMilliseconds: Schema.Number,
+  patienceMilliseconds: Amount,
   /** Whether none is accepted unless all are expected to start within the maximum wait; false where absent. */
   isWhole: Schema.optionalKey(Schema.Boolean),
   /** Name of the job's route; absent from an entry that does not learn run times. */
   route: Schema.optionalKey(Schema.String),
   /** Factor on the estimates of the orders that the entry has learned for the route; 1 if absent. */
-  estimateFactor: Schema.optionalKey(Schema.Number),
+  estimateFactor: Schema.optionalKey(Amount),
   /** What an earlier incarnation of the agent told of the upstream, while the current one knows less. */
   remembered: Schema.optionalKey(RememberedRunTimes),
   orders: Schema.Array(RunOrder)
@@ -155,7 +156,7 @@
 /** Stops runs and cancels orders; the outcomes follow as reports. */
 export const Stop = Schema.Struct({
   caller: CallingEntry,
-  runs: Schema.Array(Schema.Struct({ task: Schema.String, run: Schema.Number })),
+  runs: Schema.Array(Schema.Struct({ task: Schema.String, run: Count })),
   /** Whether runs that have been ordered at the upstream go on; false where absent. */
   isOnlyWaiting: Schema.optionalKey(Schema.Boolean)
 })
--- a/packages/fleet-calls/src/call-client.ts
+++ b/packages/fleet-calls/src/call-client.ts
@@ -44,6 +44,12 @@
   return decode(value)
 }
 
+/** Returns the message of an error, which a faulty server may leave out. */
+function describeError (error: unknown): string {
+  const message = typeof error === 'object' && error !== null && 'message' in error ? error.message : undefined
+  return typeof message === 'string' ? message : 'an error without a message'
+}
+
 /**
  * Decodes the response to a call.
  *
@@ -52,8 +58,9 @@
  * const { verdicts } = readAnswer('start', response) as StartAnswer
  */
 export function readAnswer (name: CallName, response: unknown): unknown {
-  if (!isJSONRPCResponse(response)) throw new CallError('rejected', `${name}: the answer is not a JSON-RPC response`)
-  if (response.error !== undefined) throw new CallError('rejected', `${name}: ${response.error.message}`)
+  const isResponse = typeof response === 'object' && response !== null && isJSONRPCResponse(response)
+  if (!isResponse) throw new CallError('rejected', `${name}: the answer is not a JSON-RPC response`)
+  if (response.error !== undefined) throw new CallError('rejected', `${name}: ${describeError(response.error)}`)
   const decoded = decodeAnswer(name, response.result)
   if (Result.isFailure(decoded)) throw new CallError('rejected', `${name}: the result does not match the schema of the answer`)
   return decoded.success
@@ -172,8 +179,19 @@
     return false
   }
 
+  /** Sends a call. An address to which no connection can be opened, such as one with an odd port, does not answer. */
   async function exchange (
     address: string, call: CallRequest, connectTimeoutMilliseconds: number | undefined
+  ): Promise<unknown> {
+    try {
+      return await send(address, call, connectTimeoutMilliseconds)
+    } catch (failure) {
+      throw failure instanceof CallError ? failure : new CallError('unanswered', String(failure))
+    }
+  }
+
+  async function send (
+    address: string, call: CallRequest, connectTimeoutMilliseconds: number | undefined
   ): Promise<unknown> {
     if (isClosed) throw new CallError('unanswered', 'the client is closed')
     if (!isShared(call.name) || isPlainServer(address)) return callPlain(address, call, connectTimeoutMilliseconds)
--- a/packages/fleet-calls/src/create-fleet-directory.ts
+++ b/packages/fleet-calls/src/create-fleet-directory.ts
@@ -1,7 +1,8 @@
 /** Directory of the fleet's members, learnt from seed addresses and from the processes' announcements to entries. */
 import type { EventLogger } from '@baobabpost/common'
 import type { CallClient } from './call-client.js'
-import type { Announce, AnnounceAnswer, Member } from './entry-messages.js'
+import { createRowsDecoder, createSkippedRowsLog } from './decode-rows.js'
+import { Member, type Announce, type AnnounceAnswer } from './entry-messages.js'
 import { createMemberTable } from './member-table.js'
 
 /** Interval of an agent's announcements to entries without recent contact, and of all to unknown addresses. */
@@ -31,6 +32,8 @@
 /** Intervals between its announcements that a live member may miss. */
 const MISSED_ANNOUNCEMENTS = 3
 
+const decodeMembers = createRowsDecoder(Member)
+
 /** Directory of the fleet's members. */
 export interface FleetDirectory {
   /** Handles a process's announcement. */
@@ -86,6 +89,7 @@
     maximumAge: () => Math.max(MINIMUM_MEMBER_AGE_MILLISECONDS, MISSED_ANNOUNCEMENTS * entryAnnounceInterval()),
     hasRecentContact: options.hasRecentContact
   })
+  const logSkippedMembers = createSkippedRowsLog('members', options.logger, now)
   /** Names of the known entries by address. */
   const entryNames = new Map<string, string>()
   const announcements = new Map<string, Announcement>()
@@ -129,7 +133,7 @@
       }, ANNOUNCE_TIMEOUT_MILLISECONDS, limit)
       const at = announcements.get(address)?.at ?? now()
       announcements.set(address, { at, told: { directory, revision }, unanswered: 0 })
-      for (const member of members) addMember(member)
+      for (const member of decodeMembers(members, logSkippedMembers)) addMember(member)
     } catch (failure) {
       options.logger.debug('announcement got no answer', { address, reason: String(failure) })
     } finally {
--- a/packages/fleet-calls/src/entry-messages.ts
+++ b/packages/fleet-calls/src/entry-messages.ts
@@ -1,13 +1,13 @@
 /** Schemas of the calls that agents and entries make to entries. */
 import { Schema } from 'effect'
 import { EvacuationState } from './evacuations.js'
+import { Address, Count, Name, Version } from './wire-values.js'
 
 /** A process of the fleet, and the address at which it accepts calls. */
 export const Member = Schema.Struct({
-  name: Schema.String,
+  name: Name,
   role: Schema.Literals(['entry', 'agent']),
-  /** `IP:PORT`. */
-  address: Schema.String
+  address: Address
 })
 export type Member = typeof Member.Type
 
@@ -15,9 +15,9 @@
 export const Announce = Schema.Struct({
   member: Member,
   /** Digest of the live members that the process knows, itself included; it lacks nothing if the entry's is equal. */
-  digest: Schema.Number,
+  digest: Count,
   /** Revision of the entry's table in its last answer to the process, absent before the first answer. */
-  since: Schema.optionalKey(Schema.Struct({ directory: Schema.String, revision: Schema.Number }))
+  since: Schema.optionalKey(Schema.Struct({ directory: Schema.String, revision: Count }))
 })
 export type Announce = typeof Announce.Type
 
@@ -26,15 +26,16 @@
   /** Differs at each start of the entry, whose revisions begin anew. */
   directory: Schema.String,
   /** Revision of the entry's table; rises with each change. */
-  revision: Schema.Number,
-  members: Schema.Array(Member)
+  revision: Count,
+  /** Each a `Member`. They are decoded one by one, so that an odd one does not hide the others. */
+  members: Schema.Array(Schema.Unknown)
 })
 export type AnnounceAnswer = typeof AnnounceAnswer.Type
 
 /** Asks an entry for its current configuration, and tells it what the asking one knows of evacuations. */
 export const AskConfiguration = Schema.Struct({
   /** Version that the asking entry has; absent if it has none. */
-  version: Schema.optionalKey(Schema.Number),
+  version: Schema.optionalKey(Version),
   /** The evacuated failure domains as the asking entry knows them; absent if it knows nothing of them. */
   evacuations: Schema.optionalKey(EvacuationState)
 })
--- a/packages/fleet-calls/src/evacuations.ts
+++ b/packages/fleet-calls/src/evacuations.ts
@@ -1,5 +1,6 @@
 /** Which failure domains are evacuated, as far as this process knows. */
 import { Schema } from 'effect'
+import { Count } from './wire-values.js'
 
 /**
  * The evacuated failure domains at a position of the operators' log. They are a function of that position, so of two
@@ -7,7 +8,7 @@
  */
 export const EvacuationState = Schema.Struct({
   /** Number of log records that the state takes into account. */
-  position: Schema.Number,
+  position: Count,
   domains: Schema.Array(Schema.String)
 })
 export type EvacuationState = typeof EvacuationState.Type
--- a/packages/fleet-calls/src/member-table.ts
+++ b/packages/fleet-calls/src/member-table.ts
@@ -13,7 +13,7 @@
   /** Digest of the live members that a process of a role needs to know, this process included. */
   digestFor: (role: Member['role'], now: number) => number
   /** Answers an announcement with the members that the announced process lacks. */
-  answer: (announce: Announce, now: number) => AnnounceAnswer
+  answer: (announce: Announce, now: number) => AnnounceAnswer & { readonly members: readonly Member[] }
 }
 
 export interface MemberTableOptions {
--- a/packages/fleet-calls/src/run-times.ts
+++ b/packages/fleet-calls/src/run-times.ts
@@ -1,20 +1,20 @@
 /** Run times of an upstream as an agent has learned them, and the time that a task is expected to take there. */
 import { Schema } from 'effect'
+import { isAmount, UnixTime } from './wire-values.js'
 
 /**
  * Learned run times of one instance of an upstream: a fixed part in milliseconds; the factor on the expected work;
  * spread and tail, the shares of the expected time by which 84 and 95 of 100 runs are longer at most; and the number of
  * runs that this rests on. A tuple, since it is part of every answer of an agent.
  */
-export const RunTimes = Schema.Tuple([
-  Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number
-])
+export const RunTimes = Schema.declare((value): value is readonly [number, number, number, number, number] =>
+  Array.isArray(value) && value.length === 5 && value.every(isAmount))
 export type RunTimes = typeof RunTimes.Type
 
 /** Run times that an agent told of an instance of its upstream. */
 export const RememberedRunTimes = Schema.Struct({
   /** Start of the instance, in Unix milliseconds. */
-  instance: Schema.Number,
+  instance: UnixTime,
   runTimes: RunTimes
 })
 export type RememberedRunTimes = typeof RememberedRunTimes.Type
--- a/packages/fleet-calls/src/size.ts
+++ b/packages/fleet-calls/src/size.ts
@@ -1,16 +1,25 @@
 /** Sizes of tasks and upstreams, and the arithmetic on them. */
 import { Schema } from 'effect'
+import { isAmount } from './wire-values.js'
 
 /** Resources that a task requires, or that an upstream provides. */
-export const Size = Schema.Struct({
+export interface Size {
   /** Thousandths of a core. */
-  processor: Schema.Number,
+  readonly processor: number
   /** Megabytes. */
-  memory: Schema.Number,
+  readonly memory: number
   /** Whole accelerators. */
-  accelerators: Schema.Number
-})
-export type Size = typeof Size.Type
+  readonly accelerators: number
+}
+
+function isSize (value: unknown): value is Size {
+  if (typeof value !== 'object' || value === null) return false
+  const { processor, memory, accelerators } = value as Partial<Record<keyof Size, unknown>>
+  return isAmount(processor) && isAmount(memory) && isAmount(accelerators)
+}
+
+/** Declared by its check, since every answer and order has a size. */
+export const Size = Schema.declare(isSize)
 
 export const EMPTY_SIZE: Size = { processor: 0, memory: 0, accelerators: 0 }
 
--- a/packages/fleet-calls/src/wire-values.ts
+++ b/packages/fleet-calls/src/wire-values.ts
@@ -11,8 +11,9 @@
 const MAXIMUM_UNIX_MILLISECONDS = 8.64e15
 const MAXIMUM_PORT = 65_535
 const PORT = /^\d{1,5}$/
-/** Characters that may stand in the value of a header: visible ASCII, of which a space is none. */
-const TOKEN = /^[\x21-\x7e]{1,256}$/
+const MAXIMUM_NAME_CHARACTERS = 256
+/** Visible ASCII: characters that may stand in the value of a header. */
+const TOKEN = /^[\x21-\x7e]+$/
 
 /** Whether a value is a number within bounds, which neither `Infinity` nor a number of another type is. */
 export function isBetween (value: unknown, minimum: number, maximum: number): value is number {
@@ -24,6 +25,11 @@
   return Number.isSafeInteger(value) && isBetween(value, 0, MAXIMUM_COUNT)
 }
 
+/** Whether a value is a number of an ordinary magnitude. */
+export function isAmount (value: unknown): value is number {
+  return isBetween(value, -MAXIMUM_COUNT, MAXIMUM_COUNT)
+}
+
 function isAddress (value: unknown): value is string {
   if (typeof value !== 'string') return false
   const separator = value.lastIndexOf(':')
@@ -34,8 +40,15 @@
 /** `IP:PORT`, to which a connection can be opened. */
 export const Address = Schema.declare(isAddress)
 
-/** Name of a process or of an upstream, short and without characters that a header can't hold. */
-export const Token = Schema.declare((value): value is string => typeof value === 'string' && TOKEN.test(value))
+function isName (value: unknown): value is string {
+  return typeof value === 'string' && value.length >= 1 && value.length <= MAXIMUM_NAME_CHARACTERS
+}
+
+/** Name of a process. */
+export const Name = Schema.declare(isName)
+
+/** Identity that is sent in a header. */
+export const Token = Schema.declare((value): value is string => isName(value) && TOKEN.test(value))
 
 /** Number of an item in a sequence, such as an offset, a revision or a run number. */
 export const Count = Schema.declare(isCount)
@@ -47,5 +60,11 @@
 export const UnixTime = Schema.declare((value): value is number =>
   Number.isInteger(value) && isBetween(value, 0, MAXIMUM_UNIX_MILLISECONDS))
 
+/** Amount of what can't be negative. */
+export const Quantity = Schema.declare((value): value is number => isBetween(value, 0, MAXIMUM_COUNT))
+
+/** Version of the configuration; versions rise in steps of any size. */
+export const Version = Schema.declare((value): value is number => isBetween(value, 0, Number.MAX_SAFE_INTEGER))
+
 /** Any other number, such as an amount of a resource, a length of time or a factor; it may be negative. */
-export const Amount = Schema.declare((value): value is number => isBetween(value, -MAXIMUM_COUNT, MAXIMUM_COUNT))
+export const Amount = Schema.declare(isAmount)
