--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -58,7 +58,7 @@
   'upstream does not answer': 'The upstream did not answer several list requests in a row, and its lease is no longer renewed: number of `listings`',
   'this VM was suspended': 'The clock of the upstream advanced while this VM was suspended: `milliseconds`',
   'heartbeat skipped: it does not decode': 'A heartbeat could not be decoded: `path`',
-  'entries skipped: they do not decode': 'Rows of a list could not be decoded, and the others are used; at most one line a second for each list: `list` (`running` and `ended` of an upstream, `members` of an entry, `records` of the store), number `skipped` since the last line, `first` (the beginning of one)',
+  'entries skipped: they do not decode': 'Rows of a list could not be decoded, and the others are used; at most one line a second for each list: `list` (`running` and `ended` of an upstream, `members` of an entry, `records` of the store, `seeds` of the settings), number `skipped` since the last line, `first` (the beginning of one)',
   'entry started': 'The entry listens: `incarnation`, `address`, `milliseconds` since the process started',
   'entry stops': 'A graceful shutdown began: `signal`, `jobs` open',
   'entry stopped': 'A graceful shutdown ended: `jobs` still open',
