--- a/packages/fleet-calls/src/wire-values.ts
+++ b/packages/fleet-calls/src/wire-values.ts
@@ -9,6 +9,8 @@
 const MAXIMUM_COUNT = 1e12
 /** Largest time that `Date` represents, in Unix milliseconds. */
 const MAXIMUM_UNIX_MILLISECONDS = 8.64e15
+/** Above a Unix time in nanoseconds, which a version may be. */
+const MAXIMUM_VERSION = 1e21
 const MAXIMUM_PORT = 65_535
 const PORT = /^\d{1,5}$/
 const MAXIMUM_NAME_CHARACTERS = 256
@@ -64,7 +66,7 @@
 export const Quantity = Schema.declare((value): value is number => isBetween(value, 0, MAXIMUM_COUNT))
 
 /** Version of the configuration; versions rise in steps of any size. */
-export const Version = Schema.declare((value): value is number => isBetween(value, 0, Number.MAX_SAFE_INTEGER))
+export const Version = Schema.declare((value): value is number => isBetween(value, 0, MAXIMUM_VERSION))
 
 /** Any other number, such as an amount of a resource, a length of time or a factor; it may be negative. */
 export const Amount = Schema.declare(isAmount)
