--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -71,6 +71,7 @@
   'agent reload': 'The platform asked for a reload: `reason`',
   'agent failed': 'Internal error of the agent: `reason`',
   'entry failed': 'Internal error of the entry: `reason`',
+  'error was not handled': 'An error reached no handler; it failed only the event that it occurred in, and the process goes on: `reason` with the first calls of its stack',
   'message failed': 'An unexpected error while a message was handled, which was answered as failed: `path`, `reason`',
   'server failed': 'A listening socket reported an error and still listens: `address`, `reason`',
   'call failed': 'A call from another process could not be answered: `reason`',
