Follow heartbeats again after one with a wrong sequence number

Cause: a single heartbeat with a number far too large, but within its bounds, made every later one of the instance late: capacity, labels and cold time stayed as it had said until the upstream was started again. Change: three late heartbeats in a row, each later than the one before, show that the newest number was wrong; the third becomes the newest. Measured: the first test of wrong-numbers.test.ts failed before.

--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -77,7 +77,7 @@
     const { id, startedAt } = heartbeat.instance
     ports.logger.info('upstream drains', { upstream: id, bornAt: startedAt, sequence: heartbeat.sequence })
   }
-  if (upstream.heartbeat === undefined || heartbeat.sequence > upstream.heartbeat.sequence) {
+  if (upstream.heartbeatOrder.recordSequence(heartbeat.sequence)) {
     upstream.heartbeat = heartbeat
     upstream.hasDeparted = false
     recordWarmth(state, ports, heartbeat, now)
