Apply listings again after one with a wrong clock

Cause: one listing whose clock was far ahead made every later one count as overtaken. Lost runs were no longer found, runs of an earlier incarnation were no longer stopped, and stalled ones neither, for as long as the instance lived. Change: listings overtake each other by less than their timeouts, so one whose clock is more than five seconds behind is not overtaken. The reading that was wrong is still taken for a suspension of the VM: the leases of all entries end once, and their next calls renew them.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -1,6 +1,7 @@
 /** Handles the upstream's listings: completions, progress of runs, and unknown runs. */
 import {
-  MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
+  MAXIMUM_OVERTAKING_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS,
+  STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
@@ -164,6 +165,19 @@
   ports.logger.info('upstream serves', { fence: state.fencingToken })
 }
 
+/**
+ * Records the clock of a listing. Returns whether a later listing has overtaken it: its running runs are then outdated,
+ * while completions are numbered. A clock that is further behind than listings overtake each other was read wrongly
+ * before, or began anew.
+ */
+function recordListingClock (state: RunRegistryState, reading: number | undefined): boolean {
+  const clock = reading ?? 0
+  const behind = state.upstream.lastListingClock - clock
+  const isOvertaken = behind > 0 && (reading === undefined || behind <= MAXIMUM_OVERTAKING_MILLISECONDS)
+  if (!isOvertaken) state.upstream.lastListingClock = clock
+  return isOvertaken
+}
+
 function applyListing (
   state: RunRegistryState,
   ports: RunRegistryPorts,
@@ -176,11 +190,8 @@
   if (!reconcileInstance(state, ports, listing, requestedAt, now)) return
   state.crashes.settleSuspected(false)
   recordUpstreamClock(state, ports, reading, now)
-  const clock = reading ?? 0
   state.upstream.lastListingAt = now
-  // Answers on two connections may arrive out of order: running runs are then outdated; completions are numbered.
-  const isOutOfOrder = clock < state.upstream.lastListingClock
-  state.upstream.lastListingClock = Math.max(clock, state.upstream.lastListingClock)
+  const isOutOfOrder = recordListingClock(state, reading)
   if (state.upstream.phase !== 'serving') {
     // An earlier token leaves room for a delayed order to start after the listing.
     if (!isOutOfOrder && usedFencingToken >= state.fencingToken) clearEarlierRuns(state, ports, listing, now)
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -13,6 +13,8 @@
 export const LIST_TIMEOUT_MILLISECONDS = 50
 /** Consecutive unanswered listings after which the run lease is no longer renewed, so that it expires. */
 export const MAXIMUM_UNANSWERED_LISTINGS = 4
+/** Longest time by which one listing overtakes another: many times the wait and timeout of a list order. */
+export const MAXIMUM_OVERTAKING_MILLISECONDS = 5_000
 /** Pause between attempts to list an upstream that does not answer. */
 export const RETRY_DELAY_MILLISECONDS = 20
 /** Age of the last listing above which no new runs are accepted: about three listing intervals. */
--- a/packages/runs/tests/wrong-numbers.test.ts
+++ b/packages/runs/tests/wrong-numbers.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createRegistryUnderTest, heartbeat } from './registry-under-test.js'
+import { createRegistryUnderTest, heartbeat, TASK } from './registry-under-test.js'
 
 const LARGER = { processor: 64_000, memory: 131_072, accelerators: 0 }
 
@@ -25,3 +25,29 @@
     expect(agent.watch().profile?.capacity).toEqual(LARGER)
   })
 })
+
+describe('one listing with a clock far ahead', () => {
+  // Every later listing counted as overtaken: lost runs were never found, and a new instance was never served.
+  it('does not make all later listings count as overtaken', () => {
+    const agent = createRegistryUnderTest()
+    agent.registry.handleHeartbeat(heartbeat(), agent.advance(1))
+    agent.list()
+    agent.order(1)
+    agent.answerLastStart('taken')
+    agent.list({ running: [{ task: TASK, run: 1, percent: 10 }] }, 9e11)
+    agent.advance(20)
+    agent.list()
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+  })
+
+  it('leaves a listing overtaken that is a little behind', () => {
+    const agent = createRegistryUnderTest()
+    agent.registry.handleHeartbeat(heartbeat(), agent.advance(1))
+    agent.list()
+    agent.order(1)
+    agent.answerLastStart('taken')
+    agent.list({ running: [{ task: TASK, run: 1, percent: 10 }] })
+    agent.list({}, agent.advance(20) - 100)
+    expect(agent.watch().reports).toEqual([])
+  })
+})
