Lose stop orders in the soak, and carry out late orders after a restart

Cause: the soak was blind for two ways to run a task twice. Stop orders were lost only together with starts and for a quarter of the orders, so that a run whose stops get no answer was never the only one left; and late orders were dropped when their upstream started again, although one that keeps its id can't tell them from its own.

--- a/packages/rehearsal/src/leased-upstream-options.ts
+++ b/packages/rehearsal/src/leased-upstream-options.ts
@@ -27,6 +27,8 @@
   /** Decides for each start or stop order whether it is handled `orderDelayMilliseconds` later and not answered. */
   isOrderDelayed: () => boolean
   orderDelayMilliseconds: number
+  /** Stop orders are neither carried out nor answered, while all others are. */
+  losesStops: boolean
   /** Runs that start from now on never end by themselves. */
   hangs: boolean
   /** Runs that start from now on fail within a few milliseconds. */
@@ -96,6 +98,11 @@
   readonly observer: UpstreamObserver
   /** Whether each instance has an id of its own; by default an upstream keeps its id when it starts again. */
   readonly changesId?: boolean
+  /**
+   * Whether an instance also carries out the delayed orders of the former one under the same id; an order names no more
+   * than that. Its clock then begins anew with each instance. False by default.
+   */
+  readonly keepsDelayedOrders?: boolean
 }
 
 /** Creates the faults of a stand-in without any. */
@@ -103,6 +110,7 @@
   return {
     isOrderDelayed: () => false,
     orderDelayMilliseconds: 3_000,
+    losesStops: false,
     hangs: false,
     failsAll: false,
     coldUntil: 0,
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -1,10 +1,11 @@
 /** Stand-in for an upstream that runs tasks under leases. It starts every valid order, even beyond its capacity. */
 import { addSizes, EMPTY_SIZE, subtractSizes, type Size } from '@baobabpost/fleet-calls'
 import type {
-  CompletionKind, ListAnswer, ListedCompletion, ListOrder, OrderAnswer, OrderOutcome, StartOrder, StopOrder,
-  UpstreamHeartbeat, UpstreamInstance
+  CompletionKind, ListAnswer, ListedCompletion, ListOrder, OrderOutcome, StartOrder, StopOrder, UpstreamHeartbeat,
+  UpstreamInstance
 } from '@baobabpost/runs'
 import { createChangingCapacity } from './changing-capacity.js'
+import { createOrderDelivery } from './order-delivery.js'
 import {
   createFaults, type LeasedUpstream, type LeasedUpstreamOptions, type StandInTask, type UpstreamFaults
 } from './leased-upstream-options.js'
@@ -13,9 +14,6 @@
 const MAXIMUM_LEASE_MILLISECONDS = 1_000
 /** Time from a stop order to the end of the run. */
 const STOP_DURATION_MILLISECONDS = 40
-/** One-way network delay of an order or its answer. */
-const ORDER_DELAY_MILLISECONDS = 0.3
-
 /** Multiple of their time that runs take at a cold upstream. */
 const COLD_FACTOR = 3
 
@@ -37,10 +35,6 @@
   return Number(task.split('.')[3])
 }
 
-function pause (milliseconds: number): Promise<void> {
-  return new Promise(resolve => { setTimeout(resolve, milliseconds) })
-}
-
 function reportCold (
   { coldUntil, reportsCold }: UpstreamFaults, now: number
 ): Pick<UpstreamHeartbeat, 'coldRemainingMilliseconds'> {
@@ -68,8 +62,11 @@
  * const standIn = createLeasedUpstream({ name: 'u-1', service: 'desk', capacity, speed: 1, now, observer })
  */
 export function createLeasedUpstream (options: LeasedUpstreamOptions): LeasedUpstream {
-  const { now, observer } = options
+  const { observer } = options
   const faults = createFaults()
+  /** Time on the clock of `options` at which the clock of the instance read 0. */
+  let clockStart = 0
+  const now = (): number => options.now() - clockStart
   let startedAt = 1_000
   let sequence = 0
   let draining = false
@@ -87,6 +84,9 @@
   let downUntil = 0
   const capacity = createChangingCapacity(options.capacity)
   const completionListeners = new Set<() => void>()
+  const deliver = createOrderDelivery({
+    faults, isDown, startedAt: () => startedAt, keepsDelayedOrders: options.keepsDelayedOrders === true
+  })
 
   function endRun (run: SimulatedRun, kind: CompletionKind): void {
     if (runningByTask.get(run.task) !== run) return
@@ -128,7 +128,7 @@
       run: order.run,
       size: standInTask.size,
       milliseconds: standInTask.milliseconds * (standInTask.factors?.[indexOf(order.task)] ?? 1) *
-        (now() < faults.coldUntil ? COLD_FACTOR : 1),
+        (options.now() < faults.coldUntil ? COLD_FACTOR : 1),
       kind: faults.failsAll || standInTask.fails === true ? 'failed' : 'done',
       doneMilliseconds: 0,
       countedAt: now() + (options.fixedMilliseconds ?? 0),
@@ -196,29 +196,6 @@
     return { outcome: 'taken', clock: now(), listing }
   }
 
-  /** Delivers an order and its answer, subject to the faults. */
-  async function deliver<Answer extends OrderAnswer> (
-    handle: () => Answer | Promise<Answer>, timeoutMilliseconds: number, mayBeDelayed: boolean
-  ): Promise<Answer | OrderAnswer> {
-    const instanceBornAt = startedAt
-    await pause(ORDER_DELAY_MILLISECONDS)
-    if (isDown()) return { outcome: 'unreachable', clock: undefined }
-    const isDelayed = mayBeDelayed && faults.isOrderDelayed()
-    // A crash drops orders that are on their way to the previous instance, and answers from it.
-    if (!isDelayed && !faults.isUnresponsive && startedAt === instanceBornAt) {
-      const answer = await handle()
-      await pause(ORDER_DELAY_MILLISECONDS)
-      if (!faults.isUnresponsive && startedAt === instanceBornAt) return answer
-    }
-    const handleLate = async (): Promise<void> => {
-      await pause(faults.orderDelayMilliseconds)
-      if (startedAt === instanceBornAt) await handle()
-    }
-    if (isDelayed) handleLate().catch((failure: unknown) => { throw failure })
-    await pause(timeoutMilliseconds)
-    return { outcome: 'unanswered', clock: undefined }
-  }
-
   function isDown (): boolean {
     return now() < downUntil
   }
@@ -226,8 +203,11 @@
   function crash (downMilliseconds = 0, causes: readonly string[] = [...runningByTask.keys()]): void {
     observer.crashed?.(causes, [...runningByTask.keys()])
     lapseRuns()
+    if (options.keepsDelayedOrders === true) clockStart = options.now()
     downUntil = now() + downMilliseconds
     startedAt += 1_000
+    leaseUntil = 0
+    clearTimeout(leaseTimer)
     draining = false
     leavingAcknowledgedAt = undefined
     fencingToken = 0
@@ -255,10 +235,10 @@
       start: (order, timeout) => {
         checkLeaving(order.task)
         observer.ordered?.()
-        return deliver(() => ({ outcome: handleStart(order), clock: now() }), timeout, true)
+        return deliver(() => ({ outcome: handleStart(order), clock: now() }), timeout, 'start')
       },
-      stop: (order, timeout) => deliver(() => ({ outcome: handleStop(order), clock: now() }), timeout, true),
-      list: (order, timeout) => deliver(() => handleList(order), timeout, false)
+      stop: (order, timeout) => deliver(() => ({ outcome: handleStop(order), clock: now() }), timeout, 'stop'),
+      list: (order, timeout) => deliver(() => handleList(order), timeout, 'list')
     },
     report: () => {
       sequence += 1
@@ -270,7 +250,7 @@
         capacity: capacity.current(),
         labels: [],
         isDraining: draining,
-        ...reportCold(faults, now())
+        ...reportCold(faults, options.now())
       }
     },
     instance,
