--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -1,11 +1,11 @@
 /** Handles the upstream's listings: completions, progress of runs, and unknown runs. */
 import {
-  MAXIMUM_OVERTAKING_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS,
-  STALL_TIMEOUT_MILLISECONDS
+  MAXIMUM_COMPLETION_GAP, MAXIMUM_COMPLETION_NUMBER, MAXIMUM_OVERTAKING_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS,
+  MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
-import { ORDER_UNANSWERED, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
-import type { RunRecord } from './run-record.js'
+import { raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
+import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import type { ListAnswer, ListedCompletion, Listing } from './upstream.js'
 import { recordPace, recordRunTime } from './run-time-reports.js'
 import { beginInstance, endExpiredRuns, handleUnreachable } from './upstream-instance.js'
@@ -32,11 +32,39 @@
   return remainingCount
 }
 
+/** Whether the number of a completion can be the upstream's: one far above the others would hide all that follow. */
+function isPlausibleNumber (number: number, lastNumber: number): boolean {
+  const maximum = lastNumber === 0 ? MAXIMUM_COMPLETION_NUMBER : lastNumber + MAXIMUM_COMPLETION_GAP
+  return Number.isSafeInteger(number) && number >= 1 && number <= maximum
+}
+
+function logOddCompletion (
+  state: RunRegistryState, ports: RunRegistryPorts, { number, task, run, kind }: ListedCompletion
+): void {
+  if (state.upstream.hasLoggedOddCompletion) return
+  state.upstream.hasLoggedOddCompletion = true
+  ports.logger.warn('completion with an odd number', { number, last: state.upstream.lastCompletionNumber, task, run, kind })
+}
+
+/** Handles the completions of a listing in the order of their numbers. */
+function handleCompletions (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
+  const completions = [...listing.ended].sort((left, right) => left.number - right.number)
+  for (const completion of completions) {
+    const { number } = completion
+    const { lastCompletionNumber } = state.upstream
+    if (isPlausibleNumber(number, lastCompletionNumber)) {
+      if (number <= lastCompletionNumber) continue
+      state.upstream.lastCompletionNumber = number
+    } else {
+      logOddCompletion(state, ports, completion)
+    }
+    handleCompletion(state, ports, completion, now)
+  }
+}
+
 function handleCompletion (
   state: RunRegistryState, ports: RunRegistryPorts, completion: ListedCompletion, now: number
 ): void {
-  if (completion.number <= state.upstream.lastCompletionNumber) return
-  state.upstream.lastCompletionNumber = completion.number
   const record = state.runs.get(completion.task)
   if (record === undefined || record.state === 'waiting' || record.upstreamRunNumber !== completion.run) return
   const estimateMilliseconds = record.order.estimateMilliseconds
@@ -51,16 +79,27 @@
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
 
+/**
+ * Whether a run is gone if a listing does not show it. After a listing, the upstream rejects a start order with a lower
+ * fencing token; that is of no use to a run which is to start again, since its stop may still be under way.
+ */
+function isAbsenceConclusive (record: RunRecord, usedFencingToken: number, requestedAt: number): boolean {
+  const isToEnd = record.state === 'stopping' && record.stopReason !== ORDER_UNANSWERED
+  if (isToEnd && record.orderedFence < usedFencingToken) return true
+  return record.absenceConclusiveFrom !== undefined && requestedAt >= record.absenceConclusiveFrom
+}
+
 /** Ends runs that are neither listed nor completed: the upstream never started them, or lost them. */
 function endMissingRuns (
   state: RunRegistryState,
   ports: RunRegistryPorts,
   listedRuns: ReadonlyMap<string, number>,
+  usedFencingToken: number,
   requestedAt: number,
   now: number
 ): void {
   for (const record of [...state.runs.values()]) {
-    if (record.absenceConclusiveFrom === undefined || requestedAt < record.absenceConclusiveFrom) continue
+    if (!isAbsenceConclusive(record, usedFencingToken, requestedAt)) continue
     const isListed = listedRuns.get(record.order.task) === record.upstreamRunNumber
     if (record.state === 'unsure') resolveUnconfirmedRun(state, ports, record, isListed, now)
     else if (!isListed) endMissingRun(state, ports, record, now)
@@ -90,21 +129,16 @@
   record.absenceConclusiveFrom = now
 }
 
-/**
- * Stops the listed runs that are not in the registry.
- *
- * @returns their number.
- */
-function stopUnknownRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): number {
-  let unknownRunCount = 0
+/** Stops the listed runs that are not in the registry, and records their number. */
+function stopUnknownRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): void {
+  state.upstream.unknownRunCount = 0
   for (const { task, run } of listing.running) {
     const record = state.runs.get(task)
     if (record !== undefined && record.state !== 'waiting' && record.upstreamRunNumber === run) continue
-    unknownRunCount += 1
+    state.upstream.unknownRunCount += 1
     ports.logger.warn('stopping a run that is not in the book', { task, run, phase: state.upstream.phase })
     ports.stopUnknownRun({ task, run, fencingToken: state.fencingToken, instance: state.upstream.instance })
   }
-  return unknownRunCount
 }
 
 /** Records the progress of the listed runs, and stops stalled ones. */
@@ -153,10 +187,10 @@
  * a listing has none, the upstream serves.
  */
 function clearEarlierRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
-  for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
-  const unknownCount = stopUnknownRuns(state, ports, listing)
+  handleCompletions(state, ports, listing, now)
+  stopUnknownRuns(state, ports, listing)
   const displacedCount = settleDisplacedRuns(state, ports, listing, now)
-  if (unknownCount + displacedCount > 0) {
+  if (state.upstream.unknownRunCount + displacedCount > 0) {
     state.upstream.phase = 'clearing'
     return
   }
@@ -197,12 +231,13 @@
     if (!isOutOfOrder && usedFencingToken >= state.fencingToken) clearEarlierRuns(state, ports, listing, now)
     return
   }
-  for (const completion of listing.ended) handleCompletion(state, ports, completion, now)
+  handleCompletions(state, ports, listing, now)
   if (isOutOfOrder) return
   stopUnknownRuns(state, ports, listing)
   recordPace(state, ports, listing, now)
   recordProgress(state, ports, listing, now)
-  endMissingRuns(state, ports, new Map(listing.running.map(({ task, run }) => [task, run])), requestedAt, now)
+  const listedRuns = new Map(listing.running.map(({ task, run }) => [task, run]))
+  endMissingRuns(state, ports, listedRuns, usedFencingToken, requestedAt, now)
 }
 
 /** Handles the answer to a list order that was sent at `requestedAt`. */
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -46,6 +46,8 @@
   readonly slowStart: SlowStart
   /** Number of the last completion that was processed. */
   lastCompletionNumber: number
+  /** Whether a completion with an implausible number was logged; it is listed again and again. */
+  hasLoggedOddCompletion: boolean
   /** Agent time of the last listing; 0 before the first. */
   lastListingAt: number
   /** Highest clock of the upstream in a listing, in milliseconds. */
@@ -54,6 +56,10 @@
   unansweredListings: number
   /** Agent time of the last order that renewed the lease of all runs: a list or a start order. */
   leaseRenewedAt: number
+  /** Lease end that this order carried, on the upstream's clock; undefined before the first. */
+  leaseUntil: number | undefined
+  /** Number of runs in the newest listing that were not in the registry. */
+  unknownRunCount: number
 }
 
 /**
@@ -83,9 +89,12 @@
     loggedFactor: 1,
     slowStart: createSlowStart(),
     lastCompletionNumber: 0,
+    hasLoggedOddCompletion: false,
     lastListingAt: 0,
     lastListingClock: 0,
     unansweredListings: 0,
-    leaseRenewedAt: 0
+    leaseRenewedAt: 0,
+    leaseUntil: undefined,
+    unknownRunCount: 0
   }
 }
