Keep a process running that has a peer with an odd address

Cause: a link sends in a callback of the event loop. A request to a port above 65,535 or a host with a line break throws there at once, and so does the formatting of a message nested to some thousand levels: the entry or agent ended. Addresses come from registers on the platform's log, of which every process reads all, so one odd entry ended all of them after each start. Change: a batch whose request throws counts as undelivered, like one to an address that refuses the connection. A message that can't be formatted is dropped and logged, and the rest of its batch is sent. Measured: of the 6 new tests of link.test.ts 4 failed before, with an uncaught RangeError or TypeError.

--- a/packages/link/src/outgoing-peer.ts
+++ b/packages/link/src/outgoing-peer.ts
@@ -1,5 +1,5 @@
 /** The outgoing side of a link to one address: batches the messages of one turn of the event loop into one request. */
-import { Agent, request } from 'node:http'
+import { Agent, request, type ClientRequest, type RequestOptions } from 'node:http'
 import type { Logger, ProcessIdentity } from '@baobabpost/common'
 import { createJSONRPCNotification } from 'json-rpc-2.0'
 import type { LinkMessage } from '@baobabpost/messages'
@@ -77,8 +77,31 @@
     }
   }
 
+  /** Formats messages as a batch, without those that can't be formatted. */
+  function formatBatch (messages: readonly LinkMessage[]): string {
+    const texts: string[] = []
+    for (const { method, parameters } of messages) {
+      try {
+        texts.push(JSON.stringify(createJSONRPCNotification(method, parameters)))
+      } catch (failure) {
+        options.logger.error('link message dropped: it can not be formatted', { method, reason: String(failure) })
+      }
+    }
+    return `[${texts.join()}]`
+  }
+
+  /** Creates a request, or returns undefined if its address can't be connected to, which throws at once. */
+  function createRequest (settings: RequestOptions): ClientRequest | undefined {
+    try {
+      return request(settings)
+    } catch (failure) {
+      options.logger.warn('link batch failed', { peer: options.peerAddress, reason: String(failure) })
+      return undefined
+    }
+  }
+
   function post (batch: readonly LinkMessage[]): void {
-    const body = JSON.stringify(batch.map(message => createJSONRPCNotification(message.method, message.parameters)))
+    const body = formatBatch(batch)
     const { addressee } = options
     const addresseeField = addressee === undefined ? {} : { addressee }
     const sender = { identity: options.identity, address: options.ownAddress, ...addresseeField }
@@ -87,7 +110,7 @@
     activeRequests += 1
     options.onSent(batch.length, body.length)
 
-    const outgoingRequest = request({
+    const outgoingRequest = createRequest({
       host,
       port,
       agent,
@@ -103,6 +126,13 @@
         [LINK_HEADERS.signature]: signBatch(options.key, sender, body)
       }
     })
+    if (outgoingRequest === undefined) {
+      setImmediate(() => {
+        options.onUndelivered(batch)
+        settle()
+      })
+      return
+    }
     outgoingRequest.on('socket', socket => {
       if (!socket.connecting) isConnected = true
       else socket.once('connect', () => { isConnected = true })
--- a/packages/link/tests/link.test.ts
+++ b/packages/link/tests/link.test.ts
@@ -1,5 +1,5 @@
 import { request } from 'node:http'
-import { afterEach, describe, expect, test } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import {
   createAgentIdentity, createEntryIdentity, silentLogger, silentMetrics, type EntryIdentity, type ProcessIdentity
 } from '@baobabpost/common'
@@ -133,3 +133,39 @@
     expect(received).toEqual([acknowledge])
   })
 })
+
+describe('link beside an odd address or message', () => {
+  const uncaught: unknown[] = []
+  const record = (failure: unknown): void => { uncaught.push(failure) }
+  beforeEach(() => { process.on('uncaughtException', record) })
+  afterEach(() => {
+    process.off('uncaughtException', record)
+    expect(uncaught.splice(0)).toEqual([])
+  })
+
+  // The connection threw in a callback of the event loop, which ended the process, and again after each of its starts.
+  test.each(['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1:x', 'a b\r\n:80', ''])(
+    'goes on after sending to the address %j', async address => {
+      const { link, undelivered } = await openLink([KEY])
+      const receiver = await openLink([KEY])
+      const odd = createEntryIdentity('odd')
+      link.setPeer(odd, address)
+      link.send(odd, acknowledge)
+      link.sendToAddress(address, acknowledge)
+      link.sendToAddress(receiver.link.address, acknowledge)
+      await waitUntil(() => receiver.received.length === 1 && undelivered.length + uncaught.length > 0)
+      expect(undelivered).toEqual([acknowledge])
+    })
+
+  test('drops a message that is nested too deeply to be formatted, and delivers the rest of its batch', async () => {
+    const { link } = await openLink([KEY])
+    const receiver = await openLink([KEY])
+    const value = JSON.parse('['.repeat(30_000) + ']'.repeat(30_000)) as unknown
+    link.sendToAddress(receiver.link.address, {
+      method: 'entryHeartbeatAnswer', parameters: { sequence: 1, position: 1, registers: [{ register: 'drain/a', version: 1, value }] }
+    })
+    link.sendToAddress(receiver.link.address, acknowledge)
+    await waitUntil(() => receiver.received.length + uncaught.length > 0)
+    expect(receiver.received.map(item => item.message)).toEqual([acknowledge])
+  })
+})
