Refuse values of more than a hundred levels from outside

Cause: JSON.parse reads 30,000 levels, JSON.stringify ends with a RangeError at 4,000. An upstream's answer of 8 KB nested that deeply was reported to the entry, and formatting the report ended the agent. A register with such a value was kept and ended each process that passed it on. Change: inputs of callers, answers of upstreams and values of registers have at most 100 levels; an answer with more is a failure, a register with more is skipped like any other that does not decode.

--- a/packages/agent/src/upstream-client.ts
+++ b/packages/agent/src/upstream-client.ts
@@ -2,7 +2,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
 import type { TaskRequest, TaskResult, UpstreamPort } from '@baobabpost/execution'
-import { MAXIMUM_ANSWER_BYTES } from '@baobabpost/messages'
+import { isShallow, MAXIMUM_ANSWER_BYTES } from '@baobabpost/messages'
 
 const MAXIMUM_DETAIL_CHARACTERS = 200
 const PROBE_TIMEOUT_MILLISECONDS = 1_000
@@ -60,7 +60,9 @@
 
 function parseAnswer (text: string, answerBytes: number): TaskResult {
   try {
-    return { kind: 'succeeded', answer: JSON.parse(text) as unknown, answerBytes }
+    const answer: unknown = JSON.parse(text)
+    if (!isShallow(answer)) return { kind: 'failed', detail: 'The answer has too many levels' }
+    return { kind: 'succeeded', answer, answerBytes }
   } catch {
     return { kind: 'failed', detail: `The answer is not JSON: ${text.slice(0, MAXIMUM_DETAIL_CHARACTERS)}` }
   }
--- a/packages/messages/src/caller.ts
+++ b/packages/messages/src/caller.ts
@@ -1,7 +1,7 @@
 /** Bodies of the callers' HTTP interface; `docs/INTERFACE.md` describes the routes. */
 import { ErrorKindSchema, Name, SubmissionKey } from '@baobabpost/common'
 import { Schema } from 'effect'
-import { JsonRecord, Milliseconds, NonNegativeInt } from './json.js'
+import { ForeignJsonRecord, Milliseconds, NonNegativeInt } from './json.js'
 import { MAXIMUM_TASKS_PER_JOB } from './limits.js'
 import { NotRunReason, TaskOutcome } from './outcome.js'
 
@@ -10,7 +10,7 @@
   template: Name,
   customer: Name,
   /** Input of each task; overrides the parameters of the template and the customer. */
-  tasks: Schema.Array(JsonRecord).check(Schema.isMinLength(1), Schema.isMaxLength(MAXIMUM_TASKS_PER_JOB)),
+  tasks: Schema.Array(ForeignJsonRecord).check(Schema.isMinLength(1), Schema.isMaxLength(MAXIMUM_TASKS_PER_JOB)),
   /** Whether the job has priority over jobs that are not urgent. */
   urgent: Schema.optionalKey(Schema.Boolean),
   /** Time after arrival within which a task must start; tasks that have not started by then are not run. */
@@ -22,7 +22,7 @@
 export const CallRequest = Schema.Struct({
   template: Name,
   customer: Name,
-  input: JsonRecord,
+  input: ForeignJsonRecord,
   /** Whether the request may safely be repeated; the template's call type if absent. */
   idempotent: Schema.optionalKey(Schema.Boolean),
   deadlineMilliseconds: Schema.optionalKey(Milliseconds)
--- a/packages/platform-log/src/register-validation.ts
+++ b/packages/platform-log/src/register-validation.ts
@@ -3,7 +3,7 @@
  * result.
  */
 import { PARTITION_COUNT } from '@baobabpost/common'
-import { REGISTER_SCHEMAS, type BurnBucket, type RegisterKind } from '@baobabpost/messages'
+import { isShallow, REGISTER_SCHEMAS, type BurnBucket, type RegisterKind } from '@baobabpost/messages'
 import { Result, Schema } from 'effect'
 
 type Decoder = (value: unknown) => Result.Result<unknown, { readonly message: string }>
@@ -58,6 +58,7 @@
   const name = register.slice(kind.length + 1)
   if (name === '') return 'the register has no name'
   if (value === null) return undefined
+  if (!isShallow(value)) return 'the value has too many levels'
   const decoded = DECODERS.get(kind)?.(value)
   if (decoded === undefined) return 'there is no such kind of register'
   if (Result.isFailure(decoded)) return decoded.failure.message.split('\n').join(' ')
