Read the platform's log beside records that do not decode

Cause: an answer of the log was decoded as a whole. One record with an impossible offset, or data that is no text, made it fail, and it was read again for ever: no process learned of any later register. Change: records are decoded one by one. One without a possible offset is skipped, one with odd data keeps its place as a record that does not decode, and an answer with none that is possible passes over one record. The tests of link, platform-log, agent, messages, entry and membership pass.

--- a/packages/platform-log/src/create-platform-log-client.ts
+++ b/packages/platform-log/src/create-platform-log-client.ts
@@ -98,7 +98,9 @@
 
   function handleRead (answer: ReadAnswer, readStartedAt: number): void {
     const now = Date.now()
-    const entries = answer.records.map(({ offset, data }) => ({ offset, record: decodeLogRecord(data) }))
+    const entries = answer.records.map(({ offset, data }) => ({
+      offset, record: data === undefined ? undefined : decodeLogRecord(data)
+    }))
     if (answer.first > position + 1) {
       logger.warn('the platform log dropped records before they were read', { position, first: answer.first })
       position = answer.first - 1
--- a/packages/platform-log/src/log-http.ts
+++ b/packages/platform-log/src/log-http.ts
@@ -7,16 +7,24 @@
 const MAXIMUM_ANSWER_BYTES = 33_554_432
 const MAXIMUM_CONNECTIONS = 16
 
-const ReadAnswer = Schema.Struct({
+const ReadBody = Schema.Struct({
   first: NonNegativeInt,
   next: NonNegativeInt,
-  records: Schema.Array(Schema.Struct({ offset: NonNegativeInt, data: Schema.String }))
+  records: Schema.Array(Schema.Unknown)
 })
+const ReadRecord = Schema.Struct({ offset: NonNegativeInt, data: Schema.Unknown })
+
 /** Answer to a read: the oldest kept offset, the offset of the next append, and the records. */
-export type ReadAnswer = typeof ReadAnswer.Type
+export interface ReadAnswer {
+  readonly first: number
+  readonly next: number
+  /** With the data of each record, or undefined if the record does not decode. */
+  readonly records: ReadonlyArray<{ readonly offset: number, readonly data: string | undefined }>
+}
 
 const AppendAnswer = Schema.Struct({ offset: NonNegativeInt })
-const decodeRead = Schema.decodeUnknownSync(ReadAnswer)
+const decodeRead = Schema.decodeUnknownSync(ReadBody)
+const decodeRecord = Schema.decodeUnknownResult(ReadRecord)
 const decodeAppend = Schema.decodeUnknownResult(AppendAnswer)
 
 interface Answer {
@@ -52,6 +60,25 @@
   return { status: response.statusCode ?? 0, body: JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown }
 }
 
+/**
+ * Reads records one by one; their offsets rise. One without a possible offset is skipped, and the gap that it may leave
+ * is read like one of records that the log has dropped. If none has a possible offset, the first is passed over.
+ */
+function readRecords ({ first, next, records }: typeof ReadBody.Type, from: number): ReadAnswer['records'] {
+  const readable: Array<ReadAnswer['records'][number]> = []
+  const start = Math.max(first, from)
+  let previous = start - 1
+  for (const record of records) {
+    const decoded = decodeRecord(record)
+    if (Result.isFailure(decoded)) continue
+    const { offset, data } = decoded.success
+    if (offset <= previous || offset >= next) continue
+    readable.push({ offset, data: typeof data === 'string' ? data : undefined })
+    previous = offset
+  }
+  return readable.length === 0 && records.length > 0 && start < next ? [{ offset: start, data: undefined }] : readable
+}
+
 /** Whether the connection was refused, so that the request can't have reached the log. */
 function isConnectionRefused (error: unknown): boolean {
   return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED'
@@ -100,7 +127,8 @@
       const path = `/records?from=${from}&limit=${limit}&waitMilliseconds=${waitMilliseconds}`
       const answer = await exchange('GET', path, undefined, waitMilliseconds + options.answerMilliseconds)
       if (answer.status !== 200) throw new Error(`the platform log answered with status ${answer.status} instead of 200`)
-      return decodeRead(answer.body)
+      const body = decodeRead(answer.body)
+      return { first: body.first, next: body.next, records: readRecords(body, from) }
     },
     async append (data) {
       try {
