Take three late heartbeats in a row for late, not for a wrong number

Cause: after three heartbeats in a row that were late, each with a higher number than the one before, the newest number counted as wrong. That is also how heartbeats arrive that a partition has held while a later one came through: the agent went back to the capacity of an earlier heartbeat. Found in review. Change: a number counts as wrong only if it is more than a thousand heartbeats ahead of those that follow.

--- a/packages/runs/src/heartbeats.ts
+++ b/packages/runs/src/heartbeats.ts
@@ -4,6 +4,7 @@
 import { startWaitingRuns } from './orders.js'
 import type { UpstreamInstance, UpstreamHeartbeat } from './upstream.js'
 import type { UpstreamState } from './upstream-state.js'
+import { MAXIMUM_OVERTAKING_HEARTBEATS } from './run-limits.js'
 
 /** Whether a heartbeat is from an earlier instance than the known one, as far as its start time tells. */
 function isOlderInstance (instance: UpstreamInstance, upstream: UpstreamState): boolean {
@@ -19,6 +20,15 @@
   return (instance.id === knownInstance.id || knownInstance.id === '') && instance.startedAt === knownInstance.startedAt
 }
 
+/**
+ * Whether a later heartbeat of the instance came before this one. A number that is further behind than a heartbeat is
+ * ever delayed shows that the last one was wrong.
+ */
+function isOvertaken ({ sequence }: UpstreamHeartbeat, { heartbeat }: UpstreamState): boolean {
+  if (heartbeat === undefined || sequence > heartbeat.sequence) return false
+  return heartbeat.sequence - sequence <= MAXIMUM_OVERTAKING_HEARTBEATS
+}
+
 function logSkipped (state: RunRegistryState, ports: RunRegistryPorts, heartbeat: UpstreamHeartbeat): void {
   ports.logger.warn('heartbeat skipped: out of date', {
     upstream: heartbeat.instance.id,
@@ -77,7 +87,7 @@
     const { id, startedAt } = heartbeat.instance
     ports.logger.info('upstream drains', { upstream: id, bornAt: startedAt, sequence: heartbeat.sequence })
   }
-  if (upstream.heartbeatOrder.recordSequence(heartbeat.sequence)) {
+  if (!isOvertaken(heartbeat, upstream)) {
     upstream.heartbeat = heartbeat
     upstream.hasDeparted = false
     recordWarmth(state, ports, heartbeat, now)
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -15,6 +15,8 @@
 export const MAXIMUM_UNANSWERED_LISTINGS = 4
 /** Longest time by which one listing overtakes another: many times the wait and timeout of a list order. */
 export const MAXIMUM_OVERTAKING_MILLISECONDS = 5_000
+/** Largest number of heartbeats that overtake one: those of many minutes. */
+export const MAXIMUM_OVERTAKING_HEARTBEATS = 1_000
 /** Pause between attempts to list an upstream that does not answer. */
 export const RETRY_DELAY_MILLISECONDS = 20
 /** Age of the last listing above which no new runs are accepted: about three listing intervals. */
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,5 +1,4 @@
 /** What an agent knows of the current instance of its upstream. */
-import { createHeartbeatOrder, type HeartbeatOrder } from './heartbeat-order.js'
 import { createSlowStart, type SlowStart } from './slow-start.js'
 import { createObservations, type Observations } from './observations.js'
 import { createPace, type Pace } from './pace.js'
@@ -29,7 +28,6 @@
   predecessor: UpstreamInstance | undefined
   /** Newest heartbeat; nothing starts before the first one. */
   heartbeat: UpstreamHeartbeat | undefined
-  readonly heartbeatOrder: HeartbeatOrder
   /** Whether any heartbeat of the instance said that it leaves, which it can't take back. */
   isLeaving: boolean
   /** Whether the upstream has deregistered. */
@@ -77,7 +75,6 @@
     instanceKnownSince: 0,
     predecessor: undefined,
     heartbeat: undefined,
-    heartbeatOrder: createHeartbeatOrder(),
     isLeaving: false,
     hasDeparted: false,
     phase: 'unfenced',
--- a/packages/runs/tests/wrong-numbers.test.ts
+++ b/packages/runs/tests/wrong-numbers.test.ts
@@ -16,9 +16,11 @@
     expect(agent.watch().profile?.capacity).toEqual(LARGER)
   })
 
-  it('is told from late heartbeats, which come one by one or in another order', () => {
+  it.each([
+    ['one by one or in another order', [4, 8, 5, 9, 7, 6, 6, 6]], ['in their order, as a partition held them', [4, 8, 5, 6, 7]]
+  ])('is told from late heartbeats that come %s', (_title, sequences) => {
     const agent = createRegistryUnderTest()
-    for (const sequence of [4, 8, 5, 9, 7, 6, 6, 6]) {
+    for (const sequence of sequences) {
       const capacity = sequence >= 8 ? LARGER : heartbeat().capacity
       agent.registry.handleHeartbeat(heartbeat({ sequence, capacity }), agent.advance(10))
     }
