--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -1,9 +1,9 @@
 /** Handles answers of agents (run reports, verdicts on starts), failed calls, and unresponsive agents. */
 import {
-  EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS,
-  type RunReport, type Start, type StartAnswer, type StopAnswer, type Verdict, type WatchAnswer
+  EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
+  type Start, type StartAnswer, type StopAnswer, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import type { AgentView } from './agent-view.js'
+import { latestRunEnd, longestRunLease, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
 import { BUSY_RETRY_MILLISECONDS, LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
@@ -26,7 +26,9 @@
     if (view.incarnation !== '') view.formerIncarnations.add(view.incarnation)
     view.incarnation = answer.incarnation
     view.incarnationSince = now
+    view.formerRunLeaseMilliseconds = longestRunLease(view)
     view.mayHaveFormerRuns = true
+    view.leases = UNTOLD_LEASES
     view.acknowledgedSequence = 0
     view.lastAgentClock = 0
     view.profile = undefined
@@ -47,6 +49,7 @@
   view.load = answer.room
   if (answer.profile !== undefined) {
     view.profile = answer.profile
+    view.leases = readLeases(answer.profile.leases)
     learnCrashes(state, ports, view, now)
   }
   state.runTimes.applyAnswer(view)
@@ -140,7 +143,7 @@
   const assignedTask = state.assigned.get(report.task)
   const assignment = assignedTask?.task.assignment
   if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== report.run) return
-  switch (report.outcome) {
+  switch (readOutcome(report.outcome)) {
     case 'done': {
       const { job: { request }, task: { step } } = assignedTask
       state.runTimes.recordDone({ view, request, step, milliseconds: report.milliseconds })
@@ -151,6 +154,7 @@
     case 'stopped':
     case 'lapsed':
     case 'lost':
+    case 'unknown':
       assignedTask.task.mayHaveStarted = true
       return endAssignment(state, ports, assignedTask, `${report.outcome} ${report.reason}`, now)
     case 'superseded':
@@ -190,10 +194,10 @@
 }
 
 function handleVerdict (
-  state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, verdict: Verdict, now: number
+  state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, verdict: string, now: number
 ): void {
   const { task } = assignedTask
-  switch (verdict) {
+  switch (readVerdict(verdict)) {
     case 'accepted':
       return
     case 'stale':
@@ -206,6 +210,10 @@
     case 'busy':
       task.notBefore = now + BUSY_RETRY_MILLISECONDS
       return endAssignment(state, ports, assignedTask, verdict, now)
+    // The agent may have accepted the order: the report on its stop tells.
+    case 'unknown':
+      ports.logger.warn('verdict not known', { agent: task.assignment?.agent, task: task.name, verdict })
+      return stopTasks(state, [task], now)
   }
 }
 
@@ -282,17 +290,10 @@
   else view.refusedSince ??= now
 }
 
-/** Returns the time by which all runs of an unresponsive agent have ended, on the entry's steady clock. */
-export function latestRunEnd (view: AgentView): number {
-  const endAfterLastContact = view.lastContactAt + ENTRY_LEASE_MILLISECONDS + RUN_LEASE_BOUND_MILLISECONDS
-  const endAfterRefusal = view.refusedSince === undefined ? Infinity : view.refusedSince + RUN_LEASE_BOUND_MILLISECONDS
-  return Math.min(endAfterLastContact, endAfterRefusal) + 2 * LEASE_MARGIN_MILLISECONDS
-}
-
 /** Ends the assignments to agents, or to their earlier incarnations, whose leases have all ended. */
 export function endRunsOfUnresponsiveAgents (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   for (const view of state.agents.values()) {
-    const formerRunsEndAt = view.incarnationSince + RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
+    const formerRunsEndAt = view.incarnationSince + view.formerRunLeaseMilliseconds + LEASE_MARGIN_MILLISECONDS
     if (now >= formerRunsEndAt) endFormerRuns(state, ports, view, now)
     if (view.isReachable || view.incarnation === '' || now < latestRunEnd(view)) continue
     endLostRuns(state, ports, view, 'agent silent', now)
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -1,7 +1,14 @@
-/** Schemas of the calls that entries make to agents. */
+/**
+ * Schemas of the calls that entries make to agents.
+ *
+ * Processes of several builds call each other while machines are replaced. A message of another build must decode: a
+ * process that can't read an answer doesn't know what the other one did. So a new field is optional, a reader ignores
+ * fields that it does not know, and decodes names that a later build may add as strings.
+ */
 import { Schema } from 'effect'
 import { CrashFacts } from './crash-facts.js'
 import { EvacuationState } from './evacuations.js'
+import { LeaseLengths } from './lease-lengths.js'
 import { RememberedRunTimes, RunTimes } from './run-times.js'
 import { Size } from './size.js'
 import { Amount, Count, SteadyTime, UnixTime } from './wire-values.js'
@@ -36,7 +43,9 @@
   /** Newest factor on the callers' estimates that an entry told, by route; for entries that have just started. */
   routeFactors: Schema.optionalKey(Schema.Record(Schema.String, Amount)),
   /** Recent crashes of the upstream; absent without any. */
-  crashes: Schema.optionalKey(CrashFacts)
+  crashes: Schema.optionalKey(CrashFacts),
+  /** Leases that the agent keeps; absent from builds before they were told, see `UNTOLD_LEASES`. */
+  leases: Schema.optionalKey(LeaseLengths)
 })
 export type UpstreamProfile = typeof UpstreamProfile.Type
 
@@ -65,6 +74,17 @@
  */
 export const RunOutcome = Schema.Literals(['done', 'failed', 'stopped', 'lapsed', 'lost', 'not-started', 'superseded'])
 export type RunOutcome = typeof RunOutcome.Type
+const isRunOutcome = Schema.is(RunOutcome)
+
+/**
+ * Returns an outcome, or `unknown` for one of a later build.
+ *
+ * @example
+ * readOutcome('lapsed') // 'lapsed'
+ */
+export function readOutcome (outcome: string): RunOutcome | 'unknown' {
+  return isRunOutcome(outcome) ? outcome : 'unknown'
+}
 
 /** Report of a run's outcome, sent until the entry acknowledges it. */
 export const RunReport = Schema.Struct({
@@ -72,7 +92,8 @@
   sequence: Count,
   task: Schema.String,
   run: Count,
-  outcome: RunOutcome,
+  /** A `RunOutcome`, or one of a later build. Whatever it is, the run is over. */
+  outcome: Schema.String,
   reason: Schema.String,
   /** Time from the start order to the end of the run; 0 if it was never ordered. */
   milliseconds: Amount
@@ -145,11 +166,22 @@
 /** An agent's decision on one order. */
 export const Verdict = Schema.Literals(['accepted', 'stale', 'not-accepting', 'no-room', 'busy', 'stopped'])
 export type Verdict = typeof Verdict.Type
+const isVerdict = Schema.is(Verdict)
+
+/**
+ * Returns a verdict, or `unknown` for one of a later build.
+ *
+ * @example
+ * readVerdict('no-room') // 'no-room'
+ */
+export function readVerdict (verdict: string): Verdict | 'unknown' {
+  return isVerdict(verdict) ? verdict : 'unknown'
+}
 
 export const StartAnswer = Schema.Struct({
   ...AGENT_STATE,
-  /** One for each order, in the same sequence. */
-  verdicts: Schema.Array(Verdict)
+  /** One for each order, in the same sequence: a `Verdict`, or one of a later build. */
+  verdicts: Schema.Array(Schema.String)
 })
 export type StartAnswer = typeof StartAnswer.Type
 
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -15,6 +15,8 @@
 export const MAXIMUM_UNANSWERED_LISTINGS = 4
 /** Longest time by which one listing overtakes another: many times the wait and timeout of a list order. */
 export const MAXIMUM_OVERTAKING_MILLISECONDS = 5_000
+/** Largest number of heartbeats that overtake one: those of many minutes. */
+export const MAXIMUM_OVERTAKING_HEARTBEATS = 1_000
 /** Pause between attempts to list an upstream that does not answer. */
 export const RETRY_DELAY_MILLISECONDS = 20
 /** Age of the last listing above which no new runs are accepted: about three listing intervals. */
@@ -38,5 +40,11 @@
 export const MAXIMUM_UNANSWERED_REPETITIONS = 2
 /** Retention of the tombstone of an order; delayed copies of the order go stale within the entry lease. */
 export const TOMBSTONE_RETENTION_MILLISECONDS = 2_000
+/** Age of an order without an answer from which it is not expected to be carried out: delays last up to seconds. */
+export const LATE_ORDER_MILLISECONDS = 3_000
+/** Largest number of a completion, where none is known yet: more than an upstream ends in months. */
+export const MAXIMUM_COMPLETION_NUMBER = 1_000_000_000
+/** Largest difference between the numbers of completions; an upstream lists at most 500 at a time, numbered in turn. */
+export const MAXIMUM_COMPLETION_GAP = 10_000
 /** Maximum number of runs in an agent's queue: a few seconds of work. */
 export const MAXIMUM_WAITING_RUNS = 400
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,5 +1,4 @@
 /** What an agent knows of the current instance of its upstream. */
-import { createHeartbeatOrder, type HeartbeatOrder } from './heartbeat-order.js'
 import { createSlowStart, type SlowStart } from './slow-start.js'
 import { createObservations, type Observations } from './observations.js'
 import { createPace, type Pace } from './pace.js'
@@ -29,7 +28,6 @@
   predecessor: UpstreamInstance | undefined
   /** Newest heartbeat; nothing starts before the first one. */
   heartbeat: UpstreamHeartbeat | undefined
-  readonly heartbeatOrder: HeartbeatOrder
   /** Whether any heartbeat of the instance said that it leaves, which it can't take back. */
   isLeaving: boolean
   /** Whether the upstream has deregistered. */
@@ -46,6 +44,8 @@
   readonly slowStart: SlowStart
   /** Number of the last completion that was processed. */
   lastCompletionNumber: number
+  /** Whether a completion with an implausible number was logged; it is listed again and again. */
+  hasLoggedOddCompletion: boolean
   /** Agent time of the last listing; 0 before the first. */
   lastListingAt: number
   /** Highest clock of the upstream in a listing, in milliseconds. */
@@ -54,6 +54,10 @@
   unansweredListings: number
   /** Agent time of the last order that renewed the lease of all runs: a list or a start order. */
   leaseRenewedAt: number
+  /** Lease end that this order carried, on the upstream's clock; undefined before the first. */
+  leaseUntil: number | undefined
+  /** Number of runs in the newest listing that were not in the registry. */
+  unknownRunCount: number
 }
 
 /**
@@ -71,7 +75,6 @@
     instanceKnownSince: 0,
     predecessor: undefined,
     heartbeat: undefined,
-    heartbeatOrder: createHeartbeatOrder(),
     isLeaving: false,
     hasDeparted: false,
     phase: 'unfenced',
@@ -83,9 +86,12 @@
     loggedFactor: 1,
     slowStart: createSlowStart(),
     lastCompletionNumber: 0,
+    hasLoggedOddCompletion: false,
     lastListingAt: 0,
     lastListingClock: 0,
     unansweredListings: 0,
-    leaseRenewedAt: 0
+    leaseRenewedAt: 0,
+    leaseUntil: undefined,
+    unknownRunCount: 0
   }
 }
