Keep a run that a listing also names with another number

Cause: the rows of a listing were indexed by task. A second row of the same task with another run number replaced the true one: the run counted as gone, was reported as lost and its task could start elsewhere while it ran. So it was for a row of the task that does not decode, if that replaced the true one. Change: rows are indexed by task and run number, and the absence of a task of which a row does not decode shows nothing. Measured: the last two tests of wrong-numbers.test.ts failed before.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -10,6 +10,18 @@
 import { recordPace, recordRunTime } from './run-time-reports.js'
 import { beginInstance, endExpiredRuns, handleUnreachable } from './upstream-instance.js'
 
+/** Which runs a listing shows, of which one may name a task more than once, with several run numbers. */
+interface ListedRuns {
+  has: (task: string, run: number) => boolean
+  /** Whether a row of the task did not decode, so that its absence shows nothing. */
+  isDoubtful: (task: string) => boolean
+}
+
+function indexRuns ({ running, doubtfulTasks }: Listing): ListedRuns {
+  const keys = new Set(running.map(({ task, run }) => `${task} ${run}`))
+  return { has: (task, run) => keys.has(`${task} ${run}`), isDoubtful: task => doubtfulTasks?.has(task) === true }
+}
+
 /**
  * Ends the displaced runs that a listing doesn't show, and stops the others.
  *
@@ -18,11 +30,11 @@
 function settleDisplacedRuns (
   state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number
 ): number {
-  const listedRuns = new Map(listing.running.map(({ task, run }) => [task, run]))
+  const listedRuns = indexRuns(listing)
   let remainingCount = 0
   for (const record of [...state.runs.values()]) {
     const { order: { task }, upstreamRunNumber: run } = record
-    if (listedRuns.get(task) !== run) {
+    if (!listedRuns.has(task, run) && !listedRuns.isDoubtful(task)) {
       endRun(state, ports, record, 'lost', record.stopReason, now)
       continue
     }
@@ -93,14 +105,15 @@
 function endMissingRuns (
   state: RunRegistryState,
   ports: RunRegistryPorts,
-  listedRuns: ReadonlyMap<string, number>,
+  listedRuns: ListedRuns,
   usedFencingToken: number,
   requestedAt: number,
   now: number
 ): void {
   for (const record of [...state.runs.values()]) {
     if (!isAbsenceConclusive(record, usedFencingToken, requestedAt)) continue
-    const isListed = listedRuns.get(record.order.task) === record.upstreamRunNumber
+    const isListed = listedRuns.has(record.order.task, record.upstreamRunNumber)
+    if (!isListed && listedRuns.isDoubtful(record.order.task)) continue
     if (record.state === 'unsure') resolveUnconfirmedRun(state, ports, record, isListed, now)
     else if (!isListed) endMissingRun(state, ports, record, now)
   }
@@ -236,8 +249,7 @@
   stopUnknownRuns(state, ports, listing)
   recordPace(state, ports, listing, now)
   recordProgress(state, ports, listing, now)
-  const listedRuns = new Map(listing.running.map(({ task, run }) => [task, run]))
-  endMissingRuns(state, ports, listedRuns, usedFencingToken, requestedAt, now)
+  endMissingRuns(state, ports, indexRuns(listing), usedFencingToken, requestedAt, now)
 }
 
 /** Handles the answer to a list order that was sent at `requestedAt`. */
--- a/packages/runs/src/upstream.ts
+++ b/packages/runs/src/upstream.ts
@@ -101,6 +101,8 @@
   /** Start of the instance in Unix milliseconds; undefined if the upstream does not report it. */
   readonly startedAt: number | undefined
   readonly running: readonly ListedRun[]
+  /** Tasks of rows that did not decode, of which it is not known whether they run; absent without any. */
+  readonly doubtfulTasks?: ReadonlySet<string>
   readonly ended: readonly ListedCompletion[]
 }
 
--- a/packages/runs/tests/wrong-numbers.test.ts
+++ b/packages/runs/tests/wrong-numbers.test.ts
@@ -53,3 +53,29 @@
     expect(agent.watch().reports).toEqual([])
   })
 })
+
+describe('a run beside an odd row of the same task', () => {
+  function startRun (): ReturnType<typeof createRegistryUnderTest> {
+    const agent = createRegistryUnderTest()
+    agent.registry.handleHeartbeat(heartbeat(), agent.advance(1))
+    agent.list()
+    agent.order(1)
+    agent.answerLastStart('taken')
+    return agent
+  }
+
+  // It was reported as lost while it ran, and its task started elsewhere.
+  it('is not taken for lost when the listing names its task with another run number', () => {
+    const agent = startRun()
+    agent.list({ running: [{ task: TASK, run: 1, percent: 10 }, { task: TASK, run: 7, percent: 10 }] })
+    expect(agent.watch().reports).toEqual([])
+  })
+
+  it('is not taken for lost when the row of its task does not decode', () => {
+    const agent = startRun()
+    agent.list({ doubtfulTasks: new Set([TASK]) })
+    expect(agent.watch().reports).toEqual([])
+    agent.list()
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'lost' }])
+  })
+})
