Check the entry leases in time at an agent that was idle

Cause: an agent without runs ticks every 160 ms, and its next tick stayed that far away when a first run came. An order may be nearly as old as the entry lease when it arrives, so its run was stopped up to 160 ms after the end of the lease instead of 40. An agent that dies then lets the upstream keep the run for its lease: 570 + 160 + 653 = 1,383 ms, more than the 1,263 ms after which the entry moves the task and the 1,300 ms after which a caller sends its job again. Change: the first run of an idle agent shortens the wait for the next tick to that of an agent with runs.

--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -164,7 +164,10 @@
   }
 
   function start (parameters: Start): StartAnswer {
+    const wasIdle = registry.runCount() === 0
     const answer = registry.answerStart(parameters, now())
+    // The first run may have been ordered by an entry whose lease ends before the next tick of an idle agent.
+    if (wasIdle && registry.runCount() > 0) scheduleTick()
     // Watches renew the entry's lease; one that began before the entry had runs here would outlast the lease.
     for (const waitingWatch of waitingWatches) {
       const { session } = waitingWatch
@@ -182,14 +185,19 @@
     tellEvacuations: parameters => registry.answerEvacuations(parameters, now())
   }
   let tickTimer: ReturnType<typeof setTimeout> | undefined
+  function scheduleTick (): void {
+    clearTimeout(tickTimer)
+    if (lifecycle.isStopped) return
+    tickTimer = setTimeout(runTickLoop, registry.runCount() > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS)
+  }
+
   function runTickLoop (): void {
     try {
       registry.tick(now())
     } catch (failure) {
       logFailure(failure)
     }
-    if (lifecycle.isStopped) return
-    tickTimer = setTimeout(runTickLoop, registry.runCount() > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS)
+    scheduleTick()
   }
   runTickLoop()
   runListingLoop().catch(logFailure)
