Hold a task at a stopping agent for the run lease that the agent told

Cause: the time for which a task stays at an agent that is stopping another run of it came from this build's run lease; an agent of another build may keep a longer one. Change: the lease that the agent told counts. The end of assignments moves to a file of its own.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -1,12 +1,13 @@
-/** Handles answers of agents (run reports, verdicts on starts), failed calls, and unresponsive agents. */
+/** Handles answers of agents (run reports, verdicts on starts) and failed calls to them. */
 import {
   EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
   type Start, type StartAnswer, type StopAnswer, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import { latestRunEnd, longestRunLease, type AgentView } from './agent-view.js'
+import { longestRunLease, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
-import { BUSY_RETRY_MILLISECONDS, LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
+import { BUSY_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
+import { endAssignment, endFormerRuns } from './ended-assignments.js'
 import { holdAtAgent, type Job, type JobTask } from './job.js'
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
 import { releaseReservation } from './job-plan.js'
@@ -56,46 +57,6 @@
   return true
 }
 
-/** Ends all assignments to earlier incarnations of an agent. */
-function endFormerRuns (state: DispatcherState, ports: DispatcherPorts, view: AgentView, now: number): void {
-  if (!view.mayHaveFormerRuns) return
-  view.mayHaveFormerRuns = false
-  endLostRuns(state, ports, view, 'agent restarted', now)
-}
-
-/** Ends the assignments to an agent, or only those to its earlier incarnations if it was restarted. */
-function endLostRuns (
-  state: DispatcherState, ports: DispatcherPorts, view: AgentView, reason: 'agent restarted' | 'agent silent', now: number
-): void {
-  const lost = [...state.assigned.values()].filter(({ task: { assignment } }) => assignment?.agent === view.name &&
-    (reason === 'agent silent' || assignment.incarnation !== view.incarnation))
-  const incarnation = lost[0]?.task.assignment?.incarnation ?? ''
-  state.crashes.addLost(incarnation, lost.map(({ job, task }) => ({ task: task.name, route: job.request.route })), now)
-  for (const assignedTask of lost) {
-    assignedTask.task.mayHaveStarted = true
-    endAssignment(state, ports, assignedTask, reason, now)
-  }
-}
-
-/** Ends an assignment whose run has ended or will not start, without success: the task waits again if still needed. */
-function endAssignment (
-  state: DispatcherState, ports: DispatcherPorts, { job, task }: TaskOfJob, reason: string, now: number
-): void {
-  state.assigned.delete(task.name)
-  if (task.assignment !== undefined) task.avoidedAgents.add(task.assignment.agent)
-  task.assignment = undefined
-  if (job.isAnswered) {
-    task.state = 'done'
-    return settleJob(state, job)
-  }
-  task.state = 'waiting'
-  // A run that was refused its upstream for itself has kept that free for a while.
-  if (state.crashes.suspicionOf(task.name, now) === 'lone') task.notBefore = now + LONE_RETRY_MILLISECONDS
-  const left = Math.round(job.request.deadlineAt - now)
-  ports.logger.info('task waits again', { task: task.name, run: task.lastRun, reason, left, crashes: state.crashes.crashCountOf(task.name) })
-  addWaiting(state, job)
-}
-
 function unblockTasks (state: DispatcherState, job: Job): void {
   let hasUnblocked = false
   for (const task of job.tasks) {
@@ -193,6 +154,12 @@
   }
 }
 
+/** Returns the run lease that the agent of a task's assignment keeps, in milliseconds. */
+function runLeaseOf (state: DispatcherState, { assignment }: JobTask): number {
+  const view = state.agents.get(assignment?.agent ?? '')
+  return (view?.leases ?? UNTOLD_LEASES).runMilliseconds
+}
+
 function handleVerdict (
   state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, verdict: string, now: number
 ): void {
@@ -209,7 +176,8 @@
       return
     case 'busy':
       task.notBefore = now + BUSY_RETRY_MILLISECONDS
-      holdAtAgent(task, now)
+      // The other run ends with its lease even if no stop gets through: the agent doesn't renew that meanwhile.
+      holdAtAgent(task, now + runLeaseOf(state, task) + 2 * LEASE_MARGIN_MILLISECONDS)
       return endAssignment(state, ports, assignedTask, verdict, now)
     // The agent may have accepted the order: the report on its stop tells.
     case 'unknown':
@@ -290,13 +258,3 @@
   if (!isRefused) view.refusedSince = undefined
   else view.refusedSince ??= now
 }
-
-/** Ends the assignments to agents, or to their earlier incarnations, whose leases have all ended. */
-export function endRunsOfUnresponsiveAgents (state: DispatcherState, ports: DispatcherPorts, now: number): void {
-  for (const view of state.agents.values()) {
-    const formerRunsEndAt = view.incarnationSince + view.formerRunLeaseMilliseconds + LEASE_MARGIN_MILLISECONDS
-    if (now >= formerRunsEndAt) endFormerRuns(state, ports, view, now)
-    if (view.isReachable || view.incarnation === '' || now < latestRunEnd(view)) continue
-    endLostRuns(state, ports, view, 'agent silent', now)
-  }
-}
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -3,8 +3,7 @@
 import type { EvacuationRegister, Start, StartAnswer, StopAnswer, Watch, WatchAnswer } from '@baobabpost/fleet-calls'
 import { LatestStartAdmission, type Admission } from './admission.js'
 import {
-  endRunsOfUnresponsiveAgents, handleStartAnswer, handleStartFailure, handleStopAnswer, handleWatchAnswer,
-  handleWatchFailure
+  handleStartAnswer, handleStartFailure, handleStopAnswer, handleWatchAnswer, handleWatchFailure
 } from './agent-answers.js'
 import { createAgentView, isUsable, type AgentView } from './agent-view.js'
 import { isEvacuated } from './job-plan.js'
@@ -17,6 +16,7 @@
 import { createCrashEvidence } from './crash-evidence.js'
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { logShares } from './ejection.js'
+import { endRunsOfUnresponsiveAgents } from './ended-assignments.js'
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
 import { answerJob } from './job-completion.js'
 import { LearnedRunTimes } from './learned-run-times.js'
--- /dev/null
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -0,0 +1,57 @@
+/** Ends assignments: their runs have ended, will not start, or can't outlive the leases of an agent that is gone. */
+import { LEASE_MARGIN_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { latestRunEnd, type AgentView } from './agent-view.js'
+import { addWaiting } from './assignments.js'
+import { LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
+import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
+import { settleJob } from './job-completion.js'
+
+/** Ends all assignments to earlier incarnations of an agent. */
+export function endFormerRuns (state: DispatcherState, ports: DispatcherPorts, view: AgentView, now: number): void {
+  if (!view.mayHaveFormerRuns) return
+  view.mayHaveFormerRuns = false
+  endLostRuns(state, ports, view, 'agent restarted', now)
+}
+
+/** Ends the assignments to an agent, or only those to its earlier incarnations if it was restarted. */
+function endLostRuns (
+  state: DispatcherState, ports: DispatcherPorts, view: AgentView, reason: 'agent restarted' | 'agent silent', now: number
+): void {
+  const lost = [...state.assigned.values()].filter(({ task: { assignment } }) => assignment?.agent === view.name &&
+    (reason === 'agent silent' || assignment.incarnation !== view.incarnation))
+  const incarnation = lost[0]?.task.assignment?.incarnation ?? ''
+  state.crashes.addLost(incarnation, lost.map(({ job, task }) => ({ task: task.name, route: job.request.route })), now)
+  for (const assignedTask of lost) {
+    assignedTask.task.mayHaveStarted = true
+    endAssignment(state, ports, assignedTask, reason, now)
+  }
+}
+
+/** Ends an assignment whose run has ended or will not start, without success: the task waits again if still needed. */
+export function endAssignment (
+  state: DispatcherState, ports: DispatcherPorts, { job, task }: TaskOfJob, reason: string, now: number
+): void {
+  state.assigned.delete(task.name)
+  if (task.assignment !== undefined) task.avoidedAgents.add(task.assignment.agent)
+  task.assignment = undefined
+  if (job.isAnswered) {
+    task.state = 'done'
+    return settleJob(state, job)
+  }
+  task.state = 'waiting'
+  // A run that was refused its upstream for itself has kept that free for a while.
+  if (state.crashes.suspicionOf(task.name, now) === 'lone') task.notBefore = now + LONE_RETRY_MILLISECONDS
+  const left = Math.round(job.request.deadlineAt - now)
+  ports.logger.info('task waits again', { task: task.name, run: task.lastRun, reason, left, crashes: state.crashes.crashCountOf(task.name) })
+  addWaiting(state, job)
+}
+
+/** Ends the assignments to agents, or to their earlier incarnations, whose leases have all ended. */
+export function endRunsOfUnresponsiveAgents (state: DispatcherState, ports: DispatcherPorts, now: number): void {
+  for (const view of state.agents.values()) {
+    const formerRunsEndAt = view.incarnationSince + view.formerRunLeaseMilliseconds + LEASE_MARGIN_MILLISECONDS
+    if (now >= formerRunsEndAt) endFormerRuns(state, ports, view, now)
+    if (view.isReachable || view.incarnation === '' || now < latestRunEnd(view)) continue
+    endLostRuns(state, ports, view, 'agent silent', now)
+  }
+}
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -1,5 +1,4 @@
 /** Jobs and their tasks at the entry that accepted them. */
-import { OTHER_RUN_END_MILLISECONDS } from './dispatch-limits.js'
 import type { Size } from '@baobabpost/fleet-calls'
 
 /** One step of a job: a number of tasks with the same size, estimate and constraints. */
@@ -182,9 +181,15 @@
   }
 }
 
-/** Lets a task start only at the agent that is stopping another run of it, until that run has ended in any case. */
-export function holdAtAgent (task: JobTask, now: number): void {
+/**
+ * Lets a task start only at the agent that is stopping another run of it.
+ *
+ * @param until - Time by which that run has ended in any case, on the entry's steady clock in milliseconds.
+ * @example
+ * holdAtAgent(task, now + view.leases.runMilliseconds)
+ */
+export function holdAtAgent (task: JobTask, until: number): void {
   const { assignment, heldBy } = task
   if (assignment === undefined || assignment.agent === heldBy?.agent) return
-  task.heldBy = { agent: assignment.agent, until: now + OTHER_RUN_END_MILLISECONDS }
+  task.heldBy = { agent: assignment.agent, until }
 }
