Shorten the tick of an idle agent only where a lease ends before it

Cause: ticked 40 ms after each first run of an idle agent. Change: the tick is shortened only if the lease of the first run's entry ends before it, which a fresh order never does.

--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -166,8 +166,9 @@
   function start (parameters: Start): StartAnswer {
     const wasIdle = registry.runCount() === 0
     const answer = registry.answerStart(parameters, now())
-    // The first run may have been ordered by an entry whose lease ends before the next tick of an idle agent.
-    if (wasIdle && registry.runCount() > 0) scheduleTick()
+    // The lease of the entry that ordered the first run may end before the next tick of an idle agent.
+    const leaseUntil = parameters.caller.heardAt + ENTRY_LEASE_MILLISECONDS
+    if (wasIdle && registry.runCount() > 0 && leaseUntil < nextTickAt) scheduleTick()
     // Watches renew the entry's lease; one that began before the entry had runs here would outlast the lease.
     for (const waitingWatch of waitingWatches) {
       const { session } = waitingWatch
@@ -185,10 +186,13 @@
     tellEvacuations: parameters => registry.answerEvacuations(parameters, now())
   }
   let tickTimer: ReturnType<typeof setTimeout> | undefined
+  let nextTickAt = 0
   function scheduleTick (): void {
     clearTimeout(tickTimer)
     if (lifecycle.isStopped) return
-    tickTimer = setTimeout(runTickLoop, registry.runCount() > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS)
+    const milliseconds = registry.runCount() > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS
+    nextTickAt = now() + milliseconds
+    tickTimer = setTimeout(runTickLoop, milliseconds)
   }
 
   function runTickLoop (): void {
