Hold a task at a busy agent by the leases that this one keeps

Cause: the time for which a task goes only to the agent that stops another run of it took the run lease of this build; agents tell their own since the leases of two builds are told apart. Change: it comes from the view of the agent, beside the end of the runs of an agent that is silent.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -3,11 +3,11 @@
   EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
   type Start, type StartAnswer, type StopAnswer, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import { latestRunEnd, longestRunLease, type AgentView } from './agent-view.js'
+import { latestRunEnd, latestStoppedRunEnd, longestRunLease, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
 import { BUSY_RETRY_MILLISECONDS, LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
-import { holdAtAgent, type Job, type JobTask } from './job.js'
+import type { Job, JobTask } from './job.js'
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
 import { releaseReservation } from './job-plan.js'
 import { learnCrashes } from './learn-crashes.js'
@@ -194,7 +194,7 @@
 }
 
 function handleVerdict (
-  state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, verdict: string, now: number
+  state: DispatcherState, ports: DispatcherPorts, view: AgentView, assignedTask: TaskOfJob, verdict: string, now: number
 ): void {
   const { task } = assignedTask
   switch (readVerdict(verdict)) {
@@ -209,7 +209,7 @@
       return
     case 'busy':
       task.notBefore = now + BUSY_RETRY_MILLISECONDS
-      holdAtAgent(task, now)
+      if (task.heldBy?.agent !== view.name) task.heldBy = { agent: view.name, until: latestStoppedRunEnd(view, now) }
       return endAssignment(state, ports, assignedTask, verdict, now)
     // The agent may have accepted the order: the report on its stop tells.
     case 'unknown':
@@ -250,7 +250,8 @@
   for (const [position, { task, run }] of start.orders.entries()) {
     const assignedTask = assignmentOf(state, view, task, run)
     const verdict = answer.verdicts[position]
-    if (assignedTask !== undefined && verdict !== undefined) handleVerdict(state, ports, assignedTask, verdict, now)
+    if (assignedTask === undefined || verdict === undefined) continue
+    handleVerdict(state, ports, view, assignedTask, verdict, now)
   }
 }
 
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -93,6 +93,11 @@
   return Math.max(view.leases.runMilliseconds, view.mayHaveFormerRuns ? view.formerRunLeaseMilliseconds : 0)
 }
 
+/** Returns the time by which a run has ended that an agent said to be stopping, even if no stop gets through. */
+export function latestStoppedRunEnd (view: AgentView, now: number): number {
+  return now + longestRunLease(view) + 2 * LEASE_MARGIN_MILLISECONDS
+}
+
 /** Returns the time by which all runs of an unresponsive agent have ended, on the entry's steady clock. */
 export function latestRunEnd (view: AgentView): number {
   const runMilliseconds = longestRunLease(view)
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -1,5 +1,4 @@
 /** Limits, intervals and cost weights of an entry's dispatcher. */
-import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS } from '@baobabpost/fleet-calls'
 
 /** Share of its objective for which a job may wait at the entry for free capacity; a later refusal is of no use. */
 export const MAXIMUM_WAIT_SHARE = 0.22
@@ -69,8 +68,6 @@
 export const MAXIMUM_ATTEMPTS_PER_PASS = 16
 /** Pause before a task is sent again to an agent that answered that it is still stopping another run of the task. */
 export const BUSY_RETRY_MILLISECONDS = 30
-/** Time after such an answer by which that run has ended, even if no stop gets through: its lease is not renewed. */
-export const OTHER_RUN_END_MILLISECONDS = RUN_LEASE_BOUND_MILLISECONDS + 2 * LEASE_MARGIN_MILLISECONDS
 /** Maximum wait of a run that must have its upstream to itself, for the runs that are there to end. */
 export const LONE_WAIT_MILLISECONDS = 400
 /** Pause after such a run was refused: its upstream got no other runs while it waited. */
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -1,5 +1,4 @@
 /** Jobs and their tasks at the entry that accepted them. */
-import { OTHER_RUN_END_MILLISECONDS } from './dispatch-limits.js'
 import type { Size } from '@baobabpost/fleet-calls'
 
 /** One step of a job: a number of tasks with the same size, estimate and constraints. */
@@ -181,10 +180,3 @@
     successor: undefined
   }
 }
-
-/** Lets a task start only at the agent that is stopping another run of it, until that run has ended in any case. */
-export function holdAtAgent (task: JobTask, now: number): void {
-  const { assignment, heldBy } = task
-  if (assignment === undefined || assignment.agent === heldBy?.agent) return
-  task.heldBy = { agent: assignment.agent, until: now + OTHER_RUN_END_MILLISECONDS }
-}
