--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -1,14 +1,14 @@
 /** Handles answers of agents (run reports, verdicts on starts) and failed calls to them. */
 import {
-  EMPTY_SIZE, LEASE_MARGIN_MILLISECONDS, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
+  EMPTY_SIZE, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
   type Start, type StartAnswer, type StopAnswer, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import { longestRunLease, type AgentView } from './agent-view.js'
+import { latestStoppedRunEnd, longestRunLease, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
 import { BUSY_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
 import { endAssignment, endFormerRuns } from './ended-assignments.js'
-import { holdAtAgent, type Job, type JobTask } from './job.js'
+import type { Job, JobTask } from './job.js'
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
 import { releaseReservation } from './job-plan.js'
 import { learnCrashes } from './learn-crashes.js'
@@ -154,14 +154,8 @@
   }
 }
 
-/** Returns the run lease that the agent of a task's assignment keeps, in milliseconds. */
-function runLeaseOf (state: DispatcherState, { assignment }: JobTask): number {
-  const view = state.agents.get(assignment?.agent ?? '')
-  return (view?.leases ?? UNTOLD_LEASES).runMilliseconds
-}
-
 function handleVerdict (
-  state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, verdict: string, now: number
+  state: DispatcherState, ports: DispatcherPorts, view: AgentView, assignedTask: TaskOfJob, verdict: string, now: number
 ): void {
   const { task } = assignedTask
   switch (readVerdict(verdict)) {
@@ -176,8 +170,7 @@
       return
     case 'busy':
       task.notBefore = now + BUSY_RETRY_MILLISECONDS
-      // The other run ends with its lease even if no stop gets through: the agent doesn't renew that meanwhile.
-      holdAtAgent(task, now + runLeaseOf(state, task) + 2 * LEASE_MARGIN_MILLISECONDS)
+      if (task.heldBy?.agent !== view.name) task.heldBy = { agent: view.name, until: latestStoppedRunEnd(view, now) }
       return endAssignment(state, ports, assignedTask, verdict, now)
     // The agent may have accepted the order: the report on its stop tells.
     case 'unknown':
@@ -218,7 +211,8 @@
   for (const [position, { task, run }] of start.orders.entries()) {
     const assignedTask = assignmentOf(state, view, task, run)
     const verdict = answer.verdicts[position]
-    if (assignedTask !== undefined && verdict !== undefined) handleVerdict(state, ports, assignedTask, verdict, now)
+    if (assignedTask === undefined || verdict === undefined) continue
+    handleVerdict(state, ports, view, assignedTask, verdict, now)
   }
 }
 
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -180,16 +180,3 @@
     successor: undefined
   }
 }
-
-/**
- * Lets a task start only at the agent that is stopping another run of it.
- *
- * @param until - Time by which that run has ended in any case, on the entry's steady clock in milliseconds.
- * @example
- * holdAtAgent(task, now + view.leases.runMilliseconds)
- */
-export function holdAtAgent (task: JobTask, until: number): void {
-  const { assignment, heldBy } = task
-  if (assignment === undefined || assignment.agent === heldBy?.agent) return
-  task.heldBy = { agent: assignment.agent, until }
-}
