Count the jobs of a long turn by the length of the turn

Cause: the admission rate took every interval for a tenth of a second. An entry whose event loop needs seconds for a turn looks at its delay once a turn, so the jobs of those seconds counted as those of a tenth of a second: the later the entry was, the higher the rate that it thought it carried, and the less it refused. Change: rates follow from the time since the last look, and the decrease from its length. In an overload the rate starts from what was accepted, if that is less.

--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -1,6 +1,6 @@
 /** Rate at which an entry accepts jobs, found from how late its own work is done. */
 
-/** Length of the intervals in which the delays are looked at. */
+/** Least length of the intervals in which the delays are looked at; a busy event loop makes them longer. */
 const INTERVAL_MILLISECONDS = 100
 /**
  * Delay from which the entry counts as overloaded. A process whose share of a core is a quota stands still for most of
@@ -9,7 +9,7 @@
 const OVERLOAD_DELAY_MILLISECONDS = 120
 /** Intervals in a row after which an overload is no longer taken for a pause. */
 const OVERLOADED_INTERVALS = 2
-/** Factor by which the rate falls in each interval of an overload. */
+/** Factor by which the rate falls for each such length of an overload. */
 const DECREASE_FACTOR = 0.9
 /** Rate of accepted jobs, in jobs a second, under which they can not be the cause of an overload. */
 const LEAST_CAUSING_RATE = 10
@@ -48,18 +48,20 @@
   let rate: number | undefined
   let tokens = 0
   let refilledAt = 0
-  let intervalEndsAt: number | undefined
+  let intervalStartedAt: number | undefined
   let longestDelay = 0
   let offered = 0
   let admitted = 0
   let overloadedIntervals = 0
 
-  function endInterval (): void {
-    const perSecond = 1_000 / INTERVAL_MILLISECONDS
+  function endInterval (milliseconds: number): void {
+    const perSecond = 1_000 / milliseconds
+    const lengths = milliseconds / INTERVAL_MILLISECONDS
     overloadedIntervals = longestDelay > OVERLOAD_DELAY_MILLISECONDS ? overloadedIntervals + 1 : 0
     const isCausedByJobs = rate !== undefined || admitted * perSecond >= LEAST_CAUSING_RATE
     if (overloadedIntervals >= OVERLOADED_INTERVALS && isCausedByJobs) {
-      rate = Math.max(MINIMUM_JOBS_PER_SECOND, DECREASE_FACTOR * (rate ?? admitted * perSecond))
+      const carried = Math.min(rate ?? Infinity, admitted * perSecond)
+      rate = Math.max(MINIMUM_JOBS_PER_SECOND, DECREASE_FACTOR ** lengths * carried)
     } else if (rate !== undefined && overloadedIntervals === 0) {
       rate += Math.max(LEAST_INCREASE, INCREASE_SHARE * rate)
       if (rate > UNLIMITED_FACTOR * offered * perSecond && offered > 0) rate = undefined
@@ -72,10 +74,10 @@
   return {
     observe: (delayMilliseconds, now) => {
       longestDelay = Math.max(longestDelay, delayMilliseconds)
-      intervalEndsAt ??= now + INTERVAL_MILLISECONDS
-      if (now < intervalEndsAt) return
-      endInterval()
-      intervalEndsAt = now + INTERVAL_MILLISECONDS
+      intervalStartedAt ??= now
+      if (now < intervalStartedAt + INTERVAL_MILLISECONDS) return
+      endInterval(now - intervalStartedAt)
+      intervalStartedAt = now
     },
     limit: () => rate,
     admit: now => {
--- a/packages/dispatching/tests/admission-rate.test.ts
+++ b/packages/dispatching/tests/admission-rate.test.ts
@@ -6,6 +6,8 @@
 /** Time after which an answer is too late for its caller. */
 const OBJECTIVE_MILLISECONDS = 500
 const SECONDS = 60
+/** Interval in which an entry that is not busy looks at its delay. */
+const TICK_MILLISECONDS = 20
 
 interface Outcome {
   /** Jobs a second that were answered within the objective. */
@@ -38,6 +40,33 @@
   return { goodput: inTime / SECONDS, refused: refused / offered }
 }
 
+/**
+ * Plays a load on an entry whose event loop reads all jobs that have arrived in one turn, and does their work one after
+ * the other: its delay is known only at the end of the turn.
+ */
+function playTurns (jobsPerSecond: number): Outcome {
+  const rate = createAdmissionRate()
+  let now = 0
+  let offered = 0
+  let inTime = 0
+  let refused = 0
+  while (now < SECONDS * 1_000) {
+    const turnStartsAt = now
+    const arrivedCount = Math.floor(turnStartsAt * jobsPerSecond / 1_000)
+    for (; offered < arrivedCount; offered += 1) {
+      if (!rate.admit(now)) {
+        refused += 1
+        continue
+      }
+      now += WORK_MILLISECONDS
+      if (now - 1_000 * offered / jobsPerSecond <= OBJECTIVE_MILLISECONDS) inTime += 1
+    }
+    rate.observe(now - turnStartsAt, now)
+    now = Math.max(now, turnStartsAt + TICK_MILLISECONDS)
+  }
+  return { goodput: inTime / SECONDS, refused: refused / offered }
+}
+
 describe('an entry with more callers than it can serve', () => {
   const peak = play(19, true).goodput
 
@@ -47,6 +76,11 @@
     expect(play(20 * factor, true).goodput).toBeGreaterThanOrEqual(0.9 * peak)
   })
 
+  // The rate counted all jobs of a turn as those of a tenth of a second: the longer the turn, the more were accepted.
+  it.each([1, 2])('serves nine tenths of its peak at %s times its capacity, in turns that last for seconds', factor => {
+    expect(playTurns(20 * factor).goodput).toBeGreaterThanOrEqual(0.9 * peak)
+  })
+
   it('serves almost nobody without a limit', () => {
     expect(play(40, false).goodput).toBeLessThan(0.1 * peak)
   })
