Limit an overloaded entry by the work that its jobs take

Cause: an overload was looked for once a turn of the event loop, and the rate was then searched for in steps of a tenth. In a turn of seconds all that had arrived was accepted before the first look, and the search ended at a delay of 120 ms in each direction, which short urgent jobs do not have. Change: the rate follows from the time that the event loop has worked for each accepted job, once the loop has had no idle time for two intervals; it still falls while work is late. Jobs tell how long they were unread, so that a long turn shows the overload before it ends. The rate rises faster the more of the entry's time is unused. The log lines of the limit give the work for a job.

--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -27,8 +27,11 @@
   readonly dispatcher: Dispatcher
   /** Adds an agent and begins to watch it, or updates its address. */
   agentFound: (name: string, address: string) => void
-  /** Whether a job that arrives now is accepted; the entry refuses what its own processor and link do not carry. */
-  admits: () => boolean
+  /**
+   * Whether a job that is read now, after it has waited unread for a time, is accepted; the entry refuses what its own
+   * processor and link do not carry.
+   */
+  admits: (unreadMilliseconds: number) => boolean
   /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
   unreadMilliseconds: () => number
   /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
@@ -159,12 +162,16 @@
       now
     })
 
-  function observeDelays (loopDelay: number, at: number): void {
+  function observeDelays (loopDelay: number): void {
     const wasLimited = admissionRate.limit() !== undefined
-    admissionRate.observe(Math.max(loopDelay, timing.average()), at)
+    admissionRate.observe(Math.max(loopDelay, timing.average()), readLoop())
     const limit = admissionRate.limit()
     if (wasLimited === (limit !== undefined)) return
-    const delays = { loopDelay: Math.round(loopDelay), callDelay: Math.round(timing.average()) }
+    const delays = {
+      loopDelay: Math.round(loopDelay),
+      callDelay: Math.round(timing.average()),
+      work: Math.round(100 * admissionRate.workOfJob()) / 100
+    }
     if (limit === undefined) logger.info('admission not limited any more', delays)
     else logger.warn('admission limited', { ...delays, jobsPerSecond: Math.round(limit) })
   }
@@ -188,7 +195,7 @@
     const loopDelay = now() - tickedAt - TICK_MILLISECONDS
     tickedAt = now()
     markTurn()
-    observeDelays(loopDelay, tickedAt)
+    observeDelays(loopDelay)
     try {
       dispatcher.tick(tickedAt)
       tellEvacuations()
@@ -209,7 +216,7 @@
       return readDelay.longest(readLoop())
     },
     evacuationsChanged,
-    admits: () => admissionRate.admit(now()),
+    admits: unreadMilliseconds => admissionRate.admit(unreadMilliseconds, readLoop()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
         if (view.name === name) return view.isReachable
--- a/packages/dispatching/tests/admission-rate.test.ts
+++ b/packages/dispatching/tests/admission-rate.test.ts
@@ -21,13 +21,14 @@
   const rate = createAdmissionRate()
   const queue: number[] = []
   let freeAt = 0
+  let idle = 0
   let inTime = 0
   let refused = 0
   let offered = 0
   for (let now = 0; now < SECONDS * 1_000; now += 10) {
     while (offered < now * jobsPerSecond / 1_000) {
       offered += 1
-      if (isLimited && !rate.admit(now)) refused += 1
+      if (isLimited && !rate.admit(0, { now, idle })) refused += 1
       else queue.push(now)
     }
     while (queue[0] !== undefined && freeAt <= now) {
@@ -35,7 +36,8 @@
       freeAt = Math.max(freeAt, arrivedAt, now) + WORK_MILLISECONDS
       if (freeAt - arrivedAt <= OBJECTIVE_MILLISECONDS) inTime += 1
     }
-    rate.observe(queue.length * WORK_MILLISECONDS, now)
+    if (freeAt <= now) idle += 10
+    rate.observe(queue.length * WORK_MILLISECONDS, { now, idle })
   }
   return { goodput: inTime / SECONDS, refused: refused / offered }
 }
@@ -47,6 +49,7 @@
 function playTurns (jobsPerSecond: number): Outcome {
   const rate = createAdmissionRate()
   let now = 0
+  let idle = 0
   let offered = 0
   let inTime = 0
   let refused = 0
@@ -54,15 +57,17 @@
     const turnStartsAt = now
     const arrivedCount = Math.floor(turnStartsAt * jobsPerSecond / 1_000)
     for (; offered < arrivedCount; offered += 1) {
-      if (!rate.admit(now)) {
+      if (!rate.admit(now - turnStartsAt, { now, idle })) {
         refused += 1
         continue
       }
       now += WORK_MILLISECONDS
       if (now - 1_000 * offered / jobsPerSecond <= OBJECTIVE_MILLISECONDS) inTime += 1
     }
-    rate.observe(now - turnStartsAt, now)
-    now = Math.max(now, turnStartsAt + TICK_MILLISECONDS)
+    rate.observe(now - turnStartsAt, { now, idle })
+    const waited = Math.max(0, turnStartsAt + TICK_MILLISECONDS - now)
+    now += waited
+    idle += waited
   }
   return { goodput: inTime / SECONDS, refused: refused / offered }
 }
@@ -77,7 +82,7 @@
   })
 
   // The rate counted all jobs of a turn as those of a tenth of a second: the longer the turn, the more were accepted.
-  it.each([1, 2])('serves nine tenths of its peak at %s times its capacity, in turns that last for seconds', factor => {
+  it.each([1, 2, 4, 8])('serves nine tenths of its peak at %s times its capacity, in turns that last for seconds', factor => {
     expect(playTurns(20 * factor).goodput).toBeGreaterThanOrEqual(0.9 * peak)
   })
 
@@ -87,24 +92,27 @@
 
   it('refuses nobody below its capacity', () => {
     expect(play(18, true).refused).toBe(0)
+    expect(playTurns(18).refused).toBe(0)
   })
 
   // A process that has just started does its first work late without any job; it would have begun with the lowest rate.
   it('does not limit the jobs of an entry that was slow before it had any', () => {
     const rate = createAdmissionRate()
-    for (let now = 0; now < 1_000; now += 20) rate.observe(250, now)
+    for (let now = 0; now < 1_000; now += 20) rate.observe(250, { now, idle: 0 })
     let admitted = 0
     for (let now = 1_000; now < 2_000; now += 20) {
-      rate.observe(2, now)
-      if (rate.admit(now)) admitted += 1
+      rate.observe(2, { now, idle: now - 1_000 })
+      if (rate.admit(0, { now, idle: now - 1_000 })) admitted += 1
     }
     expect(admitted).toBe(50)
   })
 
   it('takes a single pause for no overload', () => {
     const rate = createAdmissionRate()
-    for (let now = 0; now < 2_000; now += 20) rate.observe(now === 1_000 ? 400 : 2, now)
-    expect(rate.admit(2_000)).toBe(true)
-    expect(rate.admit(2_000)).toBe(true)
+    for (let now = 0; now < 2_000; now += 20) {
+      rate.observe(now === 1_000 ? 400 : 2, { now, idle: now < 1_000 ? now : now - 20 })
+    }
+    expect(rate.admit(0, { now: 2_000, idle: 1_980 })).toBe(true)
+    expect(rate.admit(0, { now: 2_000, idle: 1_980 })).toBe(true)
   })
 })
