Report an entry as not ready while it refuses callers

Cause: an entry that carried less than its callers sent stayed ready, so that the balancer went on giving it new connections while the entries of other failure domains had processor time. Change: an entry that has refused jobs for more than a second reports itself not ready until it has refused none for three; the balancer then uses the other entries of the failure domain, or those of the next one. The change is logged as `overload changed`.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -10,6 +10,7 @@
   'job refused: no capacity': 'A job does not fit within its objective by what is queued, and none of its tasks has started: `job`, `route`, `tasks`, `fitting` (how many such tasks the free capacity of all its upstreams holds), `excess` (expected wait beyond the latest start) and `retryAfter` in ms, number of callers `promised` a later start',
   'tasks released': 'A task of a job found no capacity in time; the tasks of the job that have not started are taken back: `job`, number of `agents` and `tasks`',
   'admission limited': 'The entry is overloaded and refuses jobs above a rate: `loopDelay` and `callDelay` (of its own work and of its calls) in ms, its `work` for a job in ms, `jobsPerSecond`',
+  'overload changed': 'Whether an entry reports itself not ready since it has refused jobs for a while: `overloaded`, open `jobs`',
   'admission not limited any more': 'The entry accepts all jobs again: `loopDelay`, `callDelay` and `work` for a job in ms',
   'task waits again': 'A run ended without completing its task, which is queued again: `task`, `run`, `reason`, `left` ms to the deadline, number of `crashes` under it without another known cause',
   'crash of an upstream': 'An agent told of a crash of its upstream that was not known: `agent`, `crash` (its identity), number of `candidates` (tasks that were there)',
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -10,6 +10,7 @@
 import { createCallTiming } from './call-timing.js'
 import { WATCH_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
+import { createOverloadSignal } from './overload-signal.js'
 import { createReadDelay, type LoopReading } from './read-delay.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
@@ -32,6 +33,8 @@
    * processor and link do not carry.
    */
   admits: (unreadMilliseconds: number) => boolean
+  /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
+  isOverloaded: () => boolean
   /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
   unreadMilliseconds: () => number
   /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
@@ -76,6 +79,7 @@
   const repeats = createRetryBudget()
   const timing = createCallTiming()
   const admissionRate = createAdmissionRate()
+  const overload = createOverloadSignal()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({ ...options, sendStart, sendStop, evacuationsChanged: logEvacuations })
 
@@ -216,7 +220,12 @@
       return readDelay.longest(readLoop())
     },
     evacuationsChanged,
-    admits: unreadMilliseconds => admissionRate.admit(unreadMilliseconds, readLoop()),
+    admits: unreadMilliseconds => {
+      const isAdmitted = admissionRate.admit(unreadMilliseconds, readLoop())
+      if (!isAdmitted) overload.recordRefusal(now())
+      return isAdmitted
+    },
+    isOverloaded: () => overload.isRaised(now()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
         if (view.name === name) return view.isReachable
