Limit no entry whose saturated event loop keeps its turns short

Cause: after a start an entry compiles and connects to all agents, so its event loop has no idle time, and the limit by the work of a job fell again and again although nobody waited. Change: a saturated loop counts only while its work is 30 ms late or more.

--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -8,6 +8,11 @@
  * tenth of a second once the quota is used, also without overload.
  */
 const LATE_MILLISECONDS = 120
+/**
+ * Delay from which a saturated entry holds up its callers: half of the 60 ms that a short job has beside its run, as it
+ * waits for the entry twice. A loop that is saturated by other work, as after a start, has shorter turns.
+ */
+const NOTICEABLE_MILLISECONDS = 30
 /** Share of an interval without idle time from which the entry counts as saturated. */
 const SATURATED_SHARE = 0.95
 /** Intervals in a row after which an overload is no longer taken for a pause. */
@@ -83,7 +88,8 @@
     workedMilliseconds = kept * workedMilliseconds + busyMilliseconds
     workedJobs = kept * workedJobs + admitted
     const busyShare = busyMilliseconds / milliseconds
-    saturatedIntervals = busyShare >= SATURATED_SHARE ? saturatedIntervals + 1 : 0
+    const isSaturated = busyShare >= SATURATED_SHARE && longestDelay > NOTICEABLE_MILLISECONDS
+    saturatedIntervals = isSaturated ? saturatedIntervals + 1 : 0
     lateIntervals = longestDelay > LATE_MILLISECONDS ? lateIntervals + 1 : 0
     const carried = Math.min(rate ?? Infinity, TARGET_SHARE * 1_000 * workedJobs / Math.max(1, workedMilliseconds))
     const isCausedByJobs = rate !== undefined || admitted * 1_000 / milliseconds >= LEAST_CAUSING_RATE
