--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -10,6 +10,7 @@
 import { createCallTiming } from './call-timing.js'
 import { WATCH_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
+import { createOverloadSignal } from './overload-signal.js'
 import { createReadDelay, type LoopReading } from './read-delay.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
@@ -27,8 +28,13 @@
   readonly dispatcher: Dispatcher
   /** Adds an agent and begins to watch it, or updates its address. */
   agentFound: (name: string, address: string) => void
-  /** Whether a job that arrives now is accepted; the entry refuses what its own processor and link do not carry. */
-  admits: () => boolean
+  /**
+   * Whether a job that is read now, after it has waited unread for a time, is accepted; the entry refuses what its own
+   * processor and link do not carry.
+   */
+  admits: (unreadMilliseconds: number) => boolean
+  /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
+  isOverloaded: () => boolean
   /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
   unreadMilliseconds: () => number
   /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
@@ -73,6 +79,7 @@
   const repeats = createRetryBudget()
   const timing = createCallTiming()
   const admissionRate = createAdmissionRate()
+  const overload = createOverloadSignal()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({ ...options, sendStart, sendStop, evacuationsChanged: logEvacuations })
 
@@ -159,12 +166,16 @@
       now
     })
 
-  function observeDelays (loopDelay: number, at: number): void {
+  function observeDelays (loopDelay: number): void {
     const wasLimited = admissionRate.limit() !== undefined
-    admissionRate.observe(Math.max(loopDelay, timing.average()), at)
+    admissionRate.observe(Math.max(loopDelay, timing.average()), readLoop())
     const limit = admissionRate.limit()
     if (wasLimited === (limit !== undefined)) return
-    const delays = { loopDelay: Math.round(loopDelay), callDelay: Math.round(timing.average()) }
+    const delays = {
+      loopDelay: Math.round(loopDelay),
+      callDelay: Math.round(timing.average()),
+      work: Math.round(100 * admissionRate.workOfJob()) / 100
+    }
     if (limit === undefined) logger.info('admission not limited any more', delays)
     else logger.warn('admission limited', { ...delays, jobsPerSecond: Math.round(limit) })
   }
@@ -188,7 +199,7 @@
     const loopDelay = now() - tickedAt - TICK_MILLISECONDS
     tickedAt = now()
     markTurn()
-    observeDelays(loopDelay, tickedAt)
+    observeDelays(loopDelay)
     try {
       dispatcher.tick(tickedAt)
       tellEvacuations()
@@ -209,7 +220,12 @@
       return readDelay.longest(readLoop())
     },
     evacuationsChanged,
-    admits: () => admissionRate.admit(now()),
+    admits: unreadMilliseconds => {
+      const isAdmitted = admissionRate.admit(unreadMilliseconds, readLoop())
+      if (!isAdmitted) overload.recordRefusal(now())
+      return isAdmitted
+    },
+    isOverloaded: () => overload.isRaised(now()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
         if (view.name === name) return view.isReachable
