--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -21,16 +21,14 @@
 const TARGET_SHARE = 0.9
 /** Time after which an interval counts by 1/e in the work that a job takes: some intervals, as answers come later. */
 const WORK_MEMORY_MILLISECONDS = 1_000
-/** Jobs before which the work of a job is not known: a started process works slowly, and on other things too. */
-const LEARNING_JOBS = 200
 /** Factor by which the rate falls for each interval length in which the entry is late, to work off what waits. */
 const DECREASE_FACTOR = 0.9
 /** Most interval lengths that count at once: the rate of a long interval is known no better. */
 const MAXIMUM_DECREASES = 3
 /** Jobs a second under which they can not be the cause of an overload. */
 const LEAST_CAUSING_RATE = 10
-/** Least share by which the rate rises in each interval length in which nobody is held up. */
-const INCREASE_SHARE = 0.05
+/** Least share by which the rate rises in each interval length that leaves idle time. */
+const INCREASE_SHARE = 0.02
 /** Share by which it rises besides, for all of the time that the entry may work; less the more of it is used. */
 const IDLE_INCREASE_SHARE = 0.3
 /** Least such rise, in jobs a second. */
@@ -83,35 +81,25 @@
   /** Time for which the loop has worked, and the jobs accepted in that time, with the newest counting most. */
   let workedMilliseconds = 0
   let workedJobs = 0
-  /** Jobs accepted since the start. */
-  let totalJobs = 0
 
-  /** Returns the jobs a second that the entry carries, by its work since the start or by those of an interval. */
-  function learnCarriedRate (milliseconds: number, busyMilliseconds: number): number {
+  function endInterval (milliseconds: number, busyMilliseconds: number): void {
+    const lengths = milliseconds / INTERVAL_MILLISECONDS
     const kept = Math.exp(-milliseconds / WORK_MEMORY_MILLISECONDS)
     workedMilliseconds = kept * workedMilliseconds + busyMilliseconds
     workedJobs = kept * workedJobs + admitted
-    totalJobs += admitted
-    if (totalJobs < LEARNING_JOBS) return admitted * 1_000 / milliseconds
-    return TARGET_SHARE * 1_000 * workedJobs / Math.max(1, workedMilliseconds)
-  }
-
-  function endInterval (milliseconds: number, busyMilliseconds: number): void {
-    const lengths = milliseconds / INTERVAL_MILLISECONDS
-    const carried = Math.min(rate ?? Infinity, learnCarriedRate(milliseconds, busyMilliseconds))
     const busyShare = busyMilliseconds / milliseconds
-    const isSaturated = busyShare >= SATURATED_SHARE && longestDelay > NOTICEABLE_MILLISECONDS &&
-      totalJobs >= LEARNING_JOBS
+    const isSaturated = busyShare >= SATURATED_SHARE && longestDelay > NOTICEABLE_MILLISECONDS
     saturatedIntervals = isSaturated ? saturatedIntervals + 1 : 0
     lateIntervals = longestDelay > LATE_MILLISECONDS ? lateIntervals + 1 : 0
+    const carried = Math.min(rate ?? Infinity, TARGET_SHARE * 1_000 * workedJobs / Math.max(1, workedMilliseconds))
     const isCausedByJobs = rate !== undefined || admitted * 1_000 / milliseconds >= LEAST_CAUSING_RATE
     if (lateIntervals >= OVERLOADED_INTERVALS && isCausedByJobs) {
       const decreases = Math.min(MAXIMUM_DECREASES, lengths)
       rate = Math.max(MINIMUM_JOBS_PER_SECOND, DECREASE_FACTOR ** decreases * carried)
     } else if (saturatedIntervals >= OVERLOADED_INTERVALS && isCausedByJobs) {
       rate = Math.max(MINIMUM_JOBS_PER_SECOND, carried)
-    } else if (rate !== undefined && lateIntervals === 0 && saturatedIntervals === 0) {
-      const share = INCREASE_SHARE + IDLE_INCREASE_SHARE * Math.max(0, TARGET_SHARE - busyShare)
+    } else if (rate !== undefined && lateIntervals === 0 && busyShare < TARGET_SHARE) {
+      const share = INCREASE_SHARE + IDLE_INCREASE_SHARE * (TARGET_SHARE - busyShare)
       rate += lengths * Math.max(LEAST_INCREASE, share * rate)
       if (rate > UNLIMITED_FACTOR * offered * 1_000 / milliseconds && offered > 0) rate = undefined
     }
