Prefer agents that were heard of within the entry lease

Cause: an agent refuses an order whose entry has last heard of it longer ago than the entry lease. In a region of 160 agents an idle watch waits for 4 s, so most idle agents were heard of longer ago, and placement took them like any other: the order came back as stale, the task waited again, and a second call started it. Change: such an agent is chosen only when no other has room for the task, since its first order is sure to come back.

--- a/packages/dispatching/src/objective-placement.ts
+++ b/packages/dispatching/src/objective-placement.ts
@@ -1,7 +1,7 @@
 /** Placement that keeps fast upstreams for the tasks that need them, and spreads the entries' choices. */
 import type { Random } from '@baobabpost/common'
 import {
-  EarliestFinishPlacement, estimateChoice, Placement, staleness, utilization, type PlacementChoice,
+  EarliestFinishPlacement, estimateChoice, isStale, Placement, staleness, utilization, type PlacementChoice,
   type PlacementRequest
 } from './placement.js'
 import { USUAL_ANSWER_MARGIN_MILLISECONDS } from './run-time-estimates.js'
@@ -80,11 +80,13 @@
 
 /**
  * Returns the tier of a choice; a lower one goes first, and `undefined` is not in time. One call starts all tasks of a
- * job at an agent, so an agent that has one of them gets more while it has capacity.
+ * job at an agent, so an agent that has one of them gets more while it has capacity. An agent that was not heard of
+ * within the entry lease is asked only if the others have no room: it refuses the first order.
  */
 function tierOf (choice: PlacementChoice, request: PlacementRequest): number | undefined {
   if (choice.waitMilliseconds > 0 || !meetsObjective(choice, request, PROBABLE_MARGIN_SHARE)) return undefined
-  if (!meetsObjective(choice, request, SAFE_MARGIN_SHARE)) return 3
+  if (!meetsObjective(choice, request, SAFE_MARGIN_SHARE)) return 4
+  if (isStale(choice.agent, request.now)) return 3
   if (freeAfter(choice, request) < HEADROOM_TASKS * request.task.step.size.processor) return 2
   return request.usedAgents.has(choice.agent.name) ? 0 : 1
 }
--- a/packages/dispatching/src/placement.ts
+++ b/packages/dispatching/src/placement.ts
@@ -1,6 +1,6 @@
 /** Choice of the upstream for a task. */
 import type { AgentView } from './agent-view.js'
-import { ENTRY_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { ENTRY_LEASE_MILLISECONDS, LEASE_MARGIN_MILLISECONDS } from '@baobabpost/fleet-calls'
 import {
   ADDITIONAL_AGENT_COST_MILLISECONDS, CONTENTION_COST_SHARE, MAXIMUM_PREFERENCE_COST_MILLISECONDS,
   NO_CAPACITY_COST_MILLISECONDS, REMOTE_DOMAIN_COST_MILLISECONDS, STALE_VIEW_COST_MILLISECONDS
@@ -83,6 +83,11 @@
   return Math.min(1, Math.max(0, (now - view.lastContactAt) / ENTRY_LEASE_MILLISECONDS))
 }
 
+/** Whether an agent refuses orders that are planned with this view of it, as older than the entry lease. */
+export function isStale (view: AgentView, now: number): boolean {
+  return now - view.lastContactAt >= ENTRY_LEASE_MILLISECONDS - LEASE_MARGIN_MILLISECONDS
+}
+
 /**
  * Chooses the upstream where the task is expected to finish first. Cost terms favour upstreams with free capacity, in
  * the entry's failure domain, already used for the job, and seen recently where the finish times are close.
