Hold a task for as long as its agent answers that it is busy

Cause: after an answer `busy` the task stayed with that agent for one run lease, counted from the first such answer, and went to another one then, although the agent still answered `busy`. Change: each such answer holds the task for a run lease. The end of 'gets the task again, and no other agent does while that run may last' required the move one run lease after the first answer; it now requires it between one run lease after the last answer and 100 ms later, and fails before (720 ms).

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -176,7 +176,7 @@
       return
     case 'busy':
       task.notBefore = now + BUSY_RETRY_MILLISECONDS
-      // The other run ends with its lease even if no stop gets through: the agent doesn't renew that meanwhile.
+      // The agent may keep the other run for longer than its lease, such as one whose order had no answer.
       holdAtAgent(task, now + runLeaseOf(state, task) + 2 * LEASE_MARGIN_MILLISECONDS)
       return endAssignment(state, ports, assignedTask, verdict, now)
     // The agent may have accepted the order: the report on its stop tells.
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -189,7 +189,5 @@
  * holdAtAgent(task, now + view.leases.runMilliseconds)
  */
 export function holdAtAgent (task: JobTask, until: number): void {
-  const { assignment, heldBy } = task
-  if (assignment === undefined || assignment.agent === heldBy?.agent) return
-  task.heldBy = { agent: assignment.agent, until }
+  if (task.assignment !== undefined) task.heldBy = { agent: task.assignment.agent, until }
 }
--- a/packages/dispatching/tests/agent-answers.test.ts
+++ b/packages/dispatching/tests/agent-answers.test.ts
@@ -88,7 +88,9 @@
     const { dispatcher, starts, agents } = createEntry(2)
     for (const view of agents) dispatcher.watchAnswered(view, answerOf('1', 100), 0)
     submitTask(dispatcher, 1_000, 1)
+    let lastBusyAt = 0
     const answerBusy = (now: number): void => {
+      lastBusyAt = now
       const last = starts[starts.length - 1]
       if (last === undefined) throw new Error('expected a start')
       dispatcher.startAnswered(last.view, last.start, { ...answerOf('1', 100 + now), verdicts: ['busy'] }, now)
@@ -102,7 +104,15 @@
     }
     expect(starts.length).toBeGreaterThan(5)
     expect(new Set(starts.map(({ view }) => view.name)).size).toBe(1)
-    dispatcher.tick(10 + RUN_LEASE_BOUND_MILLISECONDS + 100)
-    expect(new Set(starts.map(({ view }) => view.name)).size).toBe(2)
+    const held = starts[0]?.view
+    if (held === undefined) throw new Error('expected a start')
+    dispatcher.watchFailed(held, false, lastBusyAt)
+    let now = lastBusyAt
+    for (; now < 3_000 && starts.every(({ view }) => view === held); now += 10) {
+      for (const view of agents) if (view !== held) dispatcher.watchAnswered(view, answerOf('1', 100 + now), now)
+      dispatcher.tick(now)
+    }
+    expect(now).toBeGreaterThan(lastBusyAt + RUN_LEASE_BOUND_MILLISECONDS)
+    expect(now).toBeLessThan(lastBusyAt + RUN_LEASE_BOUND_MILLISECONDS + 100)
   })
 })
