Grant no lease by a single reading of a clock that is far ahead

Cause: one reading of the upstream's clock far ahead set the next lease end as far ahead. The upstream never shortens a lease, so its runs could outlive what entries rely on, up to the longest lease that it grants. Change: the lower of the last two readings counts, relative to the agent's clock. A lease end that is too low for one order does no harm.

--- a/packages/runs/src/upstream-clock.ts
+++ b/packages/runs/src/upstream-clock.ts
@@ -26,6 +26,7 @@
  */
 export function createUpstreamClock (): UpstreamClock {
   let offset: number | undefined
+  let previousOffset = Infinity
   let highestOffset = 0
   let highestOffsetAt = 0
   return {
@@ -33,6 +34,7 @@
       const newOffset = clock - now
       const expectedHighestOffset = highestOffset + (now - highestOffsetAt) * MAXIMUM_CLOCK_DRIFT
       const jump = offset === undefined ? 0 : newOffset - expectedHighestOffset
+      previousOffset = offset ?? Infinity
       offset = newOffset
       if (jump > 0 || highestOffsetAt === 0 || now - highestOffsetAt > 1_000) {
         highestOffset = newOffset
@@ -40,9 +42,11 @@
       }
       return jump > MINIMUM_SUSPENSION_MILLISECONDS ? jump : 0
     },
-    timeAt: now => offset === undefined ? undefined : Math.floor(now + offset),
+    // A lease that a wrong reading has made too long can't be taken back, so a higher clock has to show twice.
+    timeAt: now => offset === undefined ? undefined : Math.floor(now + Math.min(offset, previousOffset)),
     reset: () => {
       offset = undefined
+      previousOffset = Infinity
       highestOffsetAt = 0
     }
   }
--- /dev/null
+++ b/packages/runs/tests/granted-leases.test.ts
@@ -0,0 +1,24 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { createRegistryUnderTest, heartbeat, TASK, type RegistryUnderTest } from './registry-under-test.js'
+
+const RUNNING = { running: [{ task: TASK, run: 1, percent: 10 }] }
+
+let agent: RegistryUnderTest
+
+beforeEach(() => {
+  agent = createRegistryUnderTest()
+  agent.registry.handleHeartbeat(heartbeat(), agent.advance(1))
+  agent.list()
+  agent.order(1)
+  agent.answerLastStart('taken')
+})
+
+describe('a lease end that is granted to the upstream', () => {
+  // The upstream keeps the latest end that it was told, so no later order takes it back.
+  it('does not follow one reading of the clock that is far ahead', () => {
+    agent.list(RUNNING, agent.advance(0) + 60_000)
+    agent.watch()
+    expect(agent.nextLease() ?? 0).toBeLessThanOrEqual(agent.advance(0) + RUN_LEASE_MILLISECONDS)
+  })
+})
