Renew the lease beside an odd row of a task that runs

Cause: a listing that also names a running task with another run number kept that run, but counted the second row as an unknown run, whose upstream gets no lease renewal. Where the row stays, all runs there lapsed. Change: such a row doesn't count if the listing also shows the run that is in the registry. It is still stopped.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -144,11 +144,13 @@
 
 /** Stops the listed runs that are not in the registry, and records their number. */
 function stopUnknownRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): void {
+  const listedRuns = indexRuns(listing)
   state.upstream.unknownRunCount = 0
   for (const { task, run } of listing.running) {
     const record = state.runs.get(task)
     if (record !== undefined && record.state !== 'waiting' && record.upstreamRunNumber === run) continue
-    state.upstream.unknownRunCount += 1
+    // An upstream runs a task once: beside the run in the registry, another number of its task is an odd row.
+    if (record === undefined || !listedRuns.has(task, record.upstreamRunNumber)) state.upstream.unknownRunCount += 1
     ports.logger.warn('stopping a run that is not in the book', { task, run, phase: state.upstream.phase })
     ports.stopUnknownRun({ task, run, fencingToken: state.fencingToken, instance: state.upstream.instance })
   }
--- a/packages/runs/tests/granted-leases.test.ts
+++ b/packages/runs/tests/granted-leases.test.ts
@@ -22,3 +22,15 @@
     expect(agent.nextLease() ?? 0).toBeLessThanOrEqual(agent.advance(0) + RUN_LEASE_MILLISECONDS)
   })
 })
+
+describe('a run whose task a listing also names with another run number', () => {
+  it('keeps its lease, although that row is listed again and again', () => {
+    const odd = { task: TASK, run: 900, percent: 0 }
+    for (let elapsed = 0; elapsed < 2_000; elapsed += 90) {
+      agent.advance(90)
+      agent.watch()
+      agent.list({ running: [{ task: TASK, run: 1, percent: elapsed / 100 }, odd] })
+    }
+    expect(agent.nextLease() ?? 0).toBeGreaterThan(agent.advance(0))
+  })
+})
