Show late orders that run a task twice beside the hold of their agent

Cause: holds a run whose start order got no answer while its upstream is silent, since the next instance under the same id may carry the order out. Two others conclude the opposite from leases of the former instance: an entry whose agent was killed with the upstream moves its tasks when the run lease has ended, and a caller whose entry was killed sends the job again after 1,300 ms, to an entry that knows nothing of the hold. Both are open.

--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -90,6 +90,8 @@
   /** Part of each run time that does not depend on the task or the upstream, in milliseconds; 0 by default. */
   readonly fixedMilliseconds?: number
   readonly logger?: EventLogger
+  /** Whether delayed orders also reach the next instance of an upstream; false by default. */
+  readonly keepsDelayedOrders?: boolean
   /** Number of failure domains, over which entries and agents are dealt in turn; 1 by default. */
   readonly failureDomains?: number
 }
@@ -210,6 +212,7 @@
       capacity,
       speed,
       fixedMilliseconds: options.fixedMilliseconds ?? 0,
+      keepsDelayedOrders: options.keepsDelayedOrders === true,
       now,
       observer: runLog
     })
