--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -170,7 +170,8 @@
       return
     case 'busy':
       task.notBefore = now + BUSY_RETRY_MILLISECONDS
-      if (task.heldBy?.agent !== view.name) task.heldBy = { agent: view.name, until: latestStoppedRunEnd(view, now) }
+      // The agent may keep the other run for longer than its lease, such as one whose order had no answer.
+      task.heldBy = { agent: view.name, until: latestStoppedRunEnd(view, now) }
       return endAssignment(state, ports, assignedTask, verdict, now)
     // The agent may have accepted the order: the report on its stop tells.
     case 'unknown':
