--- a/packages/rehearsal/src/leased-upstream-options.ts
+++ b/packages/rehearsal/src/leased-upstream-options.ts
@@ -99,9 +99,8 @@
   /** Whether each instance has an id of its own; by default an upstream keeps its id when it starts again. */
   readonly changesId?: boolean
   /**
-   * Whether an instance also carries out the delayed orders of the former one under the same id, unless that one has
-   * acknowledged a stop of the run; an order names no more than the id. Its clock then begins anew with each instance.
-   * False by default.
+   * Whether an instance also carries out the delayed orders of the former one under the same id; an order names no more
+   * than that. Its clock then begins anew with each instance. False by default.
    */
   readonly keepsDelayedOrders?: boolean
 }
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -78,8 +78,6 @@
   let lastCompletionNumber = 0
   let runningByTask = new Map<string, SimulatedRun>()
   let highestRunByTask = new Map<string, number>()
-  /** Highest run of each task that was stopped; kept by the next instance if that gets delayed orders. */
-  let stoppedRunByTask = new Map<string, number>()
   let reserved: Size = EMPTY_SIZE
   let startCount = 0
   let { speed } = options
@@ -117,7 +115,7 @@
     fencingToken = order.fencingToken
     const known = runningByTask.get(order.task)
     if (known?.run === order.run) return 'taken'
-    if (order.run <= Math.max(highestRunByTask.get(order.task) ?? 0, stoppedRunByTask.get(order.task) ?? 0)) {
+    if (order.run <= (highestRunByTask.get(order.task) ?? 0)) {
       renewLease(order.leaseUntil)
       return 'old-run'
     }
@@ -176,7 +174,7 @@
   function handleStop (order: StopOrder): OrderOutcome {
     if (order.fencingToken < fencingToken) return 'fenced'
     fencingToken = order.fencingToken
-    stoppedRunByTask.set(order.task, Math.max(order.run, stoppedRunByTask.get(order.task) ?? 0))
+    highestRunByTask.set(order.task, Math.max(order.run, highestRunByTask.get(order.task) ?? 0))
     const run = runningByTask.get(order.task)
     if (run?.run === order.run) setTimeout(() => { endRun(run, 'stopped') }, STOP_DURATION_MILLISECONDS)
     return 'taken'
@@ -206,7 +204,6 @@
     observer.crashed?.(causes, [...runningByTask.keys()])
     lapseRuns()
     if (options.keepsDelayedOrders === true) clockStart = options.now()
-    else stoppedRunByTask = new Map()
     downUntil = now() + downMilliseconds
     startedAt += 1_000
     leaseUntil = 0
