--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -8,7 +8,6 @@
 import { Schema } from 'effect'
 import { CrashFacts } from './crash-facts.js'
 import { EvacuationState } from './evacuations.js'
-import { LeaseLengths } from './lease-lengths.js'
 import { RememberedRunTimes, RunTimes } from './run-times.js'
 import { Size } from './size.js'
 import { Amount, Count, SteadyTime, UnixTime } from './wire-values.js'
@@ -44,8 +43,8 @@
   routeFactors: Schema.optionalKey(Schema.Record(Schema.String, Amount)),
   /** Recent crashes of the upstream; absent without any. */
   crashes: Schema.optionalKey(CrashFacts),
-  /** Leases that the agent keeps; absent from builds before they were told, see `UNTOLD_LEASES`. */
-  leases: Schema.optionalKey(LeaseLengths)
+  /** `LeaseLengths` that the agent keeps, or those of a later build; absent from builds before they were told. */
+  leases: Schema.optionalKey(Schema.Unknown)
 })
 export type UpstreamProfile = typeof UpstreamProfile.Type
 
--- a/packages/fleet-calls/src/lease-lengths.ts
+++ b/packages/fleet-calls/src/lease-lengths.ts
@@ -8,7 +8,8 @@
  * An agent tells the leases that it keeps, and entries rely on what they were told: an agent of another build may keep
  * other lengths.
  */
-import { Schema } from 'effect'
+import { Result, Schema } from 'effect'
+import { isBetween } from './wire-values.js'
 
 /** Time for which an agent keeps an entry's runs after it sent the newest answer that the entry has received. */
 export const ENTRY_LEASE_MILLISECONDS = 570
@@ -39,11 +40,12 @@
 /** Leases of an agent that has told none: the longest that any build kept before agents told them. */
 export const UNTOLD_LEASES: LeaseLengths = { entryMilliseconds: 600, runMilliseconds: 652.8 }
 
-/** Longest lease that an entry believes: several times the longest of any build. Others come from a faulty process. */
-const MAXIMUM_LEASE_MILLISECONDS = 10_000
+/** Leases that an entry believes. Others come from a faulty process; a short one would move tasks that still run. */
+const PLAUSIBLE_LEASE_MILLISECONDS = { minimum: 100, maximum: 10_000 }
+const decodeLeases = Schema.decodeUnknownResult(LeaseLengths)
 
 function isPlausible (milliseconds: number): boolean {
-  return milliseconds > 0 && milliseconds <= MAXIMUM_LEASE_MILLISECONDS
+  return isBetween(milliseconds, PLAUSIBLE_LEASE_MILLISECONDS.minimum, PLAUSIBLE_LEASE_MILLISECONDS.maximum)
 }
 
 /**
@@ -52,7 +54,9 @@
  * @example
  * readLeases(profile.leases).entryMilliseconds // 570
  */
-export function readLeases (told: LeaseLengths | undefined): LeaseLengths {
-  if (told === undefined) return UNTOLD_LEASES
-  return isPlausible(told.entryMilliseconds) && isPlausible(told.runMilliseconds) ? told : UNTOLD_LEASES
+export function readLeases (told: unknown): LeaseLengths {
+  const decoded = decodeLeases(told)
+  if (Result.isFailure(decoded)) return UNTOLD_LEASES
+  const leases = decoded.success
+  return isPlausible(leases.entryMilliseconds) && isPlausible(leases.runMilliseconds) ? leases : UNTOLD_LEASES
 }
