Ask agents of which nothing was heard lately before those with little room

Cause: asked agents that were not heard of within the entry lease only once no other had any room, so that jobs filled the agents that they knew to the last task.

--- a/packages/dispatching/src/objective-placement.ts
+++ b/packages/dispatching/src/objective-placement.ts
@@ -81,13 +81,13 @@
 /**
  * Returns the tier of a choice; a lower one goes first, and `undefined` is not in time. One call starts all tasks of a
  * job at an agent, so an agent that has one of them gets more while it has capacity. An agent that was not heard of
- * within the entry lease is asked only if the others have no room: it refuses the first order.
+ * within the entry lease is asked only if the others have little room: it refuses the first order.
  */
 function tierOf (choice: PlacementChoice, request: PlacementRequest): number | undefined {
   if (choice.waitMilliseconds > 0 || !meetsObjective(choice, request, PROBABLE_MARGIN_SHARE)) return undefined
   if (!meetsObjective(choice, request, SAFE_MARGIN_SHARE)) return 4
-  if (isStale(choice.agent, request.now)) return 3
-  if (freeAfter(choice, request) < HEADROOM_TASKS * request.task.step.size.processor) return 2
+  if (freeAfter(choice, request) < HEADROOM_TASKS * request.task.step.size.processor) return 3
+  if (isStale(choice.agent, request.now)) return 2
   return request.usedAgents.has(choice.agent.name) ? 0 : 1
 }
 
