--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -4,7 +4,7 @@
 /** Least length of the intervals that are looked at; a busy event loop makes them longer. */
 const INTERVAL_MILLISECONDS = 100
 /**
- * Delay from which the entry counts as late. A process whose share of a core is a quota stands still for most of each
+ * Delay from which the entry counts as late. A process whose share of a core is a quota is paused for most of each
  * tenth of a second once the quota is used, also without overload.
  */
 const LATE_MILLISECONDS = 120
