Count entry leases on a clock that a suspension of the VM doesn't stop

What callers saw: a task may run twice at once when its entry dies and the agent's VM is suspended for less than 200 ms: the last lease end was 1,390 ms after the entry died, the caller's repeat comes after 1,300 ms.

Cause: a suspension below 200 ms wasn't noticed and lengthened the entry's lease. A longer one shortened the leases of the sessions, but calls that had waited at the VM renewed them by its length afterwards, and delayed start orders were accepted.

Change: each advance of the upstream's clock beyond the agent's and its drift counts. The clock that answers carry includes it, so what an entry heard before a suspension is older by its length when it comes back. A higher offset has to show twice, as for run leases, so that a wrong reading ends no leases. Readings are compared with the highest of the last 500 ms rather than with one that may have been late itself.

Measured: 'grants no lease beyond a caller's repeat if the VM was suspended for 190 ms' gave 1,390 ms before and passes with 60, 190 and 400 ms; both tests of late-calls-after-suspension.test.ts failed before.

--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -167,8 +167,7 @@
     const wasIdle = registry.runCount() === 0
     const answer = registry.answerStart(parameters, now())
     // The lease of the entry that ordered the first run may end before the next tick of an idle agent.
-    const leaseUntil = parameters.caller.heardAt + ENTRY_LEASE_MILLISECONDS
-    if (wasIdle && registry.runCount() > 0 && leaseUntil < nextTickAt) scheduleTick()
+    if (wasIdle && registry.runCount() > 0 && registry.leaseEnd(parameters.caller) < nextTickAt) scheduleTick()
     // Watches renew the entry's lease; one that began before the entry had runs here would outlast the lease.
     for (const waitingWatch of waitingWatches) {
       const { session } = waitingWatch
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -1,10 +1,10 @@
 /** The agent's decisions about the runs at its upstream, without clock or network access. */
 import type { EvacuationReadings } from '@baobabpost/common'
 import type {
-  Start, StartAnswer, Stop, StopAnswer, TellEvacuations, TellEvacuationsAnswer, Watch, WatchAnswer
+  CallingEntry, Start, StartAnswer, Stop, StopAnswer, TellEvacuations, TellEvacuationsAnswer, Watch, WatchAnswer
 } from '@baobabpost/fleet-calls'
 import {
-  answerStart, answerStop, answerWatch, applyEvacuations, beginWatch, describeProfile, stopRunsOfEntry
+  answerStart, answerStop, answerWatch, applyEvacuations, beginWatch, describeProfile, leaseEnd, stopRunsOfEntry
 } from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
@@ -25,6 +25,8 @@
   /** Applies what an entry knows of evacuated failure domains, and returns what the agent knows. */
   answerEvacuations: (tell: TellEvacuations, now: number) => TellEvacuationsAnswer
   beginWatch: (watch: Watch, now: number) => EntrySession
+  /** Returns the end of the entry's lease that a call grants. */
+  leaseEnd: (caller: CallingEntry) => number
   /** Whether the watch must be answered at once. */
   hasUpdates: (session: EntrySession, watch: Watch) => boolean
   answerWatch: (session: EntrySession, watch: Watch, now: number) => WatchAnswer
@@ -123,6 +125,7 @@
       const known = state.evacuations.state()
       return known === undefined ? {} : { evacuations: known }
     },
+    leaseEnd: caller => leaseEnd(state, caller),
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
     hasUpdates: (session, watch) => hasUrgentReport(session) || watch.profileVersion !== state.profileVersion,
     answerWatch: (session, watch, now) => answerWatch(state, session, watch, now),
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -5,7 +5,7 @@
   type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import {
-  acknowledgeReports, addReport, createSession, renewSession, type EntrySession
+  acknowledgeReports, addReport, createSession, type EntrySession
 } from './entry-session.js'
 import { expectedStarts, type ExpectedEnd } from './expected-starts.js'
 import { isAccepting, isEvacuated, startWaitingRuns, stopRun } from './orders.js'
@@ -20,7 +20,18 @@
  * of this one. The clock tells it for an entry that does not name the incarnation.
  */
 function isForEarlierAgent (state: RunRegistryState, caller: CallingEntry, now: number): boolean {
-  return (caller.heardFrom ?? state.incarnation) !== state.incarnation || caller.heardAt > now
+  const isNamedEarlier = (caller.heardFrom ?? state.incarnation) !== state.incarnation
+  return isNamedEarlier || caller.heardAt > toldClock(state, now)
+}
+
+/** Returns the time that answers to entries carry at `now`. */
+function toldClock (state: RunRegistryState, now: number): number {
+  return now + state.suspendedMilliseconds
+}
+
+/** Returns the end of the lease that a call grants, counted from the newest answer that the entry has received. */
+export function leaseEnd (state: RunRegistryState, caller: CallingEntry): number {
+  return caller.heardAt - state.suspendedMilliseconds + ENTRY_LEASE_MILLISECONDS
 }
 
 /**
@@ -49,7 +60,7 @@
   if (caller.evacuations !== undefined) applyEvacuations(state, ports, caller.evacuations, caller.entry, now)
   const known = state.sessions.get(caller.entry)
   if (known?.incarnation === caller.incarnation) {
-    if (!isForEarlierAgent(state, caller, now)) renewSession(known, caller)
+    if (!isForEarlierAgent(state, caller, now)) known.leaseUntil = Math.max(known.leaseUntil, leaseEnd(state, caller))
     return known
   }
   const session = createSession(caller)
@@ -122,7 +133,7 @@
 ): StopAnswer {
   const agentState = {
     incarnation: state.incarnation,
-    clock: now,
+    clock: toldClock(state, now),
     cleared: state.isCleared,
     room: describeLoad(state, now),
     ...newerEvacuations(state, caller)
@@ -154,7 +165,7 @@
   if (hasTombstone(state, session, order.task, order.run)) return 'stopped'
   // The order's own age counts, not the session's lease: other calls may have renewed that while the order was delayed.
   const { caller } = start
-  if (now >= caller.heardAt + ENTRY_LEASE_MILLISECONDS || isForEarlierAgent(state, caller, now)) return 'stale'
+  if (now >= leaseEnd(state, caller) || isForEarlierAgent(state, caller, now)) return 'stale'
   if (!isAccepting(state, now)) return 'not-accepting'
   if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
   const record: RunRecord = {
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -1,5 +1,5 @@
 /** An agent's session of one entry: the entry's lease and the reports that it has not acknowledged. */
-import { ENTRY_LEASE_MILLISECONDS, type CallingEntry, type RunOutcome, type RunReport } from '@baobabpost/fleet-calls'
+import type { CallingEntry, RunOutcome, RunReport } from '@baobabpost/fleet-calls'
 
 /** Session of one incarnation of an entry. */
 export interface EntrySession {
@@ -30,16 +30,6 @@
   }
 }
 
-/**
- * Renews an entry's lease, counted from the newest agent time that the entry has received.
- *
- * @example
- * renewSession(session, watch.caller)
- */
-export function renewSession (session: EntrySession, caller: CallingEntry): void {
-  session.leaseUntil = Math.max(session.leaseUntil, caller.heardAt + ENTRY_LEASE_MILLISECONDS)
-}
-
 /** Contents of a run report that has no sequence number yet. */
 export interface RunCompletion {
   readonly task: string
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -28,8 +28,10 @@
 export const FENCING_TOKEN_STEP = 1_000
 /** Largest increment; an upstream that rejects every token does not raise it without bound within hours. */
 export const MAXIMUM_FENCING_TOKEN_STEP = 100_000
-/** Smallest forward jump of the upstream's clock, relative to the agent's, that counts as a suspension of the VM. */
-export const MINIMUM_SUSPENSION_MILLISECONDS = 200
+/** Smallest forward jump of the upstream's clock that is logged; late readings cause smaller ones. */
+export const LOGGED_SUSPENSION_MILLISECONDS = 200
+/** Age of a reading of the upstream's clock up to which others are compared with it; drift is at most 13 ms in it. */
+export const RECENT_READINGS_MILLISECONDS = 500
 /** Maximum drift of the upstream's clock relative to the agent's, as a share of the elapsed time. */
 export const MAXIMUM_CLOCK_DRIFT = 0.025
 /** Time without progress after which a run counts as stalled: two listings plus the interval of progress updates. */
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -9,7 +9,9 @@
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import { limitCapacity } from './slow-start.js'
-import { FENCING_TOKEN_STEP, OBSERVATION_WEIGHT, TOMBSTONE_RETENTION_MILLISECONDS } from './run-limits.js'
+import {
+  FENCING_TOKEN_STEP, LOGGED_SUSPENSION_MILLISECONDS, OBSERVATION_WEIGHT, TOMBSTONE_RETENTION_MILLISECONDS
+} from './run-limits.js'
 import type { StartOrder, StopOrder } from './upstream.js'
 import { createUpstreamState, type UpstreamState } from './upstream-state.js'
 
@@ -33,6 +35,8 @@
   /** Runs by task. */
   readonly runs: Map<string, RunRecord>
   readonly queue: RunQueue
+  /** Time for which the agent's clock stood still, as the upstream's showed; the clock that entries are told has it. */
+  suspendedMilliseconds: number
   /** Newest session of each entry, by the entry's name. */
   readonly sessions: Map<string, EntrySession>
   /** Orders that must not be accepted again, with the agent time at which the tombstone expires; oldest first. */
@@ -76,6 +80,7 @@
     incarnation,
     runs: new Map(),
     queue: createRunQueue(),
+    suspendedMilliseconds: 0,
     sessions: new Map(),
     tombstones: new Map(),
     reserved: EMPTY_SIZE,
@@ -115,7 +120,7 @@
 
 /**
  * Records a reading of the upstream's clock. A forward jump means that the VM was suspended; the agent's clock stopped
- * for that time, so the entry leases are shortened by it.
+ * for that time, so the entry leases are shortened by it, also those of calls that are still under way.
  */
 export function recordUpstreamClock (
   state: RunRegistryState, ports: RunRegistryPorts, clock: number | undefined, now: number
@@ -123,7 +128,10 @@
   if (clock === undefined) return
   const suspendedMilliseconds = state.upstream.clock.recordReading(clock, now)
   if (suspendedMilliseconds === 0) return
-  ports.logger.warn('this VM was suspended', { milliseconds: Math.round(suspendedMilliseconds) })
+  if (suspendedMilliseconds >= LOGGED_SUSPENSION_MILLISECONDS) {
+    ports.logger.warn('this VM was suspended', { milliseconds: Math.round(suspendedMilliseconds) })
+  }
+  state.suspendedMilliseconds += suspendedMilliseconds
   for (const session of state.sessions.values()) session.leaseUntil -= suspendedMilliseconds
 }
 
--- a/packages/runs/src/upstream-clock.ts
+++ b/packages/runs/src/upstream-clock.ts
@@ -1,11 +1,12 @@
-/** Estimate of the upstream's clock, and detection of a suspension of the agent's VM. */
-import { MAXIMUM_CLOCK_DRIFT, MINIMUM_SUSPENSION_MILLISECONDS } from './run-limits.js'
+/** Estimate of the upstream's clock, and detection of suspensions of the agent's VM. */
+import { MAXIMUM_CLOCK_DRIFT, RECENT_READINGS_MILLISECONDS } from './run-limits.js'
 
 export interface UpstreamClock {
   /**
    * Records a clock value of the upstream that was received at agent time `now`.
    *
-   * @returns milliseconds for which the agent's VM was suspended; 0 if it was not.
+   * @returns milliseconds by which the upstream's clock has advanced beyond the agent's and any drift since earlier
+   *   readings, because the agent's VM was suspended or the earlier readings arrived late; 0 if it has not.
    */
   recordReading: (clock: number, now: number) => number
   /** Returns a lower bound of the upstream's clock at `now`; undefined before the first reading. */
@@ -13,41 +14,49 @@
   reset: () => void
 }
 
+/** Lower bound of the difference between the two clocks, known since agent time `at`. */
+interface OffsetBound {
+  readonly offset: number
+  readonly at: number
+}
+
 /**
  * Creates the estimate of an upstream's clock, without a reading.
  *
- * A reading ages on its way to the agent, so each offset is too low rather than too high. An offset well above the
- * highest one so far therefore means that the agent's own clock was paused.
+ * A reading ages on its way to the agent, so each offset is too low rather than too high. A wrong reading can be too
+ * high, and a lease that it made too long can't be taken back, so a higher offset has to show twice.
  *
  * @example
  * const clock = createUpstreamClock()
- * clock.read(482_113, now)
- * clock.at(now + 10) // 482_123
+ * clock.recordReading(482_113, now)
+ * clock.timeAt(now + 10) // 482_123
  */
 export function createUpstreamClock (): UpstreamClock {
-  let offset: number | undefined
-  let previousOffset = Infinity
-  let highestOffset = 0
-  let highestOffsetAt = 0
+  let lastOffset: number | undefined
+  let confirmedOffset = 0
+  /** Recent bounds that no later one exceeds, in the order of their times; the first is the highest. */
+  let bounds: OffsetBound[] = []
+
+  function addBound (bound: OffsetBound): void {
+    bounds = bounds.filter(({ offset }) => offset > bound.offset)
+    bounds.push(bound)
+    while (bounds.length > 1 && (bounds[0]?.at ?? 0) < bound.at - RECENT_READINGS_MILLISECONDS) bounds.shift()
+  }
+
   return {
     recordReading: (clock, now) => {
-      const newOffset = clock - now
-      const expectedHighestOffset = highestOffset + (now - highestOffsetAt) * MAXIMUM_CLOCK_DRIFT
-      const jump = offset === undefined ? 0 : newOffset - expectedHighestOffset
-      previousOffset = offset ?? Infinity
-      offset = newOffset
-      if (jump > 0 || highestOffsetAt === 0 || now - highestOffsetAt > 1_000) {
-        highestOffset = newOffset
-        highestOffsetAt = now
-      }
-      return jump > MINIMUM_SUSPENSION_MILLISECONDS ? jump : 0
+      const offset = clock - now
+      confirmedOffset = Math.min(offset, lastOffset ?? offset)
+      lastOffset = offset
+      const [highest] = bounds
+      addBound({ offset: confirmedOffset, at: now })
+      if (highest === undefined) return 0
+      return Math.max(0, confirmedOffset - highest.offset - (now - highest.at) * MAXIMUM_CLOCK_DRIFT)
     },
-    // A lease that a wrong reading has made too long can't be taken back, so a higher clock has to show twice.
-    timeAt: now => offset === undefined ? undefined : Math.floor(now + Math.min(offset, previousOffset)),
+    timeAt: now => lastOffset === undefined ? undefined : Math.floor(now + confirmedOffset),
     reset: () => {
-      offset = undefined
-      previousOffset = Infinity
-      highestOffsetAt = 0
+      lastOffset = undefined
+      bounds = []
     }
   }
 }
