Tell the leases of partition owners, and rely on the longest

What callers saw: beside entries of another build, a key may count as new, and its task run again, while the former owner of its partition may still dispatch it; or a task is declared as not run by the former owner while the next one serves it.

Change: an entry tells its leases in its registration, which every owner reads before a claim of that entry. The next owner relies on the longest that any entry told, and at least on those of earlier builds, which tell none. The field is decoded by itself: an odd one neither hides the entry nor counts. Earlier builds ignore it.

--- a/packages/entry/src/entry-components.ts
+++ b/packages/entry/src/entry-components.ts
@@ -4,7 +4,7 @@
 import { createMembership, type Membership } from '@baobabpost/membership'
 import type { Outbox } from '@baobabpost/messages'
 import { createOutcomes, type FinishedSubmission, type Outcomes } from '@baobabpost/outcomes'
-import { createOwnership, type Ownership, type PartitionState } from '@baobabpost/ownership'
+import { createOwnership, KEPT_OWNER_LEASES, type Ownership, type PartitionState } from '@baobabpost/ownership'
 import { createRegisterProjection, type RegisterProjection } from '@baobabpost/platform-log'
 import { createRequests, type RequestPolicy, type Requests } from '@baobabpost/requests'
 import { createBurnTracker, type BurnTracker } from './burn-tracker.js'
@@ -77,6 +77,7 @@
     identity,
     address: settings.address,
     failureDomain,
+    ownerLeases: KEPT_OWNER_LEASES,
     startedAt: options.startedAt,
     keyWindowMilliseconds,
     projection,
--- a/packages/membership/src/entry-peers.ts
+++ b/packages/membership/src/entry-peers.ts
@@ -94,7 +94,7 @@
   function registerSelf (now: number): void {
     if (isLeaving || now < nextRegistrationAt || projection.read(ownRegister) !== undefined) return
     nextRegistrationAt = now + APPEND_RETRY_MILLISECONDS
-    outbox.append([{ kind: 'write', register: ownRegister, replaces: 0, value: ownRegistration() }])
+    outbox.append([{ kind: 'write', register: ownRegister, replaces: 0, value: { ...ownRegistration(), leases: options.ownerLeases } }])
   }
 
   function findOrCreatePeer (peer: EntryIdentity, address: string, failureDomain: string): Peer {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,7 +1,7 @@
 /** Contract of membership: the state of agents and of other entries, as one entry sees them. */
 import type { AgentIdentity, EntryIdentity } from '@baobabpost/common'
 import type {
-  AgentRegistration, Announce, EntryHeartbeat, EntryHeartbeatAnswer, LinkMessage, Outbox
+  AgentRegistration, Announce, EntryHeartbeat, EntryHeartbeatAnswer, LinkMessage, Outbox, OwnerLeases
 } from '@baobabpost/messages'
 import type { RegisterChange, RegisterProjection } from '@baobabpost/platform-log'
 
@@ -56,6 +56,8 @@
   /** Address of this entry's link. */
   readonly address: string
   readonly failureDomain: string
+  /** Leases that this entry keeps as the owner of partitions, told to the others. */
+  readonly ownerLeases: OwnerLeases
   /** Unix time in milliseconds. */
   readonly startedAt: number
   /** Time for which submission keys are remembered. */
--- a/packages/membership/tests/fleet-fixture.ts
+++ b/packages/membership/tests/fleet-fixture.ts
@@ -73,6 +73,7 @@
       identity,
       address: `10.0.0.${entries.length + 1}:1`,
       failureDomain: 'a',
+      ownerLeases: { ownerMilliseconds: 2_000, notRunMilliseconds: 1_000 },
       startedAt: now,
       keyWindowMilliseconds: KEY_WINDOW_MILLISECONDS,
       projection,
--- a/packages/messages/src/register-values.ts
+++ b/packages/messages/src/register-values.ts
@@ -97,11 +97,22 @@
 })
 export type PartitionOwner = typeof PartitionOwner.Type
 
+/** Times for which the owner of a partition may act after its ownership was last confirmed. */
+export const OwnerLeases = Schema.Struct({
+  /** Time for which it may dispatch. */
+  ownerMilliseconds: Milliseconds,
+  /** Time for which it may declare tasks as not run. */
+  notRunMilliseconds: Milliseconds
+})
+export type OwnerLeases = typeof OwnerLeases.Type
+
 /** Register `entry/IDENTITY`: an entry of the fleet. */
 export const EntryRegistration = Schema.Struct({
   identity: EntryIdentity,
   address: Schema.String,
-  failureDomain: Name
+  failureDomain: Name,
+  /** An `OwnerLeases`, absent from earlier builds. Decoded by itself, so that an odd one does not hide the entry. */
+  leases: Schema.optionalKey(Schema.Unknown)
 })
 export type EntryRegistration = typeof EntryRegistration.Type
 
--- a/packages/ownership/src/create-ownership.ts
+++ b/packages/ownership/src/create-ownership.ts
@@ -1,17 +1,16 @@
 /** Ownership of partitions at one entry: claims, takeover, owner lease, planned moves. */
 import type { EntryIdentity } from '@baobabpost/common'
-import type { SubmissionHandover } from '@baobabpost/messages'
+import type { EntryRegistration, SubmissionHandover } from '@baobabpost/messages'
 import { createAgentRoster } from './agent-roster.js'
 import { createFencingTracker } from './fencing-tracker.js'
 import { createHandoverExchange } from './handover-exchange.js'
 import { createLeaseQuorum } from './lease-quorum.js'
+import { createLongestLeases, KEPT_OWNER_LEASES } from './owner-leases.js'
 import type { Ownership, OwnershipOptions, RegisterChange } from './ownership.js'
 import { createPartitionMoves } from './partition-moves.js'
 import { createPartitionTable, type ReleasedPartition, type PartitionChange, type AcquiredPartition } from './partition-table.js'
 import { createTakeovers } from './takeovers.js'
 
-const DEFAULT_OWNER_LEASE_MILLISECONDS = 2_000
-const DEFAULT_NOT_RUN_LEASE_MILLISECONDS = 1_000
 const DEFAULT_COLLECT_TIMEOUT_MILLISECONDS = 3_000
 const DEFAULT_OWNER_ABSENCE_MILLISECONDS = 500
 const DEFAULT_STABILIZATION_MILLISECONDS = 500
@@ -38,10 +37,12 @@
  */
 export function createOwnership (options: OwnershipOptions): Ownership {
   const { identity, ports, invariants, clockSkewMilliseconds } = options
-  const ownerLeaseMilliseconds = options.ownerLeaseMilliseconds ?? DEFAULT_OWNER_LEASE_MILLISECONDS
-  const notRunLeaseMilliseconds = options.notRunLeaseMilliseconds ?? DEFAULT_NOT_RUN_LEASE_MILLISECONDS
+  const { ownerMilliseconds, notRunMilliseconds } = options.leases ?? KEPT_OWNER_LEASES
+  const longestLeases = createLongestLeases({ ownerMilliseconds, notRunMilliseconds })
   const quorum = createLeaseQuorum(identity)
-  const fencing = createFencingTracker({ quorum, ownerLeaseMilliseconds, clockSkewMilliseconds })
+  const fencing = createFencingTracker({
+    quorum, longestLeaseMilliseconds: longestLeases.ownerMilliseconds, clockSkewMilliseconds
+  })
   const roster = createAgentRoster()
   const exchange = createHandoverExchange(ports.outbox)
   const table = createPartitionTable(identity)
@@ -55,9 +56,9 @@
     fencing,
     exchange,
     clockSkewMilliseconds,
-    notRunLeaseMilliseconds,
-    collectTimeoutMilliseconds: options.collectTimeoutMilliseconds ?? DEFAULT_COLLECT_TIMEOUT_MILLISECONDS,
-    departureWindowMilliseconds: options.keyWindowMilliseconds + ownerLeaseMilliseconds + 2 * clockSkewMilliseconds
+    longestLeases,
+    keyWindowMilliseconds: options.keyWindowMilliseconds,
+    collectTimeoutMilliseconds: options.collectTimeoutMilliseconds ?? DEFAULT_COLLECT_TIMEOUT_MILLISECONDS
   })
   const moves = createPartitionMoves({
     identity,
@@ -73,8 +74,12 @@
 
   function applyEntryChanges (changes: readonly NamedChange[]): void {
     for (const { name, change } of changes) {
-      if (change.value === null || change.value === undefined) registeredEntries.delete(name as EntryIdentity)
-      else registeredEntries.add(name as EntryIdentity)
+      if (change.value === null || change.value === undefined) {
+        registeredEntries.delete(name as EntryIdentity)
+      } else {
+        registeredEntries.add(name as EntryIdentity)
+        longestLeases.add((change.value as Partial<EntryRegistration>).leases)
+      }
       quorum.setRegistered([...registeredEntries], change.version)
     }
   }
@@ -135,7 +140,7 @@
   }
 
   function leaseEnd (now: number): number {
-    return ownershipConfirmedAt(now) + ownerLeaseMilliseconds
+    return ownershipConfirmedAt(now) + ownerMilliseconds
   }
 
   function appendHandovers (now: number): void {
@@ -188,7 +193,7 @@
     },
     partitionState: table.state,
     dispatchEpoch: (partition, now) => now < leaseEnd(now) ? table.servingEpoch(partition) : undefined,
-    mayDeclareNotRun: now => now < ownershipConfirmedAt(now) + notRunLeaseMilliseconds,
+    mayDeclareNotRun: now => now < ownershipConfirmedAt(now) + notRunMilliseconds,
     mayDispatch: now => now < leaseEnd(now),
     leaseEnd,
     isJoined: roster.isJoined,
--- a/packages/ownership/src/fencing-tracker.ts
+++ b/packages/ownership/src/fencing-tracker.ts
@@ -8,7 +8,8 @@
 
 export interface FencingTrackerOptions {
   readonly quorum: LeaseQuorum
-  readonly ownerLeaseMilliseconds: number
+  /** Returns the longest owner lease that any entry keeps. */
+  readonly longestLeaseMilliseconds: () => number
   readonly clockSkewMilliseconds: number
 }
 
@@ -30,12 +31,12 @@
  * Creates the fencing tracker of one entry.
  *
  * @example
- * const fencing = createFencingTracker({ quorum, ownerLeaseMilliseconds: 2_000, clockSkewMilliseconds: 2_000 })
+ * const fencing = createFencingTracker({ quorum, longestLeaseMilliseconds: () => 2_000, clockSkewMilliseconds: 2_000 })
  */
 export function createFencingTracker (options: FencingTrackerOptions): FencingTracker {
-  const marginMilliseconds = options.ownerLeaseMilliseconds + 2 * options.clockSkewMilliseconds
   const pending = new Set<number>()
   const coveredAt = new Map<number, number>()
+  const fencedAt = new Map<number, number>()
 
   function update (now: number): boolean {
     if (pending.size === 0) return false
@@ -45,6 +46,8 @@
       if (offset > coveredPosition) continue
       pending.delete(offset)
       coveredAt.set(offset, now)
+      // An entry that registers later has read the offset before it owns anything.
+      fencedAt.set(offset, now + options.longestLeaseMilliseconds() + 2 * options.clockSkewMilliseconds)
       hasChanged = true
     }
     return hasChanged
@@ -57,10 +60,7 @@
       update(now)
     },
     update,
-    fencedFrom (offset) {
-      const time = coveredAt.get(offset)
-      return time === undefined ? Infinity : time + marginMilliseconds
-    },
+    fencedFrom: offset => fencedAt.get(offset) ?? Infinity,
     coveredSince: offset => coveredAt.get(offset) ?? Infinity
   }
 }
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -2,3 +2,4 @@
 export type * from './ownership.js'
 export * from './create-ownership.js'
 export * from './rendezvous.js'
+export { KEPT_OWNER_LEASES } from './owner-leases.js'
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -5,7 +5,7 @@
  */
 import type { AgentIdentity, EntryIdentity, Invariants } from '@baobabpost/common'
 import type {
-  Collected, Handover, HandoverTaken, Outbox, SubmissionHandover, SubmissionRecord
+  Collected, Handover, HandoverTaken, Outbox, OwnerLeases, SubmissionHandover, SubmissionRecord
 } from '@baobabpost/messages'
 
 /** A change of a register's value; `value` is `null` or undefined if the register was removed. */
@@ -61,10 +61,8 @@
   readonly keyWindowMilliseconds: number
   /** Maximum difference between two clocks of the fleet. */
   readonly clockSkewMilliseconds: number
-  /** Time for which an owner may dispatch after its ownership was last confirmed. */
-  readonly ownerLeaseMilliseconds?: number
-  /** Time for which an owner may declare tasks as not run after its ownership was last confirmed. */
-  readonly notRunLeaseMilliseconds?: number
+  /** Leases of this entry; it has to tell them in its registration. */
+  readonly leases?: OwnerLeases
   /** Time after which a takeover starts serving without the agents that have not answered. */
   readonly collectTimeoutMilliseconds?: number
   /** Time that an owner must be missing from the live entries before its partitions are claimed. */
--- a/packages/ownership/src/takeovers.ts
+++ b/packages/ownership/src/takeovers.ts
@@ -4,6 +4,7 @@
 import type { AgentRoster, DepartedAgent } from './agent-roster.js'
 import type { FencingTracker } from './fencing-tracker.js'
 import type { HandoverExchange, CompleteHandover } from './handover-exchange.js'
+import type { LongestLeases } from './owner-leases.js'
 import type { OwnershipPorts } from './ownership.js'
 import type { PartitionTable, AcquiredPartition } from './partition-table.js'
 import { createTakeover, type Takeover } from './takeover.js'
@@ -15,10 +16,10 @@
   readonly fencing: FencingTracker
   readonly exchange: HandoverExchange
   readonly collectTimeoutMilliseconds: number
-  readonly notRunLeaseMilliseconds: number
+  readonly longestLeases: LongestLeases
   readonly clockSkewMilliseconds: number
-  /** Age from which on a departure can't concern any key that is still accepted. */
-  readonly departureWindowMilliseconds: number
+  /** Time for which a submission key is remembered. */
+  readonly keyWindowMilliseconds: number
 }
 
 export interface Takeovers {
@@ -51,18 +52,21 @@
     { epoch, handedOverBy, formerOwner }: AcquiredPartition, partitions: number[], now: number
   ): void {
     options.fencing.watch(epoch, now)
+    const { keyWindowMilliseconds, clockSkewMilliseconds, longestLeases } = options
+    const departureWindowMilliseconds =
+      keyWindowMilliseconds + longestLeases.ownerMilliseconds() + 2 * clockSkewMilliseconds
     const takeover = createTakeover({
       epoch,
       partitions,
       handedOverBy,
       formerOwner,
       joined: options.roster.joined(),
-      departed: options.roster.departedSince(now - options.departureWindowMilliseconds),
+      departed: options.roster.departedSince(now - departureWindowMilliseconds),
       startedAt: now,
       collectTimeoutMilliseconds: options.collectTimeoutMilliseconds,
-      notRunLeaseMilliseconds: options.notRunLeaseMilliseconds,
-      clockSkewMilliseconds: options.clockSkewMilliseconds,
-      departureWindowMilliseconds: options.departureWindowMilliseconds,
+      notRunLeaseMilliseconds: longestLeases.notRunMilliseconds(),
+      clockSkewMilliseconds,
+      departureWindowMilliseconds,
       fencing: options.fencing
     })
     active.add(takeover)
--- a/packages/ownership/tests/lease-quorum.test.ts
+++ b/packages/ownership/tests/lease-quorum.test.ts
@@ -48,7 +48,7 @@
 describe('fencing time', () => {
   it('is the time at which the offset was covered plus the lease and twice the clock skew, and does not change', () => {
     const quorum = createLeaseQuorum(self)
-    const fencing = createFencingTracker({ quorum, ownerLeaseMilliseconds: 2_000, clockSkewMilliseconds: 500 })
+    const fencing = createFencingTracker({ quorum, longestLeaseMilliseconds: () => 2_000, clockSkewMilliseconds: 500 })
     quorum.setRegistered([self, second, third], 3)
     quorum.recordAppliedPosition(self, 10)
     fencing.watch(9, START)
--- a/packages/ownership/tests/register-log.ts
+++ b/packages/ownership/tests/register-log.ts
@@ -1,6 +1,6 @@
 /** In-memory fake of the platform's log: registers that several ownership instances read. */
 import { createInvariants, type AgentIdentity, type EntryIdentity } from '@baobabpost/common'
-import type { AgentRegistration, Collected, LinkMessage, LogRecord, RegisterWrite, SubmissionHandover } from '@baobabpost/messages'
+import type { AgentRegistration, Collected, LinkMessage, LogRecord, OwnerLeases, RegisterWrite, SubmissionHandover } from '@baobabpost/messages'
 import { createOwnership, type Ownership, type PartitionState, type RegisterChange } from '../src/index.js'
 
 export const START = 1_750_000_000_000
@@ -35,7 +35,7 @@
   readonly read = new Map<FakeEntry, number>()
   violations = 0
 
-  createEntry (number: number, now: number = START): FakeEntry {
+  createEntry (number: number, now: number = START, leases?: OwnerLeases): FakeEntry {
     const identity = entryIdentity(number)
     const sent: FakeEntry['sent'] = []
     const appends: FakeEntry['appends'] = []
@@ -45,6 +45,7 @@
     const ownership = createOwnership({
       identity,
       startedAt: now,
+      ...(leases === undefined ? {} : { leases }),
       keyWindowMilliseconds: KEY_WINDOW_MILLISECONDS,
       clockSkewMilliseconds: CLOCK_SKEW_MILLISECONDS,
       invariants: createInvariants(() => { this.violations += 1 }),
@@ -84,8 +85,9 @@
     return this.write([{ register, replaces: this.registers.get(register)?.version ?? 0, value }])
   }
 
-  registerEntry (entry: FakeEntry): void {
-    this.set(`entry/${entry.identity}`, { identity: entry.identity, address: '127.0.0.1:1', failureDomain: 'a' })
+  registerEntry (entry: FakeEntry, leases?: unknown): void {
+    const registration = { identity: entry.identity, address: '127.0.0.1:1', failureDomain: 'a' }
+    this.set(`entry/${entry.identity}`, leases === undefined ? registration : { ...registration, leases })
   }
 
   setAgent (number: number, state: 'joined' | 'departed', changedAt: number, clean: boolean = false): number {
