Serve after the collect timeout only once the former owner may not declare tasks as not run

What callers saw: the former owner of a partition may answer that a task has not run, while the next one serves the partition and starts that task from an agent's records.

Cause: the collect timeout, 3 s after the claim, ended the wait for the former owner's permission too. That is counted from when every majority has the claim, which may be later.

Change: after the timeout a takeover still waits until that permission has ended, if it is known from when. While no majority has the claim, it serves after the timeout as before, with all keys as uncertain.

--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -118,6 +118,12 @@
     return now >= options.fencing.coveredSince(options.epoch) + options.notRunLeaseMilliseconds
   }
 
+  /** Whether to serve without a full account. A former owner that is not known to be fenced is not awaited. */
+  function isCollectTimeOver (now: number): boolean {
+    if (now < options.startedAt + options.collectTimeoutMilliseconds) return false
+    return options.fencing.coveredSince(options.epoch) === Infinity || hasFormerOwnerLeaseExpired(now)
+  }
+
   function hasFullAccount (now: number): boolean {
     if (importedUncertainBefore.size > 0) return true
     if (options.handedOverBy !== undefined || pending.size > 0) return false
@@ -170,7 +176,7 @@
     advance (now) {
       dropAgedDepartures(now)
       if (phase === 'serving') return false
-      if (!hasFullAccount(now) && now < options.startedAt + options.collectTimeoutMilliseconds) return false
+      if (!hasFullAccount(now) && !isCollectTimeOver(now)) return false
       phase = 'serving'
       return true
     },
--- a/packages/ownership/tests/ownership.test.ts
+++ b/packages/ownership/tests/ownership.test.ts
@@ -186,6 +186,29 @@
       .toBe(now + 6_200 + OWNER_LEASE_MILLISECONDS + 2 * CLOCK_SKEW_MILLISECONDS)
   })
 
+  it('waits beyond the collect timeout while a former owner that was fenced late may still declare tasks as not run', () => {
+    const log = new RegisterLog()
+    const entries = [1, 2, 3].map(number => log.createEntry(number))
+    const [first, second, third] = entries as [FakeEntry, FakeEntry, FakeEntry]
+    for (const entry of entries) log.registerEntry(entry)
+    log.setAgent(1, 'joined', START)
+    for (const entry of entries) log.readToEnd(entry, START)
+    log.live(START, first)
+    log.claim(first, CLAIM_TIME)
+    log.readToEnd(second, CLAIM_TIME)
+    const claimedAt = CLAIM_TIME + 5_000
+    second.ownership.setLiveEntries([second.identity], claimedAt - 1_200)
+    log.claim(second, claimedAt - 600)
+    log.claim(second, claimedAt)
+    const [partition] = partitionsOf(second)
+    const { epoch } = ownedState(second, partition!)
+    second.ownership.peerPositionReported(third.identity, epoch, claimedAt + 2_500)
+    second.ownership.tick(claimedAt + 2_500 + NOT_RUN_LEASE_MILLISECONDS - 1)
+    expect(ownedState(second, partition!).phase).toBe('collecting')
+    second.ownership.tick(claimedAt + 2_500 + NOT_RUN_LEASE_MILLISECONDS)
+    expect(ownedState(second, partition!).phase).toBe('serving')
+  })
+
   it('treats keys made before the departure of an agent as uncertain, even if it shut down gracefully', () => {
     const { log, first, second } = createFleet()
     const departedAt = CLAIM_TIME + 1_000
