Open no session for a late call of a former incarnation of an entry

What callers saw: after their entry has started again, the tasks that it runs at an agent are stopped, or a task of the former incarnation starts beside its repeat.

Cause: a call of any other incarnation than the known one replaced the session. A call that its sender had sent before it ended, and that arrived late, replaced the session of the next incarnation: its runs were stopped, its start orders carried out.

Change: two incarnations are ordered by the agent's own clock. One opens a session with its first call that shows an answer of this agent later than any that the known one received; an incarnation that has ended gets no more of them. Until then its watches are answered at once, so that the next one can show it, and its start orders are stale.

--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -3,12 +3,12 @@
 import type {
   CallingEntry, Start, StartAnswer, Stop, StopAnswer, TellEvacuations, TellEvacuationsAnswer, Watch, WatchAnswer
 } from '@baobabpost/fleet-calls'
-import {
-  answerStart, answerStop, answerWatch, applyEvacuations, beginWatch, describeProfile, leaseEnd, stopRunsOfEntry
-} from './entry-calls.js'
+import { answerStart, answerStop, answerWatch, beginWatch, describeProfile } from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
+import { applyEvacuations } from './evacuations.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
 import { handleListAnswer } from './listings.js'
+import { isOpen, leaseEnd, stopRunsOfEntry } from './open-session.js'
 import {
   isAccepting, startWaitingRuns, handleStartAnswer, handleStopAnswer, repeatDueStops
 } from './orders.js'
@@ -127,7 +127,8 @@
     },
     leaseEnd: caller => leaseEnd(state, caller),
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
-    hasUpdates: (session, watch) => hasUrgentReport(session) || watch.profileVersion !== state.profileVersion,
+    hasUpdates: (session, watch) =>
+      hasUrgentReport(session) || watch.profileVersion !== state.profileVersion || !isOpen(state, session),
     answerWatch: (session, watch, now) => answerWatch(state, session, watch, now),
     handleStartAnswer: (record, answer, usedFencingToken, now) => {
       handleStartAnswer(state, ports, record, answer, usedFencingToken, now)
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -1,84 +1,19 @@
 /** Handles the entries' calls to an agent: start, stop and watch. */
 import {
-  EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, KEPT_LEASES, type CallingEntry, type EvacuationState, type RunOrder,
+  EMPTY_SIZE, KEPT_LEASES, type CallingEntry, type EvacuationState, type RunOrder,
   type Start, type StartAnswer, type Stop, type StopAnswer, type UpstreamLoad, type UpstreamProfile, type Verdict,
   type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import {
-  acknowledgeReports, addReport, createSession, type EntrySession
-} from './entry-session.js'
+import { acknowledgeReports, addReport, type EntrySession } from './entry-session.js'
 import { expectedStarts, type ExpectedEnd } from './expected-starts.js'
-import { isAccepting, isEvacuated, startWaitingRuns, stopRun } from './orders.js'
+import { isForEarlierAgent, isOpen, leaseEnd, openSession, toldClock } from './open-session.js'
+import { isAccepting, startWaitingRuns, stopRun } from './orders.js'
 import { addTombstone, freeCapacity, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { isKeptForLoneRun } from './lone-runs.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import { adoptRunTimes, describeRunTimes, workOf } from './run-time-reports.js'
 import type { RunGroup, RunRecord } from './run-record.js'
 
-/**
- * Whether a call was meant for an earlier incarnation of this agent: its runs, report numbers and clock are not those
- * of this one. The clock tells it for an entry that does not name the incarnation.
- */
-function isForEarlierAgent (state: RunRegistryState, caller: CallingEntry, now: number): boolean {
-  const isNamedEarlier = (caller.heardFrom ?? state.incarnation) !== state.incarnation
-  return isNamedEarlier || caller.heardAt > toldClock(state, now)
-}
-
-/** Returns the time that answers to entries carry at `now`. */
-function toldClock (state: RunRegistryState, now: number): number {
-  return now + state.suspendedMilliseconds
-}
-
-/** Returns the end of the lease that a call grants, counted from the newest answer that the entry has received. */
-export function leaseEnd (state: RunRegistryState, caller: CallingEntry): number {
-  return caller.heardAt - state.suspendedMilliseconds + ENTRY_LEASE_MILLISECONDS
-}
-
-/**
- * Applies what an entry knows of evacuated failure domains, if that is newer. Waiting runs of a domain that is
- * evacuated go back to their entries at once.
- */
-export function applyEvacuations (
-  state: RunRegistryState, ports: RunRegistryPorts, evacuations: EvacuationState, source: string, now: number
-): void {
-  if (evacuations.position >= (state.evacuations.state()?.position ?? 0)) state.evacuationsConfirmedAt = now
-  if (!state.evacuations.merge(evacuations)) return
-  const returned = isEvacuated(state) ? state.queue.inOrder().length : 0
-  ports.logger.info('evacuations changed', {
-    domains: evacuations.domains.join(' '), position: evacuations.position, source, returned
-  })
-  startWaitingRuns(state, ports, now)
-}
-
-/**
- * Returns the session of a calling entry, with its lease renewed. The first call of a new incarnation opens a session
- * and stops the runs of the earlier incarnation.
- */
-export function openSession (
-  state: RunRegistryState, ports: RunRegistryPorts, caller: CallingEntry, now: number
-): EntrySession {
-  if (caller.evacuations !== undefined) applyEvacuations(state, ports, caller.evacuations, caller.entry, now)
-  const known = state.sessions.get(caller.entry)
-  if (known?.incarnation === caller.incarnation) {
-    if (!isForEarlierAgent(state, caller, now)) known.leaseUntil = Math.max(known.leaseUntil, leaseEnd(state, caller))
-    return known
-  }
-  const session = createSession(caller)
-  state.sessions.set(caller.entry, session)
-  ports.logger.info('entry found', { entry: caller.entry, incarnation: caller.incarnation })
-  if (known !== undefined) stopRunsOfEntry(state, ports, known, 'entry restarted', now)
-  return session
-}
-
-/** Stops all runs that an entry's session started. */
-export function stopRunsOfEntry (
-  state: RunRegistryState, ports: RunRegistryPorts, session: EntrySession, reason: string, now: number
-): void {
-  for (const record of [...state.runs.values()]) {
-    if (record.session === session) stopRun(state, ports, record, reason, now)
-  }
-}
-
 /** Returns the upstream's profile for the entries. */
 export function describeProfile (state: RunRegistryState, now: number): UpstreamProfile {
   const { heartbeat } = state.upstream
@@ -152,6 +87,7 @@
   group: RunGroup,
   now: number
 ): Verdict {
+  if (!isOpen(state, session)) return 'stale'
   const known = state.runs.get(order.task)
   if (known !== undefined) {
     if (known.session === session && known.order.run === order.run) return 'accepted'
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -5,6 +5,8 @@
 export interface EntrySession {
   readonly entry: string
   readonly incarnation: string
+  /** Time of the agent's newest answer that this incarnation has received, as the answer told it; 0 without one. */
+  heardAt: number
   /** End of the entry's lease on the agent's steady clock, in milliseconds; the entry's runs are stopped then. */
   leaseUntil: number
   reports: RunReport[]
@@ -23,6 +25,7 @@
   return {
     entry: caller.entry,
     incarnation: caller.incarnation,
+    heardAt: 0,
     leaseUntil: 0,
     reports: [],
     lastSequence: 0,
