--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -1,73 +1,19 @@
 /** Handles the entries' calls to an agent: start, stop and watch. */
 import {
-  EMPTY_SIZE, ENTRY_LEASE_MILLISECONDS, KEPT_LEASES, type CallingEntry, type EvacuationState, type RunOrder,
+  EMPTY_SIZE, KEPT_LEASES, type CallingEntry, type EvacuationState, type RunOrder,
   type Start, type StartAnswer, type Stop, type StopAnswer, type UpstreamLoad, type UpstreamProfile, type Verdict,
   type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import {
-  acknowledgeReports, addReport, createSession, renewSession, type EntrySession
-} from './entry-session.js'
+import { acknowledgeReports, addReport, type EntrySession } from './entry-session.js'
 import { expectedStarts, type ExpectedEnd } from './expected-starts.js'
-import { isAccepting, isEvacuated, startWaitingRuns, stopRun } from './orders.js'
+import { isForEarlierAgent, isOpen, leaseEnd, openSession, toldClock } from './open-session.js'
+import { isAccepting, startWaitingRuns, stopRun } from './orders.js'
 import { addTombstone, freeCapacity, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { isKeptForLoneRun } from './lone-runs.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import { adoptRunTimes, describeRunTimes, workOf } from './run-time-reports.js'
 import type { RunGroup, RunRecord } from './run-record.js'
 
-/**
- * Whether a call was meant for an earlier incarnation of this agent: its runs, report numbers and clock are not those
- * of this one. The clock tells it for an entry that does not name the incarnation.
- */
-function isForEarlierAgent (state: RunRegistryState, caller: CallingEntry, now: number): boolean {
-  return (caller.heardFrom ?? state.incarnation) !== state.incarnation || caller.heardAt > now
-}
-
-/**
- * Applies what an entry knows of evacuated failure domains, if that is newer. Waiting runs of a domain that is
- * evacuated go back to their entries at once.
- */
-export function applyEvacuations (
-  state: RunRegistryState, ports: RunRegistryPorts, evacuations: EvacuationState, source: string, now: number
-): void {
-  if (evacuations.position >= (state.evacuations.state()?.position ?? 0)) state.evacuationsConfirmedAt = now
-  if (!state.evacuations.merge(evacuations)) return
-  const returned = isEvacuated(state) ? state.queue.inOrder().length : 0
-  ports.logger.info('evacuations changed', {
-    domains: evacuations.domains.join(' '), position: evacuations.position, source, returned
-  })
-  startWaitingRuns(state, ports, now)
-}
-
-/**
- * Returns the session of a calling entry, with its lease renewed. The first call of a new incarnation opens a session
- * and stops the runs of the earlier incarnation.
- */
-export function openSession (
-  state: RunRegistryState, ports: RunRegistryPorts, caller: CallingEntry, now: number
-): EntrySession {
-  if (caller.evacuations !== undefined) applyEvacuations(state, ports, caller.evacuations, caller.entry, now)
-  const known = state.sessions.get(caller.entry)
-  if (known?.incarnation === caller.incarnation) {
-    if (!isForEarlierAgent(state, caller, now)) renewSession(known, caller)
-    return known
-  }
-  const session = createSession(caller)
-  state.sessions.set(caller.entry, session)
-  ports.logger.info('entry found', { entry: caller.entry, incarnation: caller.incarnation })
-  if (known !== undefined) stopRunsOfEntry(state, ports, known, 'entry restarted', now)
-  return session
-}
-
-/** Stops all runs that an entry's session started. */
-export function stopRunsOfEntry (
-  state: RunRegistryState, ports: RunRegistryPorts, session: EntrySession, reason: string, now: number
-): void {
-  for (const record of [...state.runs.values()]) {
-    if (record.session === session) stopRun(state, ports, record, reason, now)
-  }
-}
-
 /** Returns the upstream's profile for the entries. */
 export function describeProfile (state: RunRegistryState, now: number): UpstreamProfile {
   const { heartbeat } = state.upstream
@@ -122,7 +68,7 @@
 ): StopAnswer {
   const agentState = {
     incarnation: state.incarnation,
-    clock: now,
+    clock: toldClock(state, now),
     cleared: state.isCleared,
     room: describeLoad(state, now),
     ...newerEvacuations(state, caller)
@@ -141,6 +87,7 @@
   group: RunGroup,
   now: number
 ): Verdict {
+  if (!isOpen(state, session)) return 'stale'
   const known = state.runs.get(order.task)
   if (known !== undefined) {
     if (known.session === session && known.order.run === order.run) return 'accepted'
@@ -154,7 +101,7 @@
   if (hasTombstone(state, session, order.task, order.run)) return 'stopped'
   // The order's own age counts, not the session's lease: other calls may have renewed that while the order was delayed.
   const { caller } = start
-  if (now >= caller.heardAt + ENTRY_LEASE_MILLISECONDS || isForEarlierAgent(state, caller, now)) return 'stale'
+  if (now >= leaseEnd(state, caller) || isForEarlierAgent(state, caller, now)) return 'stale'
   if (!isAccepting(state, now)) return 'not-accepting'
   if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
   const record: RunRecord = {
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -1,10 +1,12 @@
 /** An agent's session of one entry: the entry's lease and the reports that it has not acknowledged. */
-import { ENTRY_LEASE_MILLISECONDS, type CallingEntry, type RunOutcome, type RunReport } from '@baobabpost/fleet-calls'
+import type { CallingEntry, RunOutcome, RunReport } from '@baobabpost/fleet-calls'
 
 /** Session of one incarnation of an entry. */
 export interface EntrySession {
   readonly entry: string
   readonly incarnation: string
+  /** Time of the agent's newest answer that this incarnation has received, as the answer told it; 0 without one. */
+  heardAt: number
   /** End of the entry's lease on the agent's steady clock, in milliseconds; the entry's runs are stopped then. */
   leaseUntil: number
   reports: RunReport[]
@@ -23,6 +25,7 @@
   return {
     entry: caller.entry,
     incarnation: caller.incarnation,
+    heardAt: 0,
     leaseUntil: 0,
     reports: [],
     lastSequence: 0,
@@ -30,16 +33,6 @@
   }
 }
 
-/**
- * Renews an entry's lease, counted from the newest agent time that the entry has received.
- *
- * @example
- * renewSession(session, watch.caller)
- */
-export function renewSession (session: EntrySession, caller: CallingEntry): void {
-  session.leaseUntil = Math.max(session.leaseUntil, caller.heardAt + ENTRY_LEASE_MILLISECONDS)
-}
-
 /** Contents of a run report that has no sequence number yet. */
 export interface RunCompletion {
   readonly task: string
