Let no row that stays in the listings keep the run lease from being renewed for good

What callers saw: by reading, none yet: the runs of an upstream end with their lease every 653 ms, or a new agent never serves.

Cause: a listed run that is not in the registry keeps the lease from being renewed, and a new agent from serving, for as long as it is listed. A row that names no run, or that doesn't decode, may stay for good.

Change: the lease ends all that runs. A row that is still listed after that, without a renewal since it was first seen, shows no run, and counts no more until a listing lacks it. The time is the longest lease of any build.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -3,6 +3,7 @@
   FENCING_TOKEN_STEP, MAXIMUM_COMPLETION_GAP, MAXIMUM_COMPLETION_NUMBER, MAXIMUM_OVERTAKING_MILLISECONDS,
   MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
+import { indexRuns, isInRegistry, recordLastingRows, rowOf, type ListedRuns } from './listed-runs.js'
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
@@ -10,18 +11,6 @@
 import { recordPace, recordRunTime } from './run-time-reports.js'
 import { beginInstance, endExpiredRuns, handleUnreachable } from './upstream-instance.js'
 
-/** Which runs a listing shows, of which one may name a task more than once, with several run numbers. */
-interface ListedRuns {
-  has: (task: string, run: number) => boolean
-  /** Whether a row of the task did not decode, so that its absence shows nothing. */
-  isDoubtful: (task: string) => boolean
-}
-
-function indexRuns ({ running, doubtfulTasks }: Listing): ListedRuns {
-  const keys = new Set(running.map(({ task, run }) => `${task} ${run}`))
-  return { has: (task, run) => keys.has(`${task} ${run}`), isDoubtful: task => doubtfulTasks?.has(task) === true }
-}
-
 /**
  * Ends the displaced runs that a listing doesn't show, and stops the others.
  *
@@ -30,7 +19,7 @@
 function settleDisplacedRuns (
   state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number
 ): number {
-  const listedRuns = indexRuns(listing)
+  const listedRuns = indexRuns(state, listing)
   let remainingCount = 0
   for (const record of [...state.runs.values()]) {
     const { order: { task }, upstreamRunNumber: run } = record
@@ -144,11 +133,11 @@
 
 /** Stops the listed runs that are not in the registry, and records their number. */
 function stopUnknownRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing): void {
-  const listedRuns = indexRuns(listing)
+  const listedRuns = indexRuns(state, listing)
   state.upstream.unknownRunCount = 0
   for (const { task, run } of listing.running) {
+    if (isInRegistry(state, task, run) || state.upstream.lastingRows.isDisproved(rowOf(task, run))) continue
     const record = state.runs.get(task)
-    if (record !== undefined && record.state !== 'waiting' && record.upstreamRunNumber === run) continue
     // An upstream runs a task once: beside the run in the registry, another number of its task is an odd row.
     if (record === undefined || !listedRuns.has(task, record.upstreamRunNumber)) state.upstream.unknownRunCount += 1
     ports.logger.warn('stopping a run that is not in the book', { task, run, phase: state.upstream.phase })
@@ -242,6 +231,8 @@
   recordUpstreamClock(state, ports, reading, now)
   state.upstream.lastListingAt = now
   const isOutOfOrder = recordListingClock(state, reading)
+  // An earlier token leaves room for a run of a row to start again.
+  if (!isOutOfOrder && usedFencingToken >= state.fencingToken) recordLastingRows(state, listing, requestedAt)
   if (state.upstream.phase !== 'serving') {
     // An earlier token leaves room for a delayed order to start after the listing.
     if (!isOutOfOrder && usedFencingToken >= state.fencingToken) clearEarlierRuns(state, ports, listing, now)
@@ -252,7 +243,7 @@
   stopUnknownRuns(state, ports, listing)
   recordPace(state, ports, listing, now)
   recordProgress(state, ports, listing, now)
-  endMissingRuns(state, ports, indexRuns(listing), usedFencingToken, requestedAt, now)
+  endMissingRuns(state, ports, indexRuns(state, listing), usedFencingToken, requestedAt, now)
 }
 
 /** Handles the answer to a list order that was sent at `requestedAt`. */
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,5 +1,6 @@
 /** What an agent knows of the current instance of its upstream. */
 import { createSlowStart, type SlowStart } from './slow-start.js'
+import { createLastingRows, type LastingRows } from './lasting-rows.js'
 import { createObservations, type Observations } from './observations.js'
 import { createPace, type Pace } from './pace.js'
 import { createRunTimeModel, type RunTimeModel } from './run-time-model.js'
@@ -56,7 +57,9 @@
   leaseRenewedAt: number
   /** Lease end that this order carried, on the upstream's clock; undefined before the first. */
   leaseUntil: number | undefined
-  /** Number of runs in the newest listing that were not in the registry. */
+  /** Rows of the newest listing that show unknown runs or don't decode. */
+  readonly lastingRows: LastingRows
+  /** Number of runs in the newest listing that were not in the registry and may be running. */
   unknownRunCount: number
 }
 
@@ -92,6 +95,7 @@
     unansweredListings: 0,
     leaseRenewedAt: 0,
     leaseUntil: undefined,
+    lastingRows: createLastingRows(),
     unknownRunCount: 0
   }
 }
