Begin above the fencing token of the agent's former incarnation, which entries remember

What callers saw: by reading, none yet: a task may run twice at once when the time of day goes back and an agent starts again together with its upstream: a late order of the agent's former incarnation starts.

Cause: the token of an incarnation is its start time. Below the former's, it fences nothing at an upstream that was started again and has seen neither.

Change: an agent tells its token in its profile. An entry tells it back, once the agent has stopped to answer or another incarnation has answered, and the agent continues above it. Until a listing with the new token it has cleared nothing, so entries move no tasks of the former incarnation, unless it has runs already. Earlier builds ignore both fields.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -29,6 +29,8 @@
     view.incarnationSince = now
     view.formerRunLeaseMilliseconds = longestRunLease(view)
     view.mayHaveFormerRuns = true
+    view.formerFence = Math.max(view.formerFence, view.fence)
+    view.fence = 0
     view.leases = UNTOLD_LEASES
     view.acknowledgedSequence = 0
     view.lastAgentClock = 0
@@ -51,6 +53,7 @@
   if (answer.profile !== undefined) {
     view.profile = answer.profile
     view.leases = readLeases(answer.profile.leases)
+    view.fence = Math.max(view.fence, answer.profile.fence ?? 0)
     learnCrashes(state, ports, view, now)
   }
   state.runTimes.applyAnswer(view)
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -20,6 +20,10 @@
   mayHaveFormerRuns: boolean
   /** Longest run lease of the incarnations whose runs may still be running, in milliseconds. */
   formerRunLeaseMilliseconds: number
+  /** Highest fencing token that the current incarnation told; 0 while it has told none. */
+  fence: number
+  /** Highest fencing token that earlier incarnations told; 0 if they told none. */
+  formerFence: number
   /** Leases that the current incarnation keeps. */
   leases: LeaseLengths
   profile: UpstreamProfile | undefined
@@ -66,6 +70,8 @@
     incarnationSince: 0,
     mayHaveFormerRuns: false,
     formerRunLeaseMilliseconds: 0,
+    fence: 0,
+    formerFence: 0,
     leases: UNTOLD_LEASES,
     profile: undefined,
     load: UNKNOWN_LOAD,
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -10,7 +10,7 @@
 import { EvacuationState } from './evacuations.js'
 import { RememberedRunTimes, RunTimes } from './run-times.js'
 import { Size } from './size.js'
-import { Amount, Count, SteadyTime, UnixTime } from './wire-values.js'
+import { Amount, Count, FencingToken, SteadyTime, UnixTime } from './wire-values.js'
 
 /** The calling entry, and the newest agent time that it has received. */
 export const CallingEntry = Schema.Struct({
@@ -22,6 +22,11 @@
   heardAt: SteadyTime,
   /** Incarnation of the agent that gave that answer; absent before the first. */
   heardFrom: Schema.optionalKey(Schema.String),
+  /**
+   * Highest fencing token that the entry was told by incarnations of the agent that may have ended; absent without
+   * one. A late order of such an incarnation must not have a higher token than those of the current one.
+   */
+  formerFence: Schema.optionalKey(FencingToken),
   /** The evacuated failure domains; absent where evacuations are not enabled, or not known yet. */
   evacuations: Schema.optionalKey(EvacuationState)
 })
@@ -41,6 +46,8 @@
   instance: Schema.optionalKey(UnixTime),
   /** Newest factor on the callers' estimates that an entry told, by route; for entries that have just started. */
   routeFactors: Schema.optionalKey(Schema.Record(Schema.String, Amount)),
+  /** Fencing token of the agent's orders; absent from builds before it was told. */
+  fence: Schema.optionalKey(FencingToken),
   /** Recent crashes of the upstream; absent without any. */
   crashes: Schema.optionalKey(CrashFacts),
   /** `LeaseLengths` that the agent keeps, or those of a later build; absent from builds before they were told. */
--- a/packages/fleet-calls/src/wire-values.ts
+++ b/packages/fleet-calls/src/wire-values.ts
@@ -62,6 +62,9 @@
 export const UnixTime = Schema.declare((value): value is number =>
   Number.isInteger(value) && isBetween(value, 0, MAXIMUM_UNIX_MILLISECONDS))
 
+/** Token of an agent's orders to its upstream: the start of the agent in Unix milliseconds, or above. */
+export const FencingToken = UnixTime
+
 /** Amount of what can't be negative. */
 export const Quantity = Schema.declare((value): value is number => isBetween(value, 0, MAXIMUM_COUNT))
 
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -72,18 +72,20 @@
   const state = createRunRegistryState(options.incarnation, options.fencingToken)
   const ports: RunRegistryPorts = options
 
-  /** Heartbeat, acceptance and crashes of the profile that was described last: a profile depends on nothing else. */
+  /** What the profile that was described last depends on. */
   let describedHeartbeat: UpstreamHeartbeat | undefined
   let wasAccepting: boolean | undefined
   let describedCrashes = 0
+  let describedFence = 0
 
   function refreshProfile (now: number): void {
     const isAcceptingNow = isAccepting(state, now)
     const crashRevision = state.crashes.revision()
     const isUnchanged = state.upstream.heartbeat === describedHeartbeat && isAcceptingNow === wasAccepting &&
-      crashRevision === describedCrashes
+      crashRevision === describedCrashes && state.fencingToken === describedFence
     if (isUnchanged) return
     describedCrashes = crashRevision
+    describedFence = state.fencingToken
     describedHeartbeat = state.upstream.heartbeat
     wasAccepting = isAcceptingNow
     const digest = JSON.stringify({ ...describeProfile(state, now), version: 0 })
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -26,6 +26,7 @@
     labels: heartbeat?.labels ?? [],
     accepting: isAccepting(state, now),
     leases: KEPT_LEASES,
+    fence: state.fencingToken,
     ...(heartbeat?.instance.startedAt === undefined ? {} : { instance: heartbeat.instance.startedAt }),
     ...(crashes === undefined ? {} : { crashes })
   }
--- a/packages/runs/src/open-session.ts
+++ b/packages/runs/src/open-session.ts
@@ -2,7 +2,7 @@
 import { ENTRY_LEASE_MILLISECONDS, type CallingEntry } from '@baobabpost/fleet-calls'
 import { createSession, type EntrySession } from './entry-session.js'
 import { applyEvacuations } from './evacuations.js'
-import { stopRun } from './orders.js'
+import { exceedFormerFence, stopRun } from './orders.js'
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
 
 /**
@@ -43,6 +43,7 @@
 export function openSession (
   state: RunRegistryState, ports: RunRegistryPorts, caller: CallingEntry, now: number
 ): EntrySession {
+  if (caller.formerFence !== undefined) exceedFormerFence(state, ports, caller.formerFence)
   if (caller.evacuations !== undefined) applyEvacuations(state, ports, caller.evacuations, caller.entry, now)
   const known = state.sessions.get(caller.entry)
   if (known?.incarnation === caller.incarnation) {
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,6 +1,7 @@
 /** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
 import {
-  MAXIMUM_FENCING_TOKEN_STEP, MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
+  FENCING_TOKEN_STEP, MAXIMUM_FENCING_TOKEN_STEP, MAXIMUM_FORMER_FENCE_LEAD, MAXIMUM_LISTING_AGE_MILLISECONDS,
+  MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import {
   reserveCapacity, endRun, freeCapacity, hasCapacityFor, recordUpstreamClock, type RunRegistryPorts,
@@ -160,6 +161,23 @@
   ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'upstream has seen a higher one' })
 }
 
+/**
+ * Raises the fencing token above that of an earlier incarnation of the agent, which an entry remembers. It is higher if
+ * the time of day has gone back, and an upstream that started again has not seen it.
+ */
+export function exceedFormerFence (state: RunRegistryState, ports: RunRegistryPorts, formerFence: number): void {
+  const { fencingToken } = state
+  if (formerFence <= fencingToken || formerFence - fencingToken > MAXIMUM_FORMER_FENCE_LEAD) return
+  state.fencingToken = formerFence + FENCING_TOKEN_STEP
+  ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'an earlier agent had a higher one' })
+  if (state.runs.size === 0) {
+    // Orders of the earlier incarnation may have started runs until a listing has the new token.
+    state.upstream.phase = 'unfenced'
+    state.isCleared = false
+  }
+  ports.listImmediately()
+}
+
 /** Marks a run as unconfirmed: its start order may have been carried out, or may be later. */
 function handleUnansweredStart (ports: RunRegistryPorts, record: RunRecord, now: number): void {
   ports.logger.warn('start got no answer', { task: record.order.task, run: record.upstreamRunNumber })
