Give an agent a queue that outlasts the request that evacuates it

Cause: the test, not the programs. It asked for the evacuation 300 ms after a job was sent, and relied on tasks that waited at the agent then. The queue holds at most two tasks there, and at full speed a task starts every 12 ms, so it is empty while a report is on its way to the entry, and before the first success of an agent, which gets a quarter of its window until then. Agents aren't told with the next heartbeat: `tellProhibitions` sends the evacuation at once. Change: the agents take 32 tasks in advance, the test waits until more than eight wait at the agent of the domain, slows its upstream down so that at most four of them start meanwhile, and then evacuates. What it asks of the explanation is the same.

--- a/packages/demo/tests/evacuated-domain.test.ts
+++ b/packages/demo/tests/evacuated-domain.test.ts
@@ -1,12 +1,15 @@
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import { OPERATOR_SECRET, send, type Fleet } from '@baobabpost/demo'
-import type { DomainList, Explanation, FailureDomain, FleetStatus, Problem } from '@baobabpost/messages'
+import {
+  registerName, type DomainList, type Explanation, type FailureDomain, type FleetStatus, type Policy, type Problem
+} from '@baobabpost/messages'
 import { runCommand, type CommandResult } from '../../command-line/tests/run-command.js'
-import { countInvariantViolations, createSubmissionKey, createTasks, startSmallFleet, submit } from './small-fleet.js'
+import { countInvariantViolations, createSubmissionKey, createTasks, SLOTS, startSmallFleet, submit } from './small-fleet.js'
 
 const DOMAINS = ['dakar-1', 'dakar-2', 'dakar-3']
 /** Two heartbeats of agents, after which all processes have told what they know. */
 const SETTLE_MILLISECONDS = 1_500
+const POLLING = { interval: 5, timeout: 20_000 }
 
 let fleet: Fleet
 
@@ -52,6 +55,20 @@
   return domains.find(domain => domain.name === name)
 }
 
+async function setPrefetchTasks (prefetchTasks: number): Promise<void> {
+  const [entry] = fleet.entries
+  const register = registerName('policy', 'lending')
+  const { version, value } = entry!.core.components.projection.read(register)!
+  const { status } = await send({
+    method: 'PUT',
+    url: entry!.url,
+    path: `/v1/configuration/${register}`,
+    secret: OPERATOR_SECRET,
+    body: { replaces: version, value: { ...value as Policy, prefetchTasks } }
+  })
+  expect(status).toBe(200)
+}
+
 describe('an evacuated failure domain', () => {
   test('gets nothing after its agent and all entries were started again', { timeout: 60_000 }, async () => {
     await run(['domain', 'evacuate', 'dakar-1'])
@@ -146,10 +163,15 @@
   })
 
   test('explains that an agent gave tasks back because of it', { timeout: 60_000 }, async () => {
+    const { agent, upstream } = fleet.upstreams[2]!
+    await setPrefetchTasks(8 * SLOTS)
+    await expect.poll(() => agent.snapshot().prefetchTasks, POLLING).toBe(8 * SLOTS)
     const submission = createSubmissionKey()
-    const answer = submit(fleet.entries[0]!, submission, createTasks(600, 200))
-    await settle(300)
-    // A command starts a process, which takes seconds on a busy machine; agents have nothing left to give back by then.
+    const answer = submit(fleet.entries[0]!, submission, createTasks(300, 200))
+    await expect.poll(() => agent.snapshot().queuedTasks, POLLING).toBeGreaterThan(2 * SLOTS)
+    // At full speed an agent starts what it has queued before it learns of the evacuation on a busy machine.
+    await upstream.setFault({ kind: 'slow', factor: 100 })
+    // A command starts a process, which takes seconds on a busy machine.
     const { status } = await send({
       method: 'POST', url: fleet.entries[0]!.url, path: '/v1/domains/dakar-3/evacuate', secret: OPERATOR_SECRET
     })
