End the lease of a partition owner when the time of day is set back

What callers saw: by reading, none yet: after its time of day was set back, an entry dispatches tasks of its partitions, and declares tasks as not run, although another entry has taken them over.

Cause: the lease counts from Unix times at which a read of the log or a heartbeat began. Setting the time of day back prolongs it by as much.

Change: a tick with an earlier time than the last one drops these times, and what began later than now confirms nothing. A read or a majority of answers that began after the step confirms the ownership again. Left: what began before a step that is shorter than its answer took, up to 50 ms until the next tick, and a step forward at the next owner, which shortens its wait for the former one.

Measured: 'ends when the time of day is set back, until a read or a majority of answers confirms it after that' failed before (the lease held) and passes, with the 118 tests of ownership, membership, outcomes and entry.

--- a/packages/ownership/src/create-ownership.ts
+++ b/packages/ownership/src/create-ownership.ts
@@ -49,6 +49,7 @@
   const registeredEntries = new Set<EntryIdentity>()
   let position = 0
   let logReadAt = -Infinity
+  let lastTickAt = -Infinity
   const takeovers = createTakeovers({
     ports,
     table,
@@ -139,6 +140,15 @@
     return Math.max(logReadAt, quorum.majorityAnsweredAt(now))
   }
 
+  /** Drops what confirmed the ownership if the time of day was set back, which would prolong the lease by as much. */
+  function checkTimeOfDay (now: number): void {
+    if (now < lastTickAt) {
+      logReadAt = -Infinity
+      quorum.forgetAnswers()
+    }
+    lastTickAt = now
+  }
+
   function leaseEnd (now: number): number {
     return ownershipConfirmedAt(now) + ownerMilliseconds
   }
@@ -161,12 +171,13 @@
       updateFencing(now)
       takeovers.advance(now)
     },
-    logReadToEnd (startedAt) {
+    logReadToEnd (startedAt, now) {
+      if (startedAt > now) return
       logReadAt = Math.max(logReadAt, startedAt)
     },
     heartbeatAnswered (entry, sentAt, peerPosition, now) {
       quorum.recordAppliedPosition(entry, peerPosition)
-      if (peerPosition <= position) quorum.recordAnswer(entry, sentAt)
+      if (peerPosition <= position && sentAt <= now) quorum.recordAnswer(entry, sentAt)
       updateFencing(now)
     },
     peerPositionReported (entry, peerPosition, now) {
@@ -184,6 +195,7 @@
       return { remainingPartitions: table.ownedCount() + exchange.outgoingPartitionCount() }
     },
     tick (now) {
+      checkTimeOfDay(now)
       exchange.tick(now)
       updateFencing(now)
       takeovers.advance(now)
--- a/packages/ownership/src/lease-quorum.ts
+++ b/packages/ownership/src/lease-quorum.ts
@@ -20,6 +20,8 @@
   isRegistered: (entry: EntryIdentity) => boolean
   /** Records that an entry answered the heartbeat that was sent at the given time. */
   recordAnswer: (entry: EntryIdentity, sentAt: number) => void
+  /** Drops all recorded answers. */
+  forgetAnswers: () => void
   /** Records the offset up to which an entry has applied the log. */
   recordAppliedPosition: (entry: EntryIdentity, position: number) => void
   /** Returns the latest time such that a majority, with this entry, answered heartbeats sent since, or -Infinity. */
@@ -72,6 +74,7 @@
     recordAnswer (entry, sentAt) {
       answeredAt.set(entry, Math.max(sentAt, answeredAt.get(entry) ?? -Infinity))
     },
+    forgetAnswers: () => { answeredAt.clear() },
     recordAppliedPosition (entry, position) {
       appliedPosition.set(entry, Math.max(position, appliedPosition.get(entry) ?? 0))
     },
--- a/packages/ownership/tests/ownership.test.ts
+++ b/packages/ownership/tests/ownership.test.ts
@@ -302,6 +302,27 @@
     expect(entry.ownership.mayDispatch(START + NOT_RUN_LEASE_MILLISECONDS)).toBe(true)
   })
 
+  it('ends when the time of day is set back, until a read or a majority of answers confirms it after that', () => {
+    const log = new RegisterLog()
+    const entry = log.createEntry(1)
+    const other = log.createEntry(2)
+    log.registerEntry(entry)
+    log.registerEntry(other)
+    log.readToEnd(entry, START)
+    entry.ownership.heartbeatAnswered(other.identity, START, log.offset, START)
+    entry.ownership.tick(START)
+    const setBack = START - 60_000
+    entry.ownership.tick(setBack)
+    expect([entry.ownership.mayDispatch(setBack), entry.ownership.mayDeclareNotRun(setBack)]).toEqual([false, false])
+    entry.ownership.heartbeatAnswered(other.identity, START - 10, log.offset, setBack + 10)
+    entry.ownership.logReadToEnd(START - 10, setBack + 10)
+    expect(entry.ownership.mayDispatch(setBack + 10)).toBe(false)
+    entry.ownership.logReadToEnd(setBack + 20, setBack + 30)
+    expect(entry.ownership.leaseEnd(setBack + 30)).toBe(setBack + 20 + OWNER_LEASE_MILLISECONDS)
+    entry.ownership.heartbeatAnswered(other.identity, setBack + 40, log.offset, setBack + 50)
+    expect(entry.ownership.leaseEnd(setBack + 50)).toBe(setBack + 40 + OWNER_LEASE_MILLISECONDS)
+  })
+
   it('is not renewed by the answer of an entry that has applied more of the log', () => {
     const log = new RegisterLog()
     const entry = log.createEntry(1)
