Have other agents keep the crashes of an upstream for entries that start again

Cause: what is known of crashes is in the memory of the upstream's agent and of the entries that it told. Nobody else learns it, and an incarnation that starts begins without.

A crash that was kept is not passed on, so that it ends. Earlier builds refuse the call, and decode what such an agent tells.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -14,6 +14,7 @@
   'admission not limited any more': 'The entry accepts all jobs again: `loopDelay`, `callDelay` and `work` for a job in ms',
   'task waits again': 'A run ended without completing its task, which is queued again: `task`, `run`, `reason`, `left` ms to the deadline, number of `crashes` under it without another known cause',
   'crash of an upstream': 'An agent told of a crash of its upstream that was not known: `agent`, `crash` (its identity), number of `candidates` (tasks that were there)',
+  'crash not kept': 'An agent did not take a crash of another upstream, which it keeps for entries that start again: `agent`, `reason`',
   'task crashes its upstreams': 'A job is failed for a task under which upstreams crashed, at one of them with everything else that was there done since: `task`, `route`, number of `crashes`',
   'route confined': 'Tasks of a route crash upstreams, and the route may use only some of those of its service: `service`, `route`, number of `agents` `of` those of the service',
   'route not confined any more': 'A route may use all upstreams of its service again: `service`, `route`',
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -1,6 +1,6 @@
 /** State of an entry's dispatcher and the operations that it needs from its environment. */
 import type { EventLogger } from '@baobabpost/common'
-import type { EvacuationRegister, RunOrder, Start, Stop } from '@baobabpost/fleet-calls'
+import type { EvacuationRegister, RunOrder, Start, Stop, UpstreamCrash } from '@baobabpost/fleet-calls'
 import type { Admission } from './admission.js'
 import type { AgentView } from './agent-view.js'
 import type { Confinements } from './confinement.js'
@@ -20,6 +20,8 @@
   sendStop: (view: AgentView, stop: Stop) => void
   /** Called after an agent has told newer evacuations; the change is logged. */
   evacuationsChanged?: (source: string) => void
+  /** Tells an agent crashes of other upstreams, which need no answer. */
+  tellCrashes?: (view: AgentView, crashes: readonly UpstreamCrash[]) => void
   readonly logger: EventLogger
 }
 
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -1,7 +1,8 @@
 /** Runs an entry's dispatcher: watches agents, sends calls to them, and ticks the dispatcher. */
 import type { EventLogger } from '@baobabpost/common'
 import {
-  CallError, createCallClient, type CallClient, type EvacuationRegister, type EvacuationState, type Start, type Stop
+  CallError, createCallClient, type CallClient, type EvacuationRegister, type EvacuationState, type Start, type Stop,
+  type UpstreamCrash
 } from '@baobabpost/fleet-calls'
 import type { Admission } from './admission.js'
 import type { AgentView } from './agent-view.js'
@@ -80,7 +81,9 @@
   const admissionRate = createAdmissionRate()
   const overload = createOverloadSignal()
   const status = { isClosed: false }
-  const dispatcher = createDispatcher({ ...options, sendStart, sendStop, evacuationsChanged: logEvacuations })
+  const dispatcher = createDispatcher({
+    ...options, sendStart, sendStop, tellCrashes, evacuationsChanged: logEvacuations
+  })
 
   function sendStart (view: AgentView, start: Start): void {
     repeats.record()
@@ -115,6 +118,12 @@
     ).catch(logFailure)
   }
 
+  function tellCrashes (view: AgentView, crashes: readonly UpstreamCrash[]): void {
+    client.call(view.address, 'tellCrashes', { crashes }, timing.timeout()).catch((failure: unknown) => {
+      logger.warn('crash not kept', { agent: view.name, reason: String(failure) })
+    })
+  }
+
   function logFailure (failure: unknown): void {
     logger.error('entry failed', { reason: String(failure) })
   }
--- a/packages/fleet-calls/src/calls.ts
+++ b/packages/fleet-calls/src/calls.ts
@@ -1,5 +1,6 @@
 /** All calls between the fleet's processes, with the schemas of their parameters and answers. */
 import { Start, StartAnswer, Stop, StopAnswer, Watch, WatchAnswer } from './agent-messages.js'
+import { TellCrashes, TellCrashesAnswer } from './crash-facts.js'
 import {
   Announce, AnnounceAnswer, AskConfiguration, AskConfigurationAnswer, TellEvacuations, TellEvacuationsAnswer
 } from './entry-messages.js'
@@ -24,7 +25,9 @@
   askConfiguration: {
     parameters: AskConfiguration, answer: AskConfigurationAnswer, idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS
   },
-  tellEvacuations: { parameters: TellEvacuations, answer: TellEvacuationsAnswer, isShared: true }
+  tellEvacuations: { parameters: TellEvacuations, answer: TellEvacuationsAnswer, isShared: true },
+  /** Unknown to earlier builds, which answer with an error. */
+  tellCrashes: { parameters: TellCrashes, answer: TellCrashesAnswer, isShared: true }
 } as const
 
 /** Time without a byte after which the answer to a call is given up once it has begun; undefined if it is small. */
--- a/packages/fleet-calls/src/crash-facts.ts
+++ b/packages/fleet-calls/src/crash-facts.ts
@@ -23,13 +23,23 @@
 
 /** What an agent knows of recent crashes. */
 export const CrashFacts = Schema.Struct({
-  /** Crashes of its upstream; a suspected one that is missing later was none. */
+  /**
+   * Crashes of its upstream, and some that entries told of others; a suspected one that is missing later was none. The
+   * identity of a crash begins with the incarnation of its agent and a slash.
+   */
   crashes: Schema.Array(UpstreamCrash),
   /** Candidates of any crash that were done at its upstream since: they crash no upstream. */
   cleared: Schema.Array(Schema.String)
 })
 export type CrashFacts = typeof CrashFacts.Type
 
+/** Tells an agent crashes of other upstreams, which it keeps for entries that start again. */
+export const TellCrashes = Schema.Struct({ crashes: Schema.Array(UpstreamCrash) })
+export type TellCrashes = typeof TellCrashes.Type
+
+export const TellCrashesAnswer = Schema.Struct({})
+export type TellCrashesAnswer = typeof TellCrashesAnswer.Type
+
 /**
  * Time for which facts of a crash are kept, in milliseconds: longer than a job waits for its answer and its caller
  * then sends it again.
--- a/packages/fleet-calls/tests/builds-side-by-side.test.ts
+++ b/packages/fleet-calls/tests/builds-side-by-side.test.ts
@@ -60,7 +60,8 @@
   askConfiguration: {
     parameters: { version: 4, evacuations: EVACUATIONS }, answer: { record: '{}', evacuations: EVACUATIONS }
   },
-  tellEvacuations: { parameters: { evacuations: EVACUATIONS }, answer: { evacuations: EVACUATIONS } }
+  tellEvacuations: { parameters: { evacuations: EVACUATIONS }, answer: { evacuations: EVACUATIONS } },
+  tellCrashes: { parameters: { crashes: [{ id: 'a/1', candidates: [{ task: 't', route: 'r' }] }] }, answer: {} }
 }
 
 /** Messages of the first build whose agents tell whether former runs are left (ce9e98f), which knows fewer fields. */
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -183,7 +183,8 @@
     watch,
     start,
     stop: parameters => registry.answerStop(parameters, now()),
-    tellEvacuations: parameters => registry.answerEvacuations(parameters, now())
+    tellEvacuations: parameters => registry.answerEvacuations(parameters, now()),
+    tellCrashes: parameters => registry.answerCrashes(parameters, now())
   }
   let tickTimer: ReturnType<typeof setTimeout> | undefined
 
--- a/packages/runs/src/crash-record.ts
+++ b/packages/runs/src/crash-record.ts
@@ -5,6 +5,8 @@
 
 /** Most crashes that are kept; the oldest ones are dropped. */
 const MAXIMUM_CRASHES = 8
+/** Most crashes of other upstreams that are kept; the oldest ones are dropped. */
+const MAXIMUM_TOLD_CRASHES = 32
 /** Most cleared tasks that are kept; the oldest ones are dropped. */
 const MAXIMUM_CLEARED_TASKS = 64
 
@@ -12,11 +14,13 @@
 export interface CrashRecord {
   /** Records a crash under the given tasks; one without any has no cause here and is not kept. */
   recordCrash: (candidates: readonly CrashCandidate[], isSuspected: boolean, now: number) => void
+  /** Keeps a crash of another upstream, whose agent may be gone when an entry asks that has started again. */
+  recordTold: (crash: UpstreamCrash, now: number) => void
   /** Makes suspected crashes certain, as the instance is gone, or drops them, as it answers again. */
   settleSuspected: (isGone: boolean) => void
   /** Records that a candidate of an earlier crash was done. */
   recordCleared: (task: string, now: number) => void
-  /** Rises with each change. */
+  /** Rises with each change that entries must be told; they know the crashes of other upstreams. */
   revision: () => number
   /** Returns the facts within their retention; undefined without any. */
   facts: (now: number) => CrashFacts | undefined
@@ -32,6 +36,7 @@
  */
 export function createCrashRecord (incarnation: string): CrashRecord {
   let crashes: Array<{ readonly crash: UpstreamCrash, readonly at: number }> = []
+  const told = new Map<string, { readonly crash: UpstreamCrash, readonly at: number }>()
   const clearedAt = new Map<string, number>()
   let revision = 0
 
@@ -43,6 +48,12 @@
       crashes.push({ crash: { id, candidates, ...(isSuspected ? { isSuspected } : {}) }, at: now })
       if (crashes.length > MAXIMUM_CRASHES) crashes.shift()
     },
+    recordTold: (crash, now) => {
+      if (told.has(crash.id) || crash.id.startsWith(`${incarnation}/`)) return
+      told.set(crash.id, { crash, at: now })
+      const [oldest] = told.keys()
+      if (oldest !== undefined && told.size > MAXIMUM_TOLD_CRASHES) told.delete(oldest)
+    },
     settleSuspected: isGone => {
       if (!crashes.some(({ crash }) => crash.isSuspected === true)) return
       revision += 1
@@ -58,7 +69,7 @@
     revision: () => revision,
     facts: now => {
       const oldestAt = now - CRASH_RETENTION_MILLISECONDS
-      const recent = crashes.filter(({ at }) => at >= oldestAt)
+      const recent = [...crashes, ...told.values()].filter(({ at }) => at >= oldestAt)
       const cleared = [...clearedAt.keys()].filter(task => (clearedAt.get(task) ?? 0) >= oldestAt)
       if (recent.length + cleared.length === 0) return undefined
       return { crashes: recent.map(({ crash }) => crash), cleared }
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -1,7 +1,8 @@
 /** The agent's decisions about the runs at its upstream, without clock or network access. */
 import type { EvacuationReadings } from '@baobabpost/common'
 import type {
-  Start, StartAnswer, Stop, StopAnswer, TellEvacuations, TellEvacuationsAnswer, Watch, WatchAnswer
+  Start, StartAnswer, Stop, StopAnswer, TellCrashes, TellCrashesAnswer, TellEvacuations, TellEvacuationsAnswer, Watch,
+  WatchAnswer
 } from '@baobabpost/fleet-calls'
 import { answerStart, answerStop, answerWatch, beginWatch, describeProfile } from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
@@ -24,6 +25,8 @@
   answerStop: (stop: Stop, now: number) => StopAnswer
   /** Applies what an entry knows of evacuated failure domains, and returns what the agent knows. */
   answerEvacuations: (tell: TellEvacuations, now: number) => TellEvacuationsAnswer
+  /** Keeps crashes of other upstreams that an entry tells. */
+  answerCrashes: (tell: TellCrashes, now: number) => TellCrashesAnswer
   beginWatch: (watch: Watch, now: number) => EntrySession
   /** Whether the watch must be answered at once. */
   hasUpdates: (session: EntrySession, watch: Watch) => boolean
@@ -125,6 +128,10 @@
       const known = state.evacuations.state()
       return known === undefined ? {} : { evacuations: known }
     },
+    answerCrashes: ({ crashes }, now) => {
+      for (const crash of crashes) state.crashes.recordTold(crash, now)
+      return {}
+    },
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
     hasUpdates: (session, watch) =>
       hasUrgentReport(session) || watch.profileVersion !== state.profileVersion || !isOpen(state, session),
