Reset the calls in progress at a simulated process that is killed

What callers saw: nothing; the simulation was at fault. A call that waited at a killed process hung until its timeout, although memory-network.ts says that such calls fail: a killed process resets its connections.

Cause: a reset was noticed only once the handler answered. The programs of killed agents run on unheard in the simulation, and one of their timers happened to end the waiting watches 700 ms later.

Change: the calls in progress fail when the process stops listening. No test is changed.

--- a/packages/rehearsal/src/memory-network.ts
+++ b/packages/rehearsal/src/memory-network.ts
@@ -40,6 +40,8 @@
   const listeners = new Map<string, CallHandlers>()
   const cuts = new Map<string, Array<() => void>>()
   const callCounts = new Map<CallName, number>()
+  /** Functions that fail the calls in progress at an address. */
+  const resets = new Map<string, Set<() => void>>()
 
   function linkKey (left: string, right: string): string {
     return left < right ? `${left} ${right}` : `${right} ${left}`
@@ -52,13 +54,30 @@
     if (heldMessages !== undefined) await new Promise<void>(resolve => { heldMessages.push(resolve) })
   }
 
+  /** Returns what a handler answers; fails when its process stops listening, as a killed one resets its connections. */
+  async function answerUnlessReset (address: string, handle: () => unknown): Promise<unknown> {
+    const resetsOfAddress = resets.get(address) ?? new Set()
+    resets.set(address, resetsOfAddress)
+    let reset = (): void => {}
+    const lost = new Promise<never>((_resolve, reject) => {
+      reset = () => { reject(new CallError('unanswered', 'connection reset')) }
+    })
+    resetsOfAddress.add(reset)
+    try {
+      return await Promise.race([handle(), lost])
+    } finally {
+      resetsOfAddress.delete(reset)
+    }
+  }
+
   async function exchange (from: string, to: string, name: CallName, parameters: unknown): Promise<unknown> {
     await pause(network.delayOf(name))
     await deliver(from, to)
     const handlers = listeners.get(to)
     if (handlers === undefined) throw new CallError('refused', 'connection refused: nothing listens at the address')
     const handle = handlers[name] as (parameters: unknown, connection: CallConnection) => unknown
-    const answer: unknown = await handle(JSON.parse(JSON.stringify(parameters)), { onLost: () => {} })
+    const answer = await answerUnlessReset(
+      to, () => handle(JSON.parse(JSON.stringify(parameters)), { onLost: () => {} }))
     if (listeners.get(to) !== handlers) throw new CallError('unanswered', 'connection reset')
     // An answer that is on its way arrives, also when its sender ends meanwhile.
     await deliver(to, from)
@@ -94,7 +113,10 @@
     callCounts,
     clientAt,
     listen: (address, handlers) => { listeners.set(address, handlers) },
-    stopListening: address => { listeners.delete(address) },
+    stopListening: address => {
+      listeners.delete(address)
+      for (const reset of resets.get(address) ?? []) reset()
+    },
     cut: (left, right) => { if (!cuts.has(linkKey(left, right))) cuts.set(linkKey(left, right), []) },
     heal,
     healAll: () => { for (const key of [...cuts.keys()]) heal(...key.split(' ') as [string, string]) }
