Refuse jobs by how long they would wait at the entry

What callers saw: after everything had stopped, and after a burst, entries refused jobs or answered them late for seconds although they could carry them again. Cause: the limit was a rate by the work of each job, averaged over a second. It fell at once with the slow work of a process that has just started, and rose by steps. The rate also took the delay of the event loop for that of the calls. Change: the entry handles its jobs one a turn, so what waits is known. A job is accepted if those before it are handled within 30 ms at the pace of the last few, and always if none waits; nothing is limited longer than the queue lasts. The rate remains for late calls of a full link, and rises the faster the less they are delayed.

--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -12,6 +12,7 @@
 import type { Placement } from './placement.js'
 import { createOverloadSignal } from './overload-signal.js'
 import { createReadDelay, type LoopReading } from './read-delay.js'
+import { createWaitLimit, type EntryLoad } from './wait-limit.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
@@ -28,11 +29,12 @@
   readonly dispatcher: Dispatcher
   /** Adds an agent and begins to watch it, or updates its address. */
   agentFound: (name: string, address: string) => void
-  /**
-   * Whether a job that is read now, after it has waited unread for a time, is accepted; the entry refuses what its own
-   * processor and link do not carry.
-   */
-  admits: (unreadMilliseconds: number) => boolean
+  /** Whether a job that is read now is accepted; the entry refuses what its own processor and link do not carry. */
+  admits: (load: EntryLoad) => boolean
+  /** Records that the entry begins to handle a job that it has accepted, and how many others wait then. */
+  recordHandling: (waitingJobs: number) => void
+  /** Time between the beginnings of two jobs' handling while others wait, in milliseconds. */
+  handlingMilliseconds: () => number
   /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
   isOverloaded: () => boolean
   /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
@@ -79,6 +81,7 @@
   const repeats = createRetryBudget()
   const timing = createCallTiming()
   const admissionRate = createAdmissionRate()
+  const waitLimit = createWaitLimit()
   const overload = createOverloadSignal()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({ ...options, sendStart, sendStop, evacuationsChanged: logEvacuations })
@@ -166,18 +169,14 @@
       now
     })
 
-  function observeDelays (loopDelay: number): void {
+  function observeCalls (): void {
     const wasLimited = admissionRate.limit() !== undefined
-    admissionRate.observe(Math.max(loopDelay, timing.average()), readLoop())
+    admissionRate.observe(timing.average(), now())
     const limit = admissionRate.limit()
     if (wasLimited === (limit !== undefined)) return
-    const delays = {
-      loopDelay: Math.round(loopDelay),
-      callDelay: Math.round(timing.average()),
-      work: Math.round(100 * admissionRate.workOfJob()) / 100
-    }
-    if (limit === undefined) logger.info('admission not limited any more', delays)
-    else logger.warn('admission limited', { ...delays, jobsPerSecond: Math.round(limit) })
+    const callDelay = Math.round(timing.average())
+    if (limit === undefined) logger.info('admission not limited any more', { callDelay })
+    else logger.warn('admission limited', { callDelay, jobsPerSecond: Math.round(limit) })
   }
 
   const readLoop = (): LoopReading => ({ now: now(), idle: options.idle?.() ?? now() })
@@ -194,14 +193,11 @@
     })
   }
 
-  let tickedAt = now()
   const ticks = setInterval(() => {
-    const loopDelay = now() - tickedAt - TICK_MILLISECONDS
-    tickedAt = now()
     markTurn()
-    observeDelays(loopDelay)
+    observeCalls()
     try {
-      dispatcher.tick(tickedAt)
+      dispatcher.tick(now())
       tellEvacuations()
     } catch (failure) {
       logFailure(failure)
@@ -220,11 +216,13 @@
       return readDelay.longest(readLoop())
     },
     evacuationsChanged,
-    admits: unreadMilliseconds => {
-      const isAdmitted = admissionRate.admit(unreadMilliseconds, readLoop())
+    admits: load => {
+      const isAdmitted = waitLimit.admit(load) && admissionRate.admit(now())
       if (!isAdmitted) overload.recordRefusal(now())
       return isAdmitted
     },
+    recordHandling: waitingJobs => { waitLimit.recordHandling(waitingJobs, now()) },
+    handlingMilliseconds: waitLimit.handlingMilliseconds,
     isOverloaded: () => overload.isRaised(now()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
