Report an entry as overloaded only if it refuses a tenth of its jobs

What callers saw: a busy entry that refused single jobs among many went out of rotation for three seconds or more, and its callers went to entries that were as busy. Cause: each refusal counted for the signal, also one among a hundred accepted jobs. A limit of the wait refuses single jobs that arrive together. Change: the signal looks at intervals of half a second, and counts those in which a tenth of the jobs or more was refused. Measured: 'is not raised by an entry that refuses one job in twenty, and ends when it does' fails with the signal of before, and passes; the two other tests are unchanged.

--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -218,7 +218,7 @@
     evacuationsChanged,
     admits: load => {
       const isAdmitted = waitLimit.admit(load) && admissionRate.admit(now())
-      if (!isAdmitted) overload.recordRefusal(now())
+      overload.record(!isAdmitted, now())
       return isAdmitted
     },
     recordHandling: waitingJobs => { waitLimit.recordHandling(waitingJobs, now()) },
--- a/packages/dispatching/src/overload-signal.ts
+++ b/packages/dispatching/src/overload-signal.ts
@@ -1,15 +1,17 @@
 /** Signal by which an overloaded entry asks for no more callers, while other entries may have processor time. */
 
+/** Length of the intervals whose refused share is looked at. */
+const INTERVAL_MILLISECONDS = 500
+/** Share of the jobs of an interval from which its refusals count: a busy entry refuses some that arrive together. */
+const OVERLOADED_SHARE = 0.1
 /** Time for which jobs are refused before the signal is raised: a burst that is over sooner moves nobody. */
 const RAISE_MILLISECONDS = 1_000
-/** Longest gap between refusals of one overload. */
-const GAP_MILLISECONDS = 500
-/** Time without a refusal after which the signal ends: two intervals of the readiness check, and a margin. */
+/** Time without such a refusal after which the signal ends: two intervals of the readiness check, and a margin. */
 const CLEAR_MILLISECONDS = 3_000
 
 export interface OverloadSignal {
-  /** Records that a job was refused since the entry can't carry it. */
-  recordRefusal: (now: number) => void
+  /** Records whether a job was refused since the entry can't carry it. */
+  record: (isRefused: boolean, now: number) => void
   isRaised: (now: number) => boolean
 }
 
@@ -19,25 +21,46 @@
  *
  * @example
  * const signal = createOverloadSignal()
- * signal.recordRefusal(now)
+ * signal.record(true, now)
  * signal.isRaised(now) // false, until jobs have been refused for a while
  */
 export function createOverloadSignal (): OverloadSignal {
-  let firstAt = -Infinity
+  let startedAt = -Infinity
+  let offered = 0
+  let refusals: { readonly firstAt: number, lastAt: number, count: number } | undefined
+  /** First refusal of the overloaded intervals in a row, and the last one. */
+  let firstAt: number | undefined
   let lastAt = -Infinity
   let isOverloaded = false
 
-  function isRaised (now: number): boolean {
-    if (now - lastAt >= CLEAR_MILLISECONDS) isOverloaded = false
-    return isOverloaded
+  function endInterval (now: number): void {
+    if (now - startedAt < INTERVAL_MILLISECONDS) return
+    if (refusals !== undefined && refusals.count >= OVERLOADED_SHARE * offered) {
+      firstAt ??= refusals.firstAt
+      lastAt = refusals.lastAt
+      if (lastAt - firstAt >= RAISE_MILLISECONDS) isOverloaded = true
+    } else {
+      firstAt = undefined
+    }
+    if (now - startedAt >= 2 * INTERVAL_MILLISECONDS) firstAt = undefined
+    startedAt = now
+    offered = 0
+    refusals = undefined
   }
 
   return {
-    recordRefusal: now => {
-      if (now - lastAt > GAP_MILLISECONDS) firstAt = now
-      lastAt = now
-      if (now - firstAt >= RAISE_MILLISECONDS) isOverloaded = true
+    record: (isRefused, now) => {
+      endInterval(now)
+      offered += 1
+      if (!isRefused) return
+      refusals ??= { firstAt: now, lastAt: now, count: 0 }
+      refusals.lastAt = now
+      refusals.count += 1
     },
-    isRaised
+    isRaised: now => {
+      endInterval(now)
+      if (now - lastAt >= CLEAR_MILLISECONDS) isOverloaded = false
+      return isOverloaded
+    }
   }
 }
--- a/packages/dispatching/tests/overload-signal.test.ts
+++ b/packages/dispatching/tests/overload-signal.test.ts
@@ -3,7 +3,7 @@
 
 /** Refuses a job every 20 ms from one time to another. */
 function refuse (signal: ReturnType<typeof createOverloadSignal>, from: number, to: number): void {
-  for (let now = from; now <= to; now += 20) signal.recordRefusal(now)
+  for (let now = from; now <= to; now += 20) signal.record(true, now)
 }
 
 describe('the signal of an overloaded entry', () => {
@@ -25,4 +25,19 @@
       expect(signal.isRaised(start + 900)).toBe(false)
     }
   })
+
+  // Each refusal counted: a busy entry that served almost all of its callers went out of rotation for seconds.
+  it('is not raised by an entry that refuses one job in twenty, and ends when it does', () => {
+    const signal = createOverloadSignal()
+    const refuseFew = (from: number, to: number): void => {
+      for (let now = from; now < to; now += 5) {
+        signal.record(now % 100 === 0, now)
+        if (now > from + 3_000) expect(signal.isRaised(now)).toBe(false)
+      }
+    }
+    refuseFew(0, 10_000)
+    refuse(signal, 10_000, 13_000)
+    expect(signal.isRaised(13_000)).toBe(true)
+    refuseFew(13_005, 20_000)
+  })
 })
