Keep serving what an entry carried before its calls became late

Cause: late calls were taken for an overload by jobs whatever the jobs were, and the rate fell to its minimum. Change: the rate does not fall below that at which jobs were accepted without late calls, a value that fades within seconds as the link may have become slower.

--- a/packages/dispatching/src/admission-rate.ts
+++ b/packages/dispatching/src/admission-rate.ts
@@ -15,6 +15,10 @@
 const MAXIMUM_LENGTHS = 3
 /** Jobs a second under which they can not be the cause of late calls. */
 const LEAST_CAUSING_RATE = 10
+/** Time over which the rate that is carried without a late call is averaged. */
+const CARRIED_AVERAGE_MILLISECONDS = 1_000
+/** Time of late calls after which that rate is worth 1/e: the link may have become slower. */
+const CARRIED_MEMORY_MILLISECONDS = 2_000
 /** Share by which the rate rises in each interval length without any delay; less the later the calls are. */
 const INCREASE_SHARE = 0.3
 /** Least rise in such an interval length, in jobs a second. */
@@ -55,15 +59,27 @@
   let offered = 0
   let admitted = 0
   let lateIntervals = 0
+  /** Jobs a second that were lately accepted without a late call. */
+  let carriedRate = 0
+
+  function learnCarriedRate (milliseconds: number): void {
+    if (lateIntervals > 0) {
+      carriedRate *= Math.exp(-milliseconds / CARRIED_MEMORY_MILLISECONDS)
+      return
+    }
+    const kept = Math.exp(-milliseconds / CARRIED_AVERAGE_MILLISECONDS)
+    carriedRate = kept * carriedRate + (1 - kept) * admitted * 1_000 / milliseconds
+  }
 
   function endInterval (milliseconds: number): void {
     const perSecond = 1_000 / milliseconds
     const lengths = Math.min(MAXIMUM_LENGTHS, milliseconds / INTERVAL_MILLISECONDS)
     lateIntervals = longestDelay > LATE_MILLISECONDS ? lateIntervals + 1 : 0
+    learnCarriedRate(milliseconds)
     const isCausedByJobs = rate !== undefined || admitted * perSecond >= LEAST_CAUSING_RATE
     if (lateIntervals >= LATE_INTERVALS && isCausedByJobs) {
-      const carried = Math.min(rate ?? Infinity, admitted * perSecond)
-      rate = Math.max(MINIMUM_JOBS_PER_SECOND, DECREASE_FACTOR ** lengths * carried)
+      const reduced = DECREASE_FACTOR ** lengths * Math.min(rate ?? Infinity, admitted * perSecond)
+      rate = Math.max(MINIMUM_JOBS_PER_SECOND, carriedRate, reduced)
     } else if (rate !== undefined && lateIntervals === 0) {
       const share = INCREASE_SHARE * (1 - longestDelay / LATE_MILLISECONDS)
       rate += lengths * Math.max(LEAST_INCREASE, share * rate)
--- a/packages/dispatching/tests/admission-rate.test.ts
+++ b/packages/dispatching/tests/admission-rate.test.ts
@@ -67,6 +67,22 @@
     expect(admitted).toBe(50)
   })
 
+  // Late calls were taken for an overload by jobs: the rate fell to its minimum, and callers were refused afterwards.
+  it.each([1, 2, 4])('accepts everyone within a second after something else has filled its link for %s s', seconds => {
+    const rate = createAdmissionRate()
+    const until = 3_000 + 1_000 * seconds
+    let refusedAfter = 0
+    let refusedInFirstSecond = 0
+    for (let now = 0; now < 12_000; now += 20) {
+      rate.observe(now >= 3_000 && now < until ? 400 : 3, now)
+      if (rate.admit(now)) continue
+      if (now < 4_000) refusedInFirstSecond += 1
+      if (now >= until + 1_000) refusedAfter += 1
+    }
+    expect(refusedAfter).toBe(0)
+    expect(refusedInFirstSecond).toBeLessThanOrEqual(50 / 4)
+  })
+
   it('takes a single pause for no overload', () => {
     const rate = createAdmissionRate()
     for (let now = 0; now < 2_000; now += 20) {
