Learn the pace of an entry's jobs also while none of them waits

Cause: the pace was known only from jobs that began while others waited. Once it was over 30 ms no job was let wait, so it never changed again. After a pause of the process, all jobs but one that had arrived in it were refused. Change: the pace is the time for which the event loop works from the beginning of one job to that of the next, without its idle time, whether or not jobs wait. Only jobs that wait count, and no longer the time for which one was unread.

--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -12,7 +12,7 @@
 import type { Placement } from './placement.js'
 import { createOverloadSignal } from './overload-signal.js'
 import { createReadDelay, type LoopReading } from './read-delay.js'
-import { createWaitLimit, type EntryLoad } from './wait-limit.js'
+import { createWaitLimit } from './wait-limit.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
@@ -29,11 +29,14 @@
   readonly dispatcher: Dispatcher
   /** Adds an agent and begins to watch it, or updates its address. */
   agentFound: (name: string, address: string) => void
-  /** Whether a job that is read now is accepted; the entry refuses what its own processor and link do not carry. */
-  admits: (load: EntryLoad) => boolean
-  /** Records that the entry begins to handle a job that it has accepted, and how many others wait then. */
-  recordHandling: (waitingJobs: number) => void
-  /** Time between the beginnings of two jobs' handling while others wait, in milliseconds. */
+  /**
+   * Whether a job that is read now is accepted, while others wait to be handled; the entry refuses what its own
+   * processor and link do not carry.
+   */
+  admits: (waitingJobs: number) => boolean
+  /** Records that the entry begins to handle a job that it has accepted. */
+  recordHandling: () => void
+  /** Time for which the entry works from the beginning of one job's handling to that of the next, in milliseconds. */
   handlingMilliseconds: () => number
   /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
   isOverloaded: () => boolean
@@ -216,12 +219,12 @@
       return readDelay.longest(readLoop())
     },
     evacuationsChanged,
-    admits: load => {
-      const isAdmitted = waitLimit.admit(load) && admissionRate.admit(now())
+    admits: waitingJobs => {
+      const isAdmitted = waitLimit.admit(waitingJobs) && admissionRate.admit(now())
       overload.record(!isAdmitted, now())
       return isAdmitted
     },
-    recordHandling: waitingJobs => { waitLimit.recordHandling(waitingJobs, now()) },
+    recordHandling: () => { waitLimit.recordHandling(readLoop()) },
     handlingMilliseconds: waitLimit.handlingMilliseconds,
     isOverloaded: () => overload.isRaised(now()),
     isReachable: name => {
--- a/packages/dispatching/src/wait-limit.ts
+++ b/packages/dispatching/src/wait-limit.ts
@@ -1,26 +1,19 @@
 /** Limit of the time for which accepted jobs wait until an entry handles them. */
+import type { LoopReading } from './read-delay.js'
 
 /** Longest wait of an accepted job: half of the 60 ms that a short job has beside its run. */
 const LONGEST_WAIT_MILLISECONDS = 30
 /** Time that the handling of a job is taken to last before the first ones; code that has just started is slow. */
 const INITIAL_HANDLING_MILLISECONDS = 10
 /** Weight of the newest job in the moving average of the handling times. */
-const HANDLING_WEIGHT = 0.2
-
-/** What waits at the entry when a job is read. */
-export interface EntryLoad {
-  /** Accepted jobs that wait to be handled. */
-  readonly waitingJobs: number
-  /** Longest time for which the job that is read had waited unread, in milliseconds. */
-  readonly unreadMilliseconds: number
-}
+const HANDLING_WEIGHT = 0.1
 
 export interface WaitLimit {
-  /** Whether a job that is read now is accepted. */
-  admit: (load: EntryLoad) => boolean
-  /** Records that the handling of a job begins at `now`, and how many others wait then. */
-  recordHandling: (waitingJobs: number, now: number) => void
-  /** Time between the beginnings of two jobs' handling while others wait, in milliseconds. */
+  /** Whether a job that is read now is accepted, while others wait to be handled. */
+  admit: (waitingJobs: number) => boolean
+  /** Records that the handling of a job begins. */
+  recordHandling: (reading: LoopReading) => void
+  /** Time for which the event loop works from the beginning of one job's handling to that of the next, in ms. */
   handlingMilliseconds: () => number
 }
 
@@ -32,22 +25,21 @@
  *
  * @example
  * const limit = createWaitLimit()
- * limit.admit({ waitingJobs: 0, unreadMilliseconds: 2 }) // true
- * limit.recordHandling(0, now)
+ * limit.admit(0) // true
+ * limit.recordHandling({ now, idle })
  */
 export function createWaitLimit (): WaitLimit {
   let handlingMilliseconds = INITIAL_HANDLING_MILLISECONDS
-  /** When the handling of the last job began; undefined if no other waited then. */
-  let lastHandlingAt: number | undefined
+  let last: LoopReading | undefined
 
   return {
-    admit: ({ waitingJobs, unreadMilliseconds }) =>
-      waitingJobs === 0 || unreadMilliseconds + waitingJobs * handlingMilliseconds <= LONGEST_WAIT_MILLISECONDS,
-    recordHandling: (waitingJobs, now) => {
-      if (lastHandlingAt !== undefined) {
-        handlingMilliseconds += HANDLING_WEIGHT * (now - lastHandlingAt - handlingMilliseconds)
+    admit: waitingJobs => waitingJobs === 0 || waitingJobs * handlingMilliseconds <= LONGEST_WAIT_MILLISECONDS,
+    recordHandling: reading => {
+      if (last !== undefined) {
+        const worked = reading.now - last.now - (reading.idle - last.idle)
+        handlingMilliseconds += HANDLING_WEIGHT * (worked - handlingMilliseconds)
       }
-      lastHandlingAt = waitingJobs > 0 ? now : undefined
+      last = reading
     },
     handlingMilliseconds: () => handlingMilliseconds
   }
