--- a/packages/dispatching/src/overload-signal.ts
+++ b/packages/dispatching/src/overload-signal.ts
@@ -1,7 +1,7 @@
 /** Signal by which an overloaded entry asks for no more callers, while other entries may have processor time. */
 
 /** Length of the intervals whose refused share is looked at. */
-const INTERVAL_MILLISECONDS = 500
+const INTERVAL_MILLISECONDS = 250
 /** Share of the jobs of an interval from which its refusals count: a busy entry refuses some that arrive together. */
 const OVERLOADED_SHARE = 0.1
 /** Time for which jobs are refused before the signal is raised: a burst that is over sooner moves nobody. */
