--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -13,6 +13,7 @@
 import type { Placement } from './placement.js'
 import { createOverloadSignal } from './overload-signal.js'
 import { createReadDelay, type LoopReading } from './read-delay.js'
+import { createWaitLimit } from './wait-limit.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
@@ -29,12 +30,18 @@
   /** Adds an agent and begins to watch it, or updates its address. */
   agentFound: (name: string, address: string) => void
   /**
-   * Whether a job that is read now, after it has waited unread for a time, is accepted; the entry refuses what its own
+   * Whether a job that is read now is accepted, while others wait to be handled; the entry refuses what its own
    * processor and link do not carry.
    */
-  admits: (unreadMilliseconds: number) => boolean
+  admits: (waitingJobs: number) => boolean
+  /** Records that the entry begins to handle a job that it has accepted. */
+  recordHandling: () => void
+  /** Time for which the entry works from the beginning of one job's handling to that of the next, in milliseconds. */
+  handlingMilliseconds: () => number
   /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
   isOverloaded: () => boolean
+  /** Whether the balancer knows that the entry is overloaded, so that callers who connect anew go elsewhere. */
+  isOverloadNoticed: () => boolean
   /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
   unreadMilliseconds: () => number
   /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
@@ -79,6 +86,7 @@
   const repeats = createRetryBudget()
   const timing = createCallTiming()
   const admissionRate = createAdmissionRate()
+  const waitLimit = createWaitLimit()
   const overload = createOverloadSignal()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({
@@ -174,18 +182,14 @@
       now
     })
 
-  function observeDelays (loopDelay: number): void {
+  function observeCalls (): void {
     const wasLimited = admissionRate.limit() !== undefined
-    admissionRate.observe(Math.max(loopDelay, timing.average()), readLoop())
+    admissionRate.observe(timing.average(), now())
     const limit = admissionRate.limit()
     if (wasLimited === (limit !== undefined)) return
-    const delays = {
-      loopDelay: Math.round(loopDelay),
-      callDelay: Math.round(timing.average()),
-      work: Math.round(100 * admissionRate.workOfJob()) / 100
-    }
-    if (limit === undefined) logger.info('admission not limited any more', delays)
-    else logger.warn('admission limited', { ...delays, jobsPerSecond: Math.round(limit) })
+    const callDelay = Math.round(timing.average())
+    if (limit === undefined) logger.info('admission not limited any more', { callDelay })
+    else logger.warn('admission limited', { callDelay, jobsPerSecond: Math.round(limit) })
   }
 
   const readLoop = (): LoopReading => ({ now: now(), idle: options.idle?.() ?? now() })
@@ -202,9 +206,9 @@
     })
   }
 
-  function tick (loopDelay: number): void {
+  function tick (): void {
     markTurn()
-    observeDelays(loopDelay)
+    observeCalls()
     try {
       dispatcher.tick(now())
       tellEvacuations()
@@ -233,12 +237,15 @@
       return readDelay.longest(readLoop())
     },
     evacuationsChanged,
-    admits: unreadMilliseconds => {
-      const isAdmitted = admissionRate.admit(unreadMilliseconds, readLoop())
-      if (!isAdmitted) overload.recordRefusal(now())
+    admits: waitingJobs => {
+      const isAdmitted = waitLimit.admit(waitingJobs) && admissionRate.admit(now())
+      overload.record(!isAdmitted, now())
       return isAdmitted
     },
+    recordHandling: () => { waitLimit.recordHandling(readLoop()) },
+    handlingMilliseconds: waitLimit.handlingMilliseconds,
     isOverloaded: () => overload.isRaised(now()),
+    isOverloadNoticed: () => overload.isNoticed(now()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
         if (view.name === name) return view.isReachable
--- a/packages/dispatching/src/tick-timer.ts
+++ b/packages/dispatching/src/tick-timer.ts
@@ -12,8 +12,7 @@
 }
 
 export interface TickTimerOptions {
-  /** Called at each tick with the time by which it is late, in milliseconds. */
-  readonly onTick: (lateMilliseconds: number) => void
+  readonly onTick: () => void
   /** Whether there is no work. */
   readonly isIdle: () => boolean
   /** Steady clock in milliseconds. */
@@ -37,9 +36,8 @@
   }
 
   function run (): void {
-    const lateMilliseconds = now() - dueAt
     schedule(BUSY_TICK_MILLISECONDS)
-    onTick(lateMilliseconds)
+    onTick()
     if (!isIdle()) return
     clearTimeout(timer)
     schedule(IDLE_TICK_MILLISECONDS)
--- a/packages/dispatching/tests/overload-signal.test.ts
+++ b/packages/dispatching/tests/overload-signal.test.ts
@@ -3,7 +3,7 @@
 
 /** Refuses a job every 20 ms from one time to another. */
 function refuse (signal: ReturnType<typeof createOverloadSignal>, from: number, to: number): void {
-  for (let now = from; now <= to; now += 20) signal.recordRefusal(now)
+  for (let now = from; now <= to; now += 20) signal.record(true, now)
 }
 
 describe('the signal of an overloaded entry', () => {
@@ -18,6 +18,18 @@
     expect(signal.isRaised(7_000)).toBe(false)
   })
 
+  // Callers who were let connect anew at once came back to the same entry, and twice the work was spent on them.
+  it('is noticed two seconds after it was raised, until it ends', () => {
+    const signal = createOverloadSignal()
+    refuse(signal, 0, 1_500)
+    expect(signal.isRaised(1_500)).toBe(true)
+    refuse(signal, 1_520, 3_000)
+    expect(signal.isNoticed(3_000)).toBe(false)
+    refuse(signal, 3_020, 4_000)
+    expect(signal.isNoticed(4_000)).toBe(true)
+    expect(signal.isNoticed(7_000)).toBe(false)
+  })
+
   it('is not raised by short bursts', () => {
     const signal = createOverloadSignal()
     for (let start = 0; start < 20_000; start += 1_600) {
@@ -25,4 +37,19 @@
       expect(signal.isRaised(start + 900)).toBe(false)
     }
   })
+
+  // Each refusal counted: a busy entry that served almost all of its callers went out of rotation for seconds.
+  it('is not raised by an entry that refuses one job in twenty, and ends when it does', () => {
+    const signal = createOverloadSignal()
+    const refuseFew = (from: number, to: number): void => {
+      for (let now = from; now < to; now += 5) {
+        signal.record(now % 100 === 0, now)
+        if (now > from + 3_250) expect(signal.isRaised(now)).toBe(false)
+      }
+    }
+    refuseFew(0, 10_000)
+    refuse(signal, 10_000, 13_000)
+    expect(signal.isRaised(13_000)).toBe(true)
+    refuseFew(13_005, 20_000)
+  })
 })
