Watch the restarted large fleet for violations as long as before

Cause: halved the simulated time after the job as well, and with it the time in which a violation would be seen. Change: 4 s after the job again; the idle time before the restart stays at 2 s.

--- a/packages/rehearsal/tests/restarted-agent.test.ts
+++ b/packages/rehearsal/tests/restarted-agent.test.ts
@@ -29,7 +29,7 @@
   const submission = fleet.send(entry, {
     id: '0000000000000001', standInTask: { milliseconds: 100, size: SIZE }, taskCount: 8
   })
-  await advance(2_000)
+  await advance(4_000)
   expect(fleet.runLog.violations).toEqual([])
   expect(submission.answer?.kind).toBe('completed')
   expect(submission.answeredAt - submission.sentAt).toBeLessThan(220)
