Revert "Let an idle agent wake only for its listings"

What callers saw: a job whose task crashes its upstreams is given up at its deadline instead of failed at once, where the agents were killed before they noticed the crash ('does not count anew when the agents of the crashed upstreams are killed').

--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -13,7 +13,9 @@
 
 /** Interval of the checks for expired leases and wait deadlines; short compared with the leases. */
 const TICK_MILLISECONDS = 40
-/** Pause after a listing, in which completions accumulate; short compared with the slack of the shortest objective. */
+/** Interval of the same checks without runs, when only the profile needs updates for an unresponsive upstream. */
+const IDLE_TICK_MILLISECONDS = 160
+/** Pause between listings, in which completions accumulate; short compared with the slack of the shortest objective. */
 const LISTING_PAUSE_MILLISECONDS = 10
 /** Longest wait of a watch: that of entries for agents of other failure domains in the largest regions. */
 const MAXIMUM_WATCH_MILLISECONDS = 16_000
@@ -118,13 +120,8 @@
 
   async function runListingLoop (): Promise<void> {
     while (!lifecycle.isStopped) {
-      const requestedAt = now()
-      const waitMilliseconds = registry.listingWaitMilliseconds()
       // An error must not end the loop: without listings the run lease expires.
-      const answer = await list(waitMilliseconds).catch(logFailure)
-      if (registry.runCount() === 0) tick()
-      const hasWaited = waitMilliseconds > 0 && now() - requestedAt >= waitMilliseconds
-      if (hasWaited && answer?.listing?.ended.length === 0) continue
+      const answer = await list(registry.listingWaitMilliseconds()).catch(logFailure)
       await pause(answer?.outcome === 'taken' ? LISTING_PAUSE_MILLISECONDS : RETRY_DELAY_MILLISECONDS)
     }
   }
@@ -167,8 +164,10 @@
   }
 
   function start (parameters: Start): StartAnswer {
+    const wasIdle = registry.runCount() === 0
     const answer = registry.answerStart(parameters, now())
-    scheduleTick()
+    // The lease of the entry that ordered the first run may end before the next tick of an idle agent.
+    if (wasIdle && registry.runCount() > 0 && registry.leaseEnd(parameters.caller) < nextTickAt) scheduleTick()
     // Watches renew the entry's lease; one that began before the entry had runs here would outlast the lease.
     for (const waitingWatch of waitingWatches) {
       const { session } = waitingWatch
@@ -187,24 +186,24 @@
     tellCrashes: parameters => registry.answerCrashes(parameters, now())
   }
   let tickTimer: ReturnType<typeof setTimeout> | undefined
-
-  /** Schedules the next tick, unless it is or there are no runs: the listing loop then makes the same checks. */
+  let nextTickAt = 0
   function scheduleTick (): void {
-    if (tickTimer !== undefined || lifecycle.isStopped || registry.runCount() === 0) return
-    tickTimer = setTimeout(() => {
-      tickTimer = undefined
-      tick()
-      scheduleTick()
-    }, TICK_MILLISECONDS)
+    clearTimeout(tickTimer)
+    if (lifecycle.isStopped) return
+    const milliseconds = registry.runCount() > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS
+    nextTickAt = now() + milliseconds
+    tickTimer = setTimeout(runTickLoop, milliseconds)
   }
 
-  function tick (): void {
+  function runTickLoop (): void {
     try {
       registry.tick(now())
     } catch (failure) {
       logFailure(failure)
     }
+    scheduleTick()
   }
+  runTickLoop()
   runListingLoop().catch(logFailure)
 
   async function stop (timeoutMilliseconds: number): Promise<void> {
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -1,15 +1,15 @@
 /** The agent's decisions about the runs at its upstream, without clock or network access. */
 import type { EvacuationReadings } from '@baobabpost/common'
 import type {
-  Start, StartAnswer, Stop, StopAnswer, TellCrashes, TellCrashesAnswer, TellEvacuations, TellEvacuationsAnswer, Watch,
-  WatchAnswer
+  CallingEntry, Start, StartAnswer, Stop, StopAnswer, TellCrashes, TellCrashesAnswer, TellEvacuations,
+  TellEvacuationsAnswer, Watch, WatchAnswer
 } from '@baobabpost/fleet-calls'
 import { answerStart, answerStop, answerWatch, beginWatch, describeProfile } from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
 import { applyEvacuations } from './evacuations.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
 import { handleListAnswer } from './listings.js'
-import { isOpen, stopRunsOfEntry } from './open-session.js'
+import { isOpen, leaseEnd, stopRunsOfEntry } from './open-session.js'
 import {
   isAccepting, startWaitingRuns, handleStartAnswer, handleStopAnswer, repeatDueStops
 } from './orders.js'
@@ -28,6 +28,8 @@
   /** Keeps crashes of other upstreams that an entry tells. */
   answerCrashes: (tell: TellCrashes, now: number) => TellCrashesAnswer
   beginWatch: (watch: Watch, now: number) => EntrySession
+  /** Returns the end of the entry's lease that a call grants. */
+  leaseEnd: (caller: CallingEntry) => number
   /** Whether the watch must be answered at once. */
   hasUpdates: (session: EntrySession, watch: Watch) => boolean
   answerWatch: (session: EntrySession, watch: Watch, now: number) => WatchAnswer
@@ -132,6 +134,7 @@
       for (const crash of crashes) state.crashes.recordTold(crash, now)
       return {}
     },
+    leaseEnd: caller => leaseEnd(state, caller),
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
     hasUpdates: (session, watch) =>
       hasUrgentReport(session) || watch.profileVersion !== state.profileVersion || !isOpen(state, session),
--- a/packages/runs/tests/idle-agent.test.ts
+++ b/packages/runs/tests/idle-agent.test.ts
@@ -66,33 +66,3 @@
   async idleMilliseconds => {
     expect(await lateness(idleMilliseconds)).toBeLessThanOrEqual(TICK_MILLISECONDS)
   })
-
-it('an idle agent sets no timers besides the listing that waits at its upstream', async () => {
-  let listings = 0
-  const agent = startAgentProgram({
-    upstream: {
-      start: () => Promise.resolve({ outcome: 'taken', clock: performance.now() }),
-      stop: () => Promise.resolve({ outcome: 'taken', clock: performance.now() }),
-      list: async ({ waitMilliseconds }) => {
-        listings += 1
-        await pause(waitMilliseconds)
-        return { outcome: 'taken', clock: performance.now(), listing: { startedAt: 1_000, running: [], ended: [] } }
-      }
-    },
-    incarnation: 'agent-1',
-    fencingToken: 7,
-    logger: silentLogger,
-    now: () => performance.now()
-  })
-  agent.handleHeartbeat(heartbeat())
-  await vi.advanceTimersByTimeAsync(1_000)
-  const timers = vi.spyOn(globalThis, 'setTimeout')
-  listings = 0
-  await vi.advanceTimersByTimeAsync(5_000)
-  expect(listings).toBeGreaterThan(10)
-  expect(timers.mock.calls.length).toBeLessThanOrEqual(listings)
-  timers.mockRestore()
-  const stopping = agent.stop(0)
-  await vi.advanceTimersByTimeAsync(500)
-  await stopping
-})
