--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -40,8 +40,6 @@
   handlingMilliseconds: () => number
   /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
   isOverloaded: () => boolean
-  /** Whether the balancer knows that the entry is overloaded, so that callers who connect anew go elsewhere. */
-  isOverloadNoticed: () => boolean
   /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
   unreadMilliseconds: () => number
   /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
@@ -245,7 +243,6 @@
     recordHandling: () => { waitLimit.recordHandling(readLoop()) },
     handlingMilliseconds: waitLimit.handlingMilliseconds,
     isOverloaded: () => overload.isRaised(now()),
-    isOverloadNoticed: () => overload.isNoticed(now()),
     isReachable: name => {
       for (const view of dispatcher.agents()) {
         if (view.name === name) return view.isReachable
--- a/packages/dispatching/src/overload-signal.ts
+++ b/packages/dispatching/src/overload-signal.ts
@@ -8,15 +8,11 @@
 const RAISE_MILLISECONDS = 1_000
 /** Time without such a refusal after which the signal ends: two intervals of the readiness check, and a margin. */
 const CLEAR_MILLISECONDS = 3_000
-/** Time after which the balancer has seen the signal: two of its readiness checks. */
-const NOTICED_MILLISECONDS = 2_000
 
 export interface OverloadSignal {
   /** Records whether a job was refused since the entry can't carry it. */
   record: (isRefused: boolean, now: number) => void
   isRaised: (now: number) => boolean
-  /** Whether the signal has been raised for so long that new connections go elsewhere. */
-  isNoticed: (now: number) => boolean
 }
 
 /**
@@ -35,15 +31,14 @@
   /** First refusal of the overloaded intervals in a row, and the last one. */
   let firstAt: number | undefined
   let lastAt = -Infinity
-  /** When the signal was raised. */
-  let raisedAt: number | undefined
+  let isOverloaded = false
 
   function endInterval (now: number): void {
     if (now - startedAt < INTERVAL_MILLISECONDS) return
     if (refusals !== undefined && refusals.count >= OVERLOADED_SHARE * offered) {
       firstAt ??= refusals.firstAt
       lastAt = refusals.lastAt
-      if (lastAt - firstAt >= RAISE_MILLISECONDS) raisedAt ??= now
+      if (lastAt - firstAt >= RAISE_MILLISECONDS) isOverloaded = true
     } else {
       firstAt = undefined
     }
@@ -53,12 +48,6 @@
     refusals = undefined
   }
 
-  function readRaisedAt (now: number): number | undefined {
-    endInterval(now)
-    if (now - lastAt >= CLEAR_MILLISECONDS) raisedAt = undefined
-    return raisedAt
-  }
-
   return {
     record: (isRefused, now) => {
       endInterval(now)
@@ -68,7 +57,10 @@
       refusals.lastAt = now
       refusals.count += 1
     },
-    isRaised: now => readRaisedAt(now) !== undefined,
-    isNoticed: now => now - (readRaisedAt(now) ?? now) >= NOTICED_MILLISECONDS
+    isRaised: now => {
+      endInterval(now)
+      if (now - lastAt >= CLEAR_MILLISECONDS) isOverloaded = false
+      return isOverloaded
+    }
   }
 }
