Let no other upstream get a task whose start order its upstream's next instance may carry out

What callers saw: a task ran twice at once. An upstream lost the answer to a start, acknowledged the stop, and the task went on, there with a higher run number or elsewhere. The upstream ended, started again under its id and carried out the first order. Cause: an acknowledged stop counted as proof that an order can't start any more. It binds the instance that acknowledged it; the next one under the same id has seen no stop and no fencing token. A run whose later order was confirmed was reported lost with its upstream, whatever became of its earlier orders; a listing of the next instance that showed one of those ended it too. Change: the agent keeps each start order until it is answered, listed, too old (3 s), or was sent to an earlier instance than the one that is fenced and clear. A run with such an order is not reported lost with its upstream, nor while any run of its task is listed. Reports name the time for which an order stays open: the entry gives the task to no other agent meanwhile, and does not say that its job has not run.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -106,6 +106,9 @@
 ): void {
   const assignedTask = state.assigned.get(report.task)
   const assignment = assignedTask?.task.assignment
+  if (report.openOrderMilliseconds !== undefined) {
+    state.openOrders.add(report.task, view.name, now + report.openOrderMilliseconds)
+  }
   if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== report.run) return
   switch (readOutcome(report.outcome)) {
     case 'done': {
@@ -126,6 +129,7 @@
       endAssignment(state, ports, assignedTask, report.outcome, now)
       return answerJob(state, ports, assignedTask.job, { kind: 'given-up', reason: 'another entry has the job' }, now)
     case 'not-started':
+      assignedTask.task.mayHaveStarted ||= report.openOrderMilliseconds !== undefined
       return endAssignment(state, ports, assignedTask, `${report.outcome} ${report.reason}`, now)
   }
 }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -22,6 +22,7 @@
 import { answerJob } from './job-completion.js'
 import { LearnedRunTimes } from './learned-run-times.js'
 import { ObjectivePlacement } from './objective-placement.js'
+import { createOpenOrders, markOpenTasks } from './open-orders.js'
 import type { Placement } from './placement.js'
 import { rankFor } from './preference.js'
 import { createRefusalLedger } from './refusal-ledger.js'
@@ -114,6 +115,7 @@
     agents: new Map(),
     jobs: new Map(),
     assigned: new Map(),
+    openOrders: createOpenOrders(),
     stops,
     waiting: [],
     nextTurn: 0,
@@ -131,6 +133,7 @@
     const job = createJob(request, answer, {
       estimateFactor: state.runTimes.objectiveFactor(request), place: state.refusals.takePlace(request.id, now)
     })
+    markOpenTasks(state.openOrders, job)
     state.demand.record(request, now)
     const existing = state.jobs.get(request.id)
     const withdraw = (withdrawnAt: number): void => { abandonJob(job, 'the caller left', withdrawnAt) }
@@ -180,6 +183,7 @@
     endExpiredJobs(now)
     endRunsOfUnresponsiveAgents(state, ports, now)
     state.crashes.expire(now)
+    state.openOrders.expire(now)
     state.stops.flush(now)
     assignWaiting(state, ports, now)
     logShares(state, ports, now)
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -6,6 +6,7 @@
 import type { Confinements } from './confinement.js'
 import type { CrashEvidence } from './crash-evidence.js'
 import type { Job, JobTask } from './job.js'
+import type { OpenOrders } from './open-orders.js'
 import type { Placement } from './placement.js'
 import type { RefusalLedger } from './refusal-ledger.js'
 import type { RouteDemand } from './route-demand.js'
@@ -51,6 +52,8 @@
   readonly jobs: Map<string, Job>
   /** Tasks that are assigned or being stopped, by name. */
   readonly assigned: Map<string, TaskOfJob>
+  /** Tasks that only one agent may get, as its upstream may yet carry out an earlier order. */
+  readonly openOrders: OpenOrders
   readonly stops: StopQueue
   /** Jobs with tasks that wait to be sent. */
   waiting: Job[]
--- a/packages/dispatching/src/job-completion.ts
+++ b/packages/dispatching/src/job-completion.ts
@@ -1,6 +1,7 @@
 /** Completion of jobs: final answers, stops of runs that are no longer needed, and resubmitted jobs. */
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { RETRY_AFTER_MILLISECONDS } from './dispatch-limits.js'
+import { markOpenTasks } from './open-orders.js'
 import { mayHaveRun, type Job, type JobAnswer, type JobTask } from './job.js'
 
 /** Gives a job its final answer and stops its remaining runs. Does nothing if it has been answered. */
@@ -57,6 +58,7 @@
   if (state.jobs.get(job.request.id) !== job) return
   state.jobs.delete(job.request.id)
   if (job.successor === undefined || job.successor.isAnswered) return
+  markOpenTasks(state.openOrders, job.successor)
   state.jobs.set(job.request.id, job.successor)
   state.waiting.push(job.successor)
 }
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -121,11 +121,19 @@
 
 /** Returns the agents that may run a task; those where it ended without success only if there are no others. */
 function candidatesFor (
-  agents: readonly AgentView[], shares: ReadonlyMap<string, number>, task: JobTask, job: Job, plan: JobPlan, now: number
+  state: DispatcherState,
+  agents: readonly AgentView[],
+  shares: ReadonlyMap<string, number>,
+  task: JobTask,
+  job: Job,
+  plan: JobPlan,
+  now: number
 ): readonly AgentView[] {
   const { heldBy } = task
+  const openAt = state.openOrders.agentOf(task.name, now)
   const eligible = agents.filter(view => {
     if (heldBy !== undefined && now < heldBy.until && view.name !== heldBy.agent) return false
+    if (openAt !== undefined && view.name !== openAt) return false
     if (!mayRun(view, task, job, plan)) return false
     const share = shares.get(view.name)
     if (share === undefined) return true
@@ -204,12 +212,12 @@
     remainingMilliseconds,
     now
   })
-  const near = candidatesFor(agents.near, agents.shares, task, job, plan, now)
+  const near = candidatesFor(state, agents.near, agents.shares, task, job, plan, now)
   const nearChoice = choose(near)
   const isInTime = nearChoice !== undefined && nearChoice.waitMilliseconds === 0 &&
     nearChoice.finishMilliseconds <= remainingMilliseconds
   if (isInTime || agents.far.length === 0) return nearChoice
-  return choose([...near, ...candidatesFor(agents.far, agents.shares, task, job, plan, now)])
+  return choose([...near, ...candidatesFor(state, agents.far, agents.shares, task, job, plan, now)])
 }
 
 /**
--- /dev/null
+++ b/packages/dispatching/tests/open-orders.test.ts
@@ -0,0 +1,102 @@
+import { describe, expect, it } from 'vitest'
+import { silentLogger } from '@baobabpost/common'
+import { createDispatcher, type AgentView, type JobAnswer, type JobRequest } from '@baobabpost/dispatching'
+import type { RunReport, Start, UpstreamProfile, WatchAnswer } from '@baobabpost/fleet-calls'
+
+const SIZE = { processor: 60_000, memory: 65_536, accelerators: 0 }
+const TASK = '0000000000000001.0.0.0'
+
+function answerOf (
+  clock: number, fields: Partial<WatchAnswer> = {}, profile: Partial<UpstreamProfile> = {}
+): WatchAnswer {
+  return {
+    incarnation: '1',
+    clock,
+    cleared: true,
+    reports: [],
+    room: { free: SIZE, waiting: [], releaseRate: 0, slowness: 1, failureShare: 0 },
+    profile: {
+      version: 1, service: 'desk', failureDomain: 'a', capacity: SIZE, labels: [], accepting: true, ...profile
+    },
+    ...fields
+  }
+}
+
+function requestAt (now: number): JobRequest {
+  return {
+    id: '0000000000000001',
+    route: 'route',
+    service: 'desk',
+    priority: 0,
+    specification: '{}',
+    steps: [{
+      taskCount: 1,
+      size: { processor: 1_000, memory: 64, accelerators: 0 },
+      estimateMilliseconds: 100,
+      dependsOn: [],
+      label: undefined,
+      rack: undefined,
+      maximumPerUpstream: undefined
+    }],
+    maximumAttempts: 2,
+    stretch: 4,
+    targetLatencyMilliseconds: 3_000,
+    arrivedAt: now,
+    deadlineAt: now + 2_000
+  }
+}
+
+/** Creates an entry with two agents, and returns its parts and the agent that got the only task. */
+function sendTask () {
+  const starts: Array<{ readonly view: AgentView, readonly start: Start }> = []
+  const answers: JobAnswer[] = []
+  const dispatcher = createDispatcher({
+    entry: 'entry-1',
+    incarnation: '1',
+    failureDomain: 'a',
+    logger: silentLogger,
+    sendStart: (view, start) => { starts.push({ view, start }) },
+    sendStop: () => {}
+  })
+  const agents = [1, 2].map(number => dispatcher.agentFound(`agent-${number}`, `10.1.0.${number}:7720`))
+  for (const view of agents) if (view !== undefined) dispatcher.watchAnswered(view, answerOf(100), 0)
+  dispatcher.submit(requestAt(1), answer => { answers.push(answer) }, 1)
+  const [first] = starts
+  const other = agents.find(view => view !== undefined && view !== first?.view)
+  if (first === undefined || other === undefined) throw new Error('expected an order and another agent')
+  return { dispatcher, starts, answers, first, other }
+}
+
+const NOT_STARTED: RunReport = {
+  sequence: 1, task: TASK, run: 1, outcome: 'not-started', reason: 'order unanswered', milliseconds: 150, openOrderMilliseconds: 500
+}
+
+describe('a task with an order that the next instance of its upstream may yet carry out', () => {
+  it('goes to no other agent before that order is too old', () => {
+    const { dispatcher, starts, first, other } = sendTask()
+    dispatcher.watchAnswered(first.view, answerOf(200, { reports: [NOT_STARTED] }, { accepting: false }), 100)
+    for (let now = 110; now < 600; now += 10) {
+      dispatcher.watchAnswered(other, answerOf(now), now)
+      dispatcher.tick(now)
+    }
+    expect(starts).toHaveLength(1)
+    dispatcher.tick(610)
+    expect(starts[1]?.view.name).toBe(other.name)
+  })
+
+  it('goes to the same agent at once', () => {
+    const { dispatcher, starts, first } = sendTask()
+    dispatcher.watchAnswered(first.view, answerOf(200, { reports: [NOT_STARTED] }), 100)
+    dispatcher.tick(110)
+    expect(starts[1]?.view.name).toBe(first.view.name)
+  })
+
+  // It may start after the answer, which says that it has not run and will not.
+  it('is not refused as not run', () => {
+    const { dispatcher, answers, first } = sendTask()
+    const report = { ...NOT_STARTED, openOrderMilliseconds: 2_500 }
+    dispatcher.watchAnswered(first.view, answerOf(200, { reports: [report] }, { accepting: false }), 100)
+    for (let now = 110; now < 2_100; now += 10) dispatcher.tick(now)
+    expect(answers).toMatchObject([{ kind: 'given-up' }])
+  })
+})
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -10,7 +10,7 @@
 import { EvacuationState } from './evacuations.js'
 import { RememberedRunTimes, RunTimes } from './run-times.js'
 import { Size } from './size.js'
-import { Amount, Count, FencingToken, SteadyTime, UnixTime } from './wire-values.js'
+import { Amount, Count, FencingToken, Quantity, SteadyTime, UnixTime } from './wire-values.js'
 
 /** The calling entry, and the newest agent time that it has received. */
 export const CallingEntry = Schema.Struct({
@@ -102,7 +102,12 @@
   outcome: Schema.String,
   reason: Schema.String,
   /** Time from the start order to the end of the run; 0 if it was never ordered. */
-  milliseconds: Amount
+  milliseconds: Amount,
+  /**
+   * Time for which the next instance of the upstream may yet carry out a start order of the task, so that no other
+   * upstream may get it; absent if none is open.
+   */
+  openOrderMilliseconds: Schema.optionalKey(Quantity)
 })
 export type RunReport = typeof RunReport.Type
 
--- /dev/null
+++ b/packages/fleet-calls/src/late-orders.ts
@@ -0,0 +1,8 @@
+/**
+ * Start orders without an answer. Unlike its leases, such an order outlives the upstream's instance: the next one under
+ * the same id has seen neither a fencing token nor a stop, and its clock begins anew, so it accepts the order until the
+ * agent has raised the fencing token there.
+ */
+
+/** Age of an order without an answer from which it is not expected to be carried out: delays last up to seconds. */
+export const LATE_ORDER_MILLISECONDS = 3_000
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -104,6 +104,7 @@
       if (until > now) break
       state.tombstones.delete(key)
     }
+    state.openOrders.expire(now)
   }
 
   /** Tells entries of the larger share of its capacity that a cold upstream gets. */
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -40,6 +40,7 @@
   readonly outcome: RunOutcome
   readonly reason: string
   readonly milliseconds: number
+  readonly openOrderMilliseconds?: number
 }
 
 /** Adds a report for the entry; an urgent one is sent at once, together with those before it. */
--- a/packages/runs/src/listed-runs.ts
+++ b/packages/runs/src/listed-runs.ts
@@ -5,6 +5,8 @@
 /** Which runs a listing shows, of which one may name a task more than once, with several run numbers. */
 export interface ListedRuns {
   has: (task: string, run: number) => boolean
+  /** Whether any run of the task is listed; a row that outlasted every lease is none. */
+  hasTask: (task: string) => boolean
   /** Whether a row of the task did not decode, so that its absence shows nothing. */
   isDoubtful: (task: string) => boolean
 }
@@ -16,8 +18,11 @@
 
 export function indexRuns ({ upstream }: RunRegistryState, { running, doubtfulTasks }: Listing): ListedRuns {
   const keys = new Set(running.map(({ task, run }) => rowOf(task, run)))
+  const plausible = running.filter(({ task, run }) => !upstream.lastingRows.isDisproved(rowOf(task, run)))
+  const tasks = new Set(plausible.map(({ task }) => task))
   return {
     has: (task, run) => keys.has(rowOf(task, run)),
+    hasTask: task => tasks.has(task),
     isDoubtful: task => doubtfulTasks?.has(task) === true && !upstream.lastingRows.isDisproved(task)
   }
 }
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -12,7 +12,8 @@
 import { beginInstance, endExpiredRuns, handleUnreachable } from './upstream-instance.js'
 
 /**
- * Ends the displaced runs that a listing doesn't show, and stops the others.
+ * Ends the displaced runs of whose tasks a listing shows none, and stops the others. It may show an earlier run number
+ * of a task, whose order got no answer before a later one was confirmed.
  *
  * @returns the number of those that are left.
  */
@@ -23,7 +24,8 @@
   let remainingCount = 0
   for (const record of [...state.runs.values()]) {
     const { order: { task }, upstreamRunNumber: run } = record
-    if (!listedRuns.has(task, run) && !listedRuns.isDoubtful(task)) {
+    if (!listedRuns.hasTask(task) && !listedRuns.isDoubtful(task)) {
+      state.openOrders.closeEarlier(task, state.upstream.instance?.startedAt)
       endRun(state, ports, record, 'lost', record.stopReason, now)
       continue
     }
@@ -76,6 +78,7 @@
     const processor = state.upstream.heartbeat?.capacity.processor ?? Infinity
     state.upstream.slowStart.recordCompletion(record.order.size.processor / Math.max(1, processor))
   }
+  state.openOrders.close(completion.task, record.orderedAt)
   if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
@@ -126,6 +129,7 @@
   state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, isListed: boolean, now: number
 ): void {
   if (!isListed) return stopRun(state, ports, record, ORDER_UNANSWERED, now)
+  state.openOrders.close(record.order.task, record.orderedAt)
   record.state = 'running'
   record.isConfirmed = true
   record.absenceConclusiveFrom = now
@@ -199,6 +203,7 @@
     return
   }
   state.upstream.phase = 'serving'
+  state.openOrders.closeAllEarlier(state.upstream.instance?.startedAt)
   state.fencingTokenStep = FENCING_TOKEN_STEP
   state.isCleared = true
   ports.logger.info('upstream serves', { fence: state.fencingToken })
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -60,6 +60,7 @@
   record.orderedAt = now
   record.orderedFence = state.fencingToken
   record.absenceConclusiveFrom = undefined
+  state.openOrders.add(task, state.upstream.instance?.startedAt, now)
   ports.sendStart(record, {
     task,
     run: record.upstreamRunNumber,
@@ -218,6 +219,7 @@
   usedFencingToken: number,
   now: number
 ): void {
+  if (answer.outcome !== 'unanswered') state.openOrders.close(record.order.task, record.orderedAt)
   if (!isCurrent(state, record)) return
   recordUpstreamClock(state, ports, answer.clock, now)
   switch (answer.outcome) {
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -49,8 +49,6 @@
 export const MAXIMUM_UNANSWERED_REPETITIONS = 2
 /** Retention of the tombstone of an order; delayed copies of the order go stale within the entry lease. */
 export const TOMBSTONE_RETENTION_MILLISECONDS = 2_000
-/** Age of an order without an answer from which it is not expected to be carried out: delays last up to seconds. */
-export const LATE_ORDER_MILLISECONDS = 3_000
 /** Largest number of a completion, where none is known yet: more than an upstream ends in months. */
 export const MAXIMUM_COMPLETION_NUMBER = 1_000_000_000
 /** Largest difference between the numbers of completions; an upstream lists at most 500 at a time, numbered in turn. */
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -6,6 +6,7 @@
 } from '@baobabpost/fleet-calls'
 import { addReport, type EntrySession } from './entry-session.js'
 import { createCrashRecord, type CrashRecord } from './crash-record.js'
+import { createOpenOrders, type OpenOrders } from './open-orders.js'
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import { limitCapacity } from './slow-start.js'
@@ -41,6 +42,8 @@
   readonly sessions: Map<string, EntrySession>
   /** Orders that must not be accepted again, with the agent time at which the tombstone expires; oldest first. */
   readonly tombstones: Map<string, number>
+  /** Start orders of all runs, also of those that have ended, which may yet be carried out. */
+  readonly openOrders: OpenOrders
   reserved: Size
   /** Moving average of the sizes of the started runs. */
   usualRun: Size
@@ -83,6 +86,7 @@
     suspendedMilliseconds: 0,
     sessions: new Map(),
     tombstones: new Map(),
+    openOrders: createOpenOrders(),
     reserved: EMPTY_SIZE,
     usualRun: EMPTY_SIZE,
     upstream: createUpstreamState(undefined, routeFactor),
@@ -171,13 +175,22 @@
   addTombstone(state, record.session, record.order.task, record.order.run, now)
   if (outcome === 'done' && record.order.crashCount !== undefined) state.crashes.recordCleared(record.order.task, now)
   const milliseconds = record.orderedAt === 0 ? 0 : now - record.orderedAt
+  if (outcome === 'done') state.openOrders.forget(record.order.task)
+  const openOrderMilliseconds = Math.ceil(state.openOrders.remainingMilliseconds(record.order.task, now))
   const reportedOutcome = record.isSuperseded ? 'superseded' : outcome
   record.group.openRunCount -= 1
   // The entry acts when all runs of the group are done; any other outcome needs its decision at once.
   const isUrgent = reportedOutcome !== 'done' || record.group.openRunCount === 0
   addReport(
     record.session,
-    { task: record.order.task, run: record.order.run, outcome: reportedOutcome, reason, milliseconds },
+    {
+      task: record.order.task,
+      run: record.order.run,
+      outcome: reportedOutcome,
+      reason,
+      milliseconds,
+      ...(openOrderMilliseconds > 0 ? { openOrderMilliseconds } : {})
+    },
     isUrgent
   )
   ports.logger.info('run ended', {
@@ -188,6 +201,7 @@
     reason,
     milliseconds: Math.round(milliseconds),
     confirmed: record.isConfirmed,
+    open: openOrderMilliseconds,
     upstreamRun: record.upstreamRunNumber,
     state: record.state
   })
--- a/packages/runs/src/upstream-instance.ts
+++ b/packages/runs/src/upstream-instance.ts
@@ -1,6 +1,6 @@
 /** The lifetime of an upstream's instances: what ends with one, and how the agent takes control of the next. */
 import { crashCandidates, describeCandidate, logCandidates } from './crash-candidates.js'
-import { LATE_ORDER_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
+import { MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
 import { isRunLeaseOver } from './run-lease.js'
 import type { RunRecord } from './run-record.js'
 import { endRun, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
@@ -49,17 +49,15 @@
 function endOutdatedRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   if (!isRunLeaseOver(state, now)) return
   for (const record of [...state.runs.values()]) {
-    const orderedAgo = now - record.orderedAt
-    if (record.state !== 'displaced') continue
+    if (record.state !== 'displaced' || state.openOrders.has(record.order.task, now)) continue
     if (!record.isConfirmed) {
-      if (orderedAgo < LATE_ORDER_MILLISECONDS) continue
       const { instance, leaseRenewedAt } = state.upstream
       ports.logger.warn('unconfirmed run given up', {
         task: record.order.task,
         run: record.upstreamRunNumber,
         upstream: instance?.id,
         bornAt: instance?.startedAt,
-        orderedAgo: Math.round(orderedAgo),
+        orderedAgo: Math.round(now - record.orderedAt),
         renewedAgo: Math.round(now - leaseRenewedAt)
       })
     }
@@ -68,9 +66,9 @@
 }
 
 /**
- * Ends the confirmed runs of an upstream that is gone, or whose run lease has expired, and takes control of it anew. A
- * start order without an answer may still be carried out by the next instance, on whose clock its lease has not
- * expired; its run is displaced until that instance is fenced, or the order too old.
+ * Ends the runs of an upstream that is gone, or whose run lease has expired, and takes control of it anew. A start
+ * order without an answer may still be carried out by the next instance, on whose clock its lease has not expired, also
+ * if a later order of the run was confirmed; the run is displaced until that instance is fenced, or the order too old.
  */
 function loseUpstream (
   state: RunRegistryState, ports: RunRegistryPorts, reason: string, evidence: 'gone' | 'silent', now: number
@@ -82,7 +80,7 @@
   for (const record of [...state.runs.values()]) {
     if (record.state === 'displaced') continue
     if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
-    else if (record.isConfirmed) endRun(state, ports, record, 'lost', reason, now)
+    else if (record.isConfirmed && !state.openOrders.has(record.order.task, now)) endRun(state, ports, record, 'lost', reason, now)
     else displace(record, reason)
   }
   if (isFirstFailure) giveUpControl(state)
--- a/packages/runs/tests/unanswered-orders.test.ts
+++ b/packages/runs/tests/unanswered-orders.test.ts
@@ -37,4 +37,19 @@
     agent.answerLastStop('taken')
     expect(agent.watch().reports).toEqual([])
   })
+
+  // The stop is acknowledged by an instance that may end; the next one under its id knows nothing of it.
+  it('tells its entry for how long the next instance may yet carry out an order', () => {
+    agent.order(1)
+    for (let lost = 0; lost < 3; lost += 1) loseLastStart()
+    const [report] = agent.watch().reports
+    expect(report?.openOrderMilliseconds).toBeGreaterThan(2_900)
+    expect(report?.openOrderMilliseconds).toBeLessThanOrEqual(3_000)
+  })
+
+  it('is given back without such an order if the upstream rejects the last one', () => {
+    agent.order(1)
+    agent.answerLastStart('unhealthy')
+    expect(agent.watch().reports[0]).not.toHaveProperty('openOrderMilliseconds')
+  })
 })
