Tell all entries of orders without an answer that another entry had sent, so that a repeat is held

What callers saw: a task ran twice at once. An entry was killed while a start order of it had no answer; its caller sent the job again, another entry gave the task to another agent, and the upstream started again under its id and carried the order out before its agent had fenced it. Cause: only the agent of the upstream knew of the order, and only the entry that was gone would have been told. Change: the profile of an agent, which entries get when it changes, lists the tasks with such orders which no entry waits for: runs being stopped, displaced, or ended. An entry that has or gets a job with such a task gives it to no other agent until the agent takes it off the list, and doesn't say that the job has not run. The list changes at most every 200 ms; it is mostly empty. The field is optional. If the agent is gone as well, nobody knows of the order: that is open.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -12,6 +12,7 @@
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
 import { releaseReservation } from './job-plan.js'
 import { learnCrashes } from './learn-crashes.js'
+import { learnOpenOrders } from './learn-open-orders.js'
 
 /**
  * Applies the agent state at the head of an answer. Load and profile of an answer older than the view are ignored.
@@ -55,6 +56,7 @@
     view.leases = readLeases(answer.profile.leases)
     view.fence = Math.max(view.fence, answer.profile.fence ?? 0)
     learnCrashes(state, ports, view, now)
+    learnOpenOrders(state, view, answer, now)
   }
   state.runTimes.applyAnswer(view)
   return true
--- a/packages/dispatching/src/open-orders.ts
+++ b/packages/dispatching/src/open-orders.ts
@@ -1,4 +1,6 @@
 /** Tasks with a start order that an upstream may yet carry out, although its run is over as far as its agent knows. */
+import { LATE_ORDER_MILLISECONDS, type StopAnswer } from '@baobabpost/fleet-calls'
+import type { AgentView } from './agent-view.js'
 import type { Job } from './job.js'
 
 /**
@@ -8,6 +10,8 @@
 export interface OpenOrders {
   /** Records that the upstream of an agent may carry out an order of a task until the given time. */
   add: (task: string, agent: string, until: number) => void
+  /** Replaces what is recorded of an agent by what it tells; adds to that while its upstream is not fenced. */
+  learn: (view: AgentView, answer: StopAnswer, now: number) => void
   /** Whether a task may yet be started by an earlier order. */
   has: (task: string) => boolean
   /** Returns the only agent that may get a task; undefined if all may. */
@@ -28,6 +32,13 @@
 
   return {
     add: (task, agent, until) => { ordersByTask.set(task, { agent, until }) },
+    learn: ({ name }, { profile, clock, cleared }, now) => {
+      if (profile === undefined) return
+      for (const [task, { agent }] of ordersByTask) if (cleared && agent === name) ordersByTask.delete(task)
+      for (const { task, until } of profile.openOrders ?? []) {
+        ordersByTask.set(task, { agent: name, until: now + Math.min(until - clock, LATE_ORDER_MILLISECONDS) })
+      }
+    },
     has: task => ordersByTask.has(task),
     agentOf: (task, now) => {
       const order = ordersByTask.get(task)
--- a/packages/dispatching/tests/open-orders.test.ts
+++ b/packages/dispatching/tests/open-orders.test.ts
@@ -99,4 +99,18 @@
     for (let now = 110; now < 2_100; now += 10) dispatcher.tick(now)
     expect(answers).toMatchObject([{ kind: 'given-up' }])
   })
+
+  it('that another entry had sent goes to no other agent before its agent takes it back', () => {
+    const { dispatcher, starts, answers, first, other } = sendTask()
+    const openOrders = [{ task: TASK, until: 3_000 }]
+    dispatcher.startFailed(first.view, first.start, true, 5)
+    dispatcher.watchAnswered(other, answerOf(200, {}, { version: 2, openOrders, accepting: false }), 10)
+    dispatcher.tick(20)
+    expect(starts).toHaveLength(1)
+    dispatcher.watchAnswered(other, answerOf(700, {}, { version: 3, accepting: false }), 510)
+    dispatcher.watchAnswered(first.view, answerOf(701), 511)
+    dispatcher.tick(520)
+    expect(starts[1]?.view.name).toBe(first.view.name)
+    expect(answers).toEqual([])
+  })
 })
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -4,7 +4,7 @@
   Start, StartAnswer, Stop, StopAnswer, TellCrashes, TellCrashesAnswer, TellEvacuations, TellEvacuationsAnswer, Watch,
   WatchAnswer
 } from '@baobabpost/fleet-calls'
-import { answerStart, answerStop, answerWatch, beginWatch, describeProfile } from './entry-calls.js'
+import { answerStart, answerStop, answerWatch, beginWatch, describeOpenOrders, describeProfile } from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
 import { applyEvacuations } from './evacuations.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
@@ -14,7 +14,9 @@
   isAccepting, startWaitingRuns, handleStartAnswer, handleStopAnswer, repeatDueStops
 } from './orders.js'
 import { createRunRegistryState, type RunRegistryPorts } from './run-registry-state.js'
-import { IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
+import {
+  IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS, OPEN_ORDERS_INTERVAL_MILLISECONDS
+} from './run-limits.js'
 import { renewLease } from './run-lease.js'
 import type { RunRecord } from './run-record.js'
 import type { ListAnswer, ListOrder, OrderAnswer, UpstreamHeartbeat } from './upstream.js'
@@ -78,12 +80,24 @@
   let wasAccepting: boolean | undefined
   let describedCrashes = 0
   let describedFence = 0
+  let describedOpenOrders = ''
+  let openOrdersToldAt = 0
+
+  /** Whether the open orders have changed and entries may be told again. */
+  function takeOpenOrdersChange (now: number): boolean {
+    if (now - openOrdersToldAt < OPEN_ORDERS_INTERVAL_MILLISECONDS) return false
+    const described = describeOpenOrders(state, now).map(({ task }) => task).join(' ')
+    if (described === describedOpenOrders) return false
+    describedOpenOrders = described
+    openOrdersToldAt = now
+    return true
+  }
 
   function refreshProfile (now: number): void {
     const isAcceptingNow = isAccepting(state, now)
     const crashRevision = state.crashes.revision()
     const isUnchanged = state.upstream.heartbeat === describedHeartbeat && isAcceptingNow === wasAccepting &&
-      crashRevision === describedCrashes && state.fencingToken === describedFence
+      crashRevision === describedCrashes && state.fencingToken === describedFence && !takeOpenOrdersChange(now)
     if (isUnchanged) return
     describedCrashes = crashRevision
     describedFence = state.fencingToken
--- a/packages/runs/src/open-orders.ts
+++ b/packages/runs/src/open-orders.ts
@@ -1,5 +1,5 @@
 /** The start orders of an agent that its upstream, or the next instance of it, may yet carry out. */
-import { LATE_ORDER_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { LATE_ORDER_MILLISECONDS, type OpenOrders as ToldOrders } from '@baobabpost/fleet-calls'
 
 interface OpenOrder {
   /** Start of the instance that it was sent to, in Unix milliseconds; undefined if the upstream does not report it. */
@@ -26,6 +26,8 @@
   has: (task: string, now: number) => boolean
   /** Returns the time until the newest order of a task is too old to be carried out; 0 without any. */
   remainingMilliseconds: (task: string, now: number) => number
+  /** Returns the tasks among those that `isWanted` accepts with the time at which their newest order is too old. */
+  list: (isWanted: (task: string) => boolean, now: number) => ToldOrders
   /** Removes the orders that are too old to be carried out. */
   expire: (now: number) => void
 }
@@ -71,6 +73,14 @@
     forget: task => { ordersByTask.delete(task) },
     has: (task, now) => remainingMilliseconds(task, now) > 0,
     remainingMilliseconds,
+    list: (isWanted, now) => {
+      const listed: Array<ToldOrders[number]> = []
+      for (const task of ordersByTask.keys()) {
+        const milliseconds = remainingMilliseconds(task, now)
+        if (milliseconds > 0 && isWanted(task)) listed.push({ task, until: now + milliseconds })
+      }
+      return listed
+    },
     expire: now => {
       for (const task of [...ordersByTask.keys()]) {
         keep(task, ({ orderedAt }) => now - orderedAt < LATE_ORDER_MILLISECONDS)
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -49,6 +49,11 @@
 export const MAXIMUM_UNANSWERED_REPETITIONS = 2
 /** Retention of the tombstone of an order; delayed copies of the order go stale within the entry lease. */
 export const TOMBSTONE_RETENTION_MILLISECONDS = 2_000
+/**
+ * Shortest time between two changes of the open orders that are told to all entries: a caller that sends its job again
+ * does so 1,300 ms after its entry was lost, of which the entry lease takes less than half.
+ */
+export const OPEN_ORDERS_INTERVAL_MILLISECONDS = 200
 /** Largest number of a completion, where none is known yet: more than an upstream ends in months. */
 export const MAXIMUM_COMPLETION_NUMBER = 1_000_000_000
 /** Largest difference between the numbers of completions; an upstream lists at most 500 at a time, numbered in turn. */
--- a/packages/runs/tests/unanswered-orders.test.ts
+++ b/packages/runs/tests/unanswered-orders.test.ts
@@ -53,3 +53,19 @@
     expect(agent.watch().reports[0]).not.toHaveProperty('openOrderMilliseconds')
   })
 })
+
+describe('an order without an answer of an entry that is gone', () => {
+  // The caller's repeat went to another entry and agent; the next instance carried the order out beside it.
+  it('is told to all entries until it is too old', () => {
+    agent.order(1)
+    agent.answerLastStart('unanswered')
+    expect(agent.watch().profile).not.toHaveProperty('openOrders')
+    agent.failListing('unreachable')
+    agent.registry.tick(agent.advance(300))
+    const wakeCount = agent.wakes.count
+    expect(agent.watch().profile?.openOrders).toMatchObject([{ task: TASK }])
+    agent.registry.tick(agent.advance(3_000))
+    expect(agent.wakes.count).toBe(wakeCount + 1)
+    expect(agent.watch().profile).not.toHaveProperty('openOrders')
+  })
+})
