Free the capacity of each run of a task in the stand-in upstream

What callers saw: nothing; the soak reported exceeded capacities that were none. Cause: the stand-in kept the running runs by task. Where two late orders started a task under two numbers, the second run replaced the first, whose capacity never became free. Change: runs are kept by task and number, so both are listed and end. Measured: 'frees the capacity of each of two runs of a task' failed before (a task on an idle upstream exceeded its capacity), passes now.

--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -30,6 +30,11 @@
   timer: ReturnType<typeof setTimeout> | undefined
 }
 
+/** Identifies a run at the upstream. */
+function keyOf ({ task, run }: { readonly task: string, readonly run: number }): string {
+  return `${task} ${run}`
+}
+
 /** Returns the number of a task in its step. */
 function indexOf (task: string): number {
   return Number(task.split('.')[3])
@@ -76,7 +81,8 @@
   let leaseTimer: ReturnType<typeof setTimeout> | undefined
   let completions: ListedCompletion[] = []
   let lastCompletionNumber = 0
-  let runningByTask = new Map<string, SimulatedRun>()
+  /** Running runs by task and run number: a late order may start a task under a second number. */
+  let running = new Map<string, SimulatedRun>()
   let highestRunByTask = new Map<string, number>()
   let reserved: Size = EMPTY_SIZE
   let startCount = 0
@@ -88,10 +94,14 @@
     faults, isDown, startedAt: () => startedAt, keepsDelayedOrders: options.keepsDelayedOrders === true
   })
 
+  function runningTasks (): string[] {
+    return [...new Set([...running.values()].map(({ task }) => task))]
+  }
+
   function endRun (run: SimulatedRun, kind: CompletionKind): void {
-    if (runningByTask.get(run.task) !== run) return
+    if (running.get(keyOf(run)) !== run) return
     clearTimeout(run.timer)
-    runningByTask.delete(run.task)
+    running.delete(keyOf(run))
     reserved = subtractSizes(reserved, run.size)
     lastCompletionNumber += 1
     completions.push({ number: lastCompletionNumber, task: run.task, run: run.run, kind })
@@ -100,7 +110,7 @@
   }
 
   function lapseRuns (): void {
-    for (const run of [...runningByTask.values()]) endRun(run, 'lapsed')
+    for (const run of [...running.values()]) endRun(run, 'lapsed')
   }
 
   function renewLease (until: number | undefined): void {
@@ -113,8 +123,7 @@
   function handleStart (order: StartOrder): OrderOutcome {
     if (order.fencingToken < fencingToken) return 'fenced'
     fencingToken = order.fencingToken
-    const known = runningByTask.get(order.task)
-    if (known?.run === order.run) return 'taken'
+    if (running.has(keyOf(order))) return 'taken'
     if (order.run <= (highestRunByTask.get(order.task) ?? 0)) {
       renewLease(order.leaseUntil)
       return 'old-run'
@@ -134,7 +143,7 @@
       countedAt: now() + (options.fixedMilliseconds ?? 0),
       timer: undefined
     }
-    runningByTask.set(order.task, run)
+    running.set(keyOf(run), run)
     startCount += 1
     reserved = addSizes(reserved, standInTask.size)
     observer.started(options.name, order.task, reserved.processor > capacity.allowed().processor)
@@ -146,7 +155,7 @@
   function scheduleCrash (run: SimulatedRun, { crash: crashOfStep }: StandInTask): void {
     if (crashOfStep?.tasks.includes(indexOf(run.task)) !== true) return
     setTimeout(() => {
-      if (runningByTask.get(run.task) !== run) return
+      if (running.get(keyOf(run)) !== run) return
       crash(crashOfStep.downMilliseconds, [run.task])
     }, crashOfStep.afterMilliseconds)
   }
@@ -162,7 +171,7 @@
   }
 
   function setSpeed (newSpeed: number): void {
-    const runs = [...runningByTask.values()]
+    const runs = [...running.values()]
     for (const run of runs) {
       run.doneMilliseconds = doneMillisecondsOf(run)
       run.countedAt = Math.max(run.countedAt, now())
@@ -175,8 +184,8 @@
     if (order.fencingToken < fencingToken) return 'fenced'
     fencingToken = order.fencingToken
     highestRunByTask.set(order.task, Math.max(order.run, highestRunByTask.get(order.task) ?? 0))
-    const run = runningByTask.get(order.task)
-    if (run?.run === order.run) setTimeout(() => { endRun(run, 'stopped') }, STOP_DURATION_MILLISECONDS)
+    const run = running.get(keyOf(order))
+    if (run !== undefined) setTimeout(() => { endRun(run, 'stopped') }, STOP_DURATION_MILLISECONDS)
     return 'taken'
   }
 
@@ -188,7 +197,7 @@
     if (completions.length === 0) await waitForCompletion(completionListeners, order.waitMilliseconds)
     const listing = {
       startedAt,
-      running: [...runningByTask.values()].map(run => ({
+      running: [...running.values()].map(run => ({
         task: run.task, run: run.run, percent: Math.min(99, 100 * doneMillisecondsOf(run) / run.milliseconds)
       })),
       ended: [...completions]
@@ -200,8 +209,8 @@
     return now() < downUntil
   }
 
-  function crash (downMilliseconds = 0, causes: readonly string[] = [...runningByTask.keys()]): void {
-    observer.crashed?.(causes, [...runningByTask.keys()])
+  function crash (downMilliseconds = 0, causes: readonly string[] = runningTasks()): void {
+    observer.crashed?.(causes, runningTasks())
     lapseRuns()
     if (options.keepsDelayedOrders === true) clockStart = options.now()
     downUntil = now() + downMilliseconds
@@ -214,7 +223,7 @@
     completions = []
     lastCompletionNumber = 0
     sequence = 0
-    runningByTask = new Map()
+    running = new Map()
     highestRunByTask = new Map()
     reserved = EMPTY_SIZE
   }
@@ -262,7 +271,7 @@
     crash: downMilliseconds => { crash(downMilliseconds) },
     isDown,
     setCapacity: capacity.change,
-    runningCount: () => runningByTask.size,
+    runningCount: () => running.size,
     startCount: () => startCount
   }
 }
