--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -12,6 +12,7 @@
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
 import { releaseReservation } from './job-plan.js'
 import { learnCrashes } from './learn-crashes.js'
+import { learnOpenOrders } from './learn-open-orders.js'
 
 /**
  * Applies the agent state at the head of an answer. Load and profile of an answer older than the view are ignored.
@@ -55,6 +56,7 @@
     view.leases = readLeases(answer.profile.leases)
     view.fence = Math.max(view.fence, answer.profile.fence ?? 0)
     learnCrashes(state, ports, view, now)
+    learnOpenOrders(state, view, answer, now)
   }
   state.runTimes.applyAnswer(view)
   return true
@@ -106,6 +108,9 @@
 ): void {
   const assignedTask = state.assigned.get(report.task)
   const assignment = assignedTask?.task.assignment
+  if (report.openOrderMilliseconds !== undefined) {
+    state.openOrders.add(report.task, view.name, now + report.openOrderMilliseconds)
+  }
   if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== report.run) return
   switch (readOutcome(report.outcome)) {
     case 'done': {
@@ -126,6 +131,7 @@
       endAssignment(state, ports, assignedTask, report.outcome, now)
       return answerJob(state, ports, assignedTask.job, { kind: 'given-up', reason: 'another entry has the job' }, now)
     case 'not-started':
+      assignedTask.task.mayHaveStarted ||= report.openOrderMilliseconds !== undefined
       return endAssignment(state, ports, assignedTask, `${report.outcome} ${report.reason}`, now)
   }
 }
--- a/packages/runs/tests/unanswered-orders.test.ts
+++ b/packages/runs/tests/unanswered-orders.test.ts
@@ -37,4 +37,35 @@
     agent.answerLastStop('taken')
     expect(agent.watch().reports).toEqual([])
   })
+
+  // The stop is acknowledged by an instance that may end; the next one under its id knows nothing of it.
+  it('tells its entry for how long the next instance may yet carry out an order', () => {
+    agent.order(1)
+    for (let lost = 0; lost < 3; lost += 1) loseLastStart()
+    const [report] = agent.watch().reports
+    expect(report?.openOrderMilliseconds).toBeGreaterThan(2_900)
+    expect(report?.openOrderMilliseconds).toBeLessThanOrEqual(3_000)
+  })
+
+  it('is given back without such an order if the upstream rejects the last one', () => {
+    agent.order(1)
+    agent.answerLastStart('unhealthy')
+    expect(agent.watch().reports[0]).not.toHaveProperty('openOrderMilliseconds')
+  })
+})
+
+describe('an order without an answer of an entry that is gone', () => {
+  // The caller's repeat went to another entry and agent; the next instance carried the order out beside it.
+  it('is told to all entries until it is too old', () => {
+    agent.order(1)
+    agent.answerLastStart('unanswered')
+    expect(agent.watch().profile).not.toHaveProperty('openOrders')
+    agent.failListing('unreachable')
+    agent.registry.tick(agent.advance(300))
+    const wakeCount = agent.wakes.count
+    expect(agent.watch().profile?.openOrders).toMatchObject([{ task: TASK }])
+    agent.registry.tick(agent.advance(3_000))
+    expect(agent.wakes.count).toBe(wakeCount + 1)
+    expect(agent.watch().profile).not.toHaveProperty('openOrders')
+  })
 })
