Bound the size of a peer's answer over plain HTTP

A process that asked a peer for its configuration read whatever came. Cause: the client of calls kept all text of an answer, and each chunk extended the time limit of calls whose answers may be large, so that an answer without an end was read until the process had no memory left. Frames and reads of the product's own log have a bound. Change: an answer above 32 MiB fails its call as rejected, and its connection is closed. Answers of the platform's store and of upstreams to the platform's programs have no such bound.

--- a/packages/fleet-calls/src/call-client.ts
+++ b/packages/fleet-calls/src/call-client.ts
@@ -10,6 +10,8 @@
 
 /** Idle time after which a connection is closed; shorter than the server's, which could close it during a call. */
 const IDLE_TIMEOUT_MILLISECONDS = 30_000
+/** Maximum size of an answer over plain HTTP, the same as of a read of the product's own log. */
+const MAXIMUM_ANSWER_BYTES = 33_554_432
 /** Time for which a server that did not upgrade is not asked again; its process may be replaced by a newer one. */
 const PLAIN_SERVER_MILLISECONDS = 10_000
 
@@ -118,9 +120,15 @@
       })
       outgoing.on('response', incoming => {
         let text = ''
+        let bytes = 0
         incoming.setEncoding('utf8')
         incoming.on('data', (chunk: string) => {
           text += chunk
+          bytes += Buffer.byteLength(chunk)
+          if (bytes > MAXIMUM_ANSWER_BYTES) {
+            outgoing.destroy(new CallError('rejected', `${name}: the answer is larger than ${MAXIMUM_ANSWER_BYTES} bytes`))
+            return
+          }
           if (idleTimeoutMilliseconds === undefined) return
           clearTimeout(timer)
           timer = timeOutAfter(idleTimeoutMilliseconds)
@@ -131,7 +139,7 @@
         })
         incoming.on('error', failure => {
           clearTimeout(timer)
-          reject(new CallError('unanswered', failure.message))
+          reject(failure instanceof CallError ? failure : new CallError('unanswered', failure.message))
         })
       })
       outgoing.end(body)
--- a/packages/fleet-calls/tests/odd-messages.test.ts
+++ b/packages/fleet-calls/tests/odd-messages.test.ts
@@ -56,6 +56,36 @@
     })
 })
 
+describe('an answer without an end', () => {
+  // Each byte extended the time limit of the call, and its text grew until the process had no memory left.
+  it('fails its call as rejected, and its connection is closed', { timeout: 20_000 }, async () => {
+    const chunk = Buffer.alloc(1_048_576, ' ')
+    let sentBytes = 0
+    const server: Server = createServer((incoming, outgoing) => {
+      incoming.resume()
+      const sendMore = (): void => {
+        while (sentBytes < 100 * chunk.length && !outgoing.destroyed) {
+          sentBytes += chunk.length
+          if (outgoing.write(chunk)) continue
+          outgoing.once('drain', sendMore)
+          return
+        }
+      }
+      sendMore()
+    })
+    context.closers.push(() => {
+      server.close()
+      server.closeAllConnections()
+    })
+    const address = await listenOnLoopback(server)
+    await expect(context.client.call(address, 'askConfiguration', {}, 2_000)).rejects.toMatchObject({ failure: 'rejected' })
+    expect(sentBytes).toBeLessThan(100 * chunk.length)
+    await vi.waitFor(async () => {
+      expect(await new Promise(resolve => { server.getConnections((_failure, count) => { resolve(count) }) })).toBe(0)
+    })
+  })
+})
+
 describe('the members of an answer', () => {
   it('hold beside odd ones', async () => {
     const odd = [NESTED, 'null', '7', '{"__proto__":{}}', `{"name":${NESTED},"role":"agent","address":"127.61.3.3:1"}`]
