--- a/packages/fleet-calls/tests/odd-messages.test.ts
+++ b/packages/fleet-calls/tests/odd-messages.test.ts
@@ -17,11 +17,11 @@
 
 const context = useSharedConnections()
 
-/** Starts a server that answers each call with a result, given as JSON. */
-async function startCallee (result: string): Promise<string> {
+/** Starts a server that answers calls with these results in turn, given as JSON, the last one for ever. */
+async function startCallee (...results: string[]): Promise<string> {
   const server: Server = createServer((incoming, outgoing) => {
     incoming.resume()
-    outgoing.end(`{"jsonrpc":"2.0","id":1,"result":${result}}`)
+    outgoing.end(`{"jsonrpc":"2.0","id":1,"result":${results.length > 1 ? results.shift() : results[0]}}`)
   })
   context.closers.push(() => {
     server.close()
@@ -87,13 +87,16 @@
 })
 
 describe('the members of an answer', () => {
-  it('hold beside odd ones', async () => {
+  it('hold beside odd ones, and are followed after an odd answer', async () => {
     const odd = [NESTED, 'null', '7', '{"__proto__":{}}', `{"name":${NESTED},"role":"agent","address":"127.61.3.3:1"}`]
     for (const address of ODD_ADDRESSES) odd.push(JSON.stringify({ name: 'odd', role: 'entry', address }))
     for (const name of ['', 'x'.repeat(300)]) odd.push(JSON.stringify({ name, role: 'entry', address: '127.61.3.3:1' }))
     odd.push(JSON.stringify({ name: 'odd', role: 'elsewhere', address: '127.61.3.3:1' }))
-    const good = { name: 'side-1', role: 'agent', address: '127.61.3.9:7720' }
-    const seed = await startCallee(`{"directory":"d","revision":1,"members":[${odd.join()},${JSON.stringify(good)}]}`)
+    const good: Member = { name: 'side-1', role: 'agent', address: '127.61.3.9:7720' }
+    const later: Member = { name: 'side-2', role: 'agent', address: '127.61.3.10:7720' }
+    const membersOf = (revision: string, member: Member): string =>
+      `{"directory":"d","revision":${revision},"members":[${odd.join()},${JSON.stringify(member)}]}`
+    const seed = await startCallee(membersOf('1', good), membersOf('1e999', good), membersOf('2', later))
     const found: Member[] = []
     const directory = createFleetDirectory({
       self: SELF,
@@ -106,7 +109,7 @@
       hasRecentContact: () => false
     })
     context.closers.push(() => { directory.close() })
-    await vi.waitFor(() => { expect(found).toEqual([good]) })
+    await vi.waitFor(() => { expect(found).toEqual([good, later]) }, 10_000)
     expect(directory.entryAddresses()).toEqual([seed])
   })
 })
