Stop a run before it goes back to its entry while an earlier order of it is open

What callers saw: by reading, none yet: a task may run twice at one upstream. Its first order got no answer, the repeated one was rejected, the entry sent the task there again under a higher number, and the upstream carried out the first one too. Change: such a run is stopped first, as one whose last order got no answer.

--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -31,7 +31,7 @@
 function orderStart (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
   if (!isAccepting(state, now)) {
     const reason = isEvacuated(state) ? 'evacuated' : 'not-accepting'
-    return endRun(state, ports, record, 'not-started', reason, now)
+    return giveBack(state, ports, record, reason, now)
   }
   const isRepeated = record.orderedAt > 0
   if (!hasReservedCapacity(record)) reserveCapacity(state, record)
@@ -99,6 +99,17 @@
   sendStop(state, ports, record, now)
 }
 
+/**
+ * Gives a run back to its entry after its last start order was rejected, or is not sent. One with an earlier order that
+ * may yet be carried out is stopped first.
+ */
+function giveBack (
+  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, reason: string, now: number
+): void {
+  if (state.openOrders.has(record.order.task, now)) stopRun(state, ports, record, reason, now)
+  else endRun(state, ports, record, 'not-started', reason, now)
+}
+
 /** Logs the second, fourth, eighth ... stop order for a run. */
 function logRepeatedStop (ports: RunRegistryPorts, record: RunRecord, now: number): void {
   const { stopAttempts } = record
@@ -196,9 +207,9 @@
   state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, refusal: string, now: number
 ): void {
   record.runNumberAttempts += 1
-  if (record.state === 'stopping') return endRun(state, ports, record, 'not-started', record.stopReason, now)
+  if (record.state === 'stopping') return giveBack(state, ports, record, record.stopReason, now)
   const isRetryPointless = record.runNumberAttempts > MAXIMUM_RUN_NUMBER_ATTEMPTS || now > record.session.leaseUntil
-  if (isRetryPointless) return endRun(state, ports, record, 'not-started', refusal, now)
+  if (isRetryPointless) return giveBack(state, ports, record, refusal, now)
   record.lastRefusal = refusal
   orderStart(state, ports, record, now)
 }
@@ -245,7 +256,7 @@
     case 'other-life':
     case 'unreachable':
       state.upstream.observations.recordFailure()
-      endRun(state, ports, record, 'not-started', answer.outcome, now)
+      giveBack(state, ports, record, answer.outcome, now)
   }
 }
 
--- a/packages/runs/tests/unanswered-orders.test.ts
+++ b/packages/runs/tests/unanswered-orders.test.ts
@@ -51,6 +51,17 @@
     expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'done' }])
   })
 
+  // The entry could send it here again under a higher number, and the upstream carry out both.
+  it('is stopped before it goes back after a rejection, while an earlier order may be carried out', () => {
+    agent.order(1)
+    loseLastStart()
+    agent.answerLastStart('no-room')
+    expect(agent.watch().reports).toEqual([])
+    agent.answerLastStop('taken')
+    agent.list()
+    expect(agent.watch().reports).toMatchObject([{ task: TASK, outcome: 'not-started', reason: 'no-room' }])
+  })
+
   // The stop is acknowledged by an instance that may end; the next one under its id knows nothing of it.
   it('tells its entry for how long the next instance may yet carry out an order', () => {
     agent.order(1)
