Tell open orders on the clock that answers carry

What callers saw: by reading, none yet: a task may run twice at once after its agent's VM was suspended once. Cause: the time until which an order may be carried out was told on the agent's own clock, while answers carry one that includes the time of suspensions. Entries held such a task shorter by all of that time, or not at all. Change: it is told on the clock of answers.

--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -23,7 +23,8 @@
 
 /** Returns the tasks with orders that may yet be carried out, although another entry may get the task meanwhile. */
 export function describeOpenOrders (state: RunRegistryState, now: number): OpenOrders {
-  return state.openOrders.list(task => !isAwaited(state, task), now)
+  const openOrders = state.openOrders.list(task => !isAwaited(state, task), now)
+  return openOrders.map(({ task, until }) => ({ task, until: until + state.suspendedMilliseconds }))
 }
 
 /** Returns the upstream's profile for the entries. */
--- a/packages/runs/tests/unanswered-orders.test.ts
+++ b/packages/runs/tests/unanswered-orders.test.ts
@@ -92,4 +92,24 @@
     expect(agent.wakes.count).toBe(wakeCount + 1)
     expect(agent.watch().profile).not.toHaveProperty('openOrders')
   })
+
+  it('is told for as long after a suspension of the VM, which the clock of answers includes', () => {
+    for (let listing = 0; listing < 4; listing += 1) agent.list()
+    for (let listing = 0; listing < 4; listing += 1) agent.list({}, agent.advance(0) + 3_500)
+    const { clock: heardAt } = agent.watch()
+    agent.registry.answerStart({
+      caller: { entry: 'entry-1', incarnation: 'entry-1-1', heardAt, heardFrom: 'agent-1' },
+      specification: '{}',
+      priority: 0,
+      patienceMilliseconds: 100,
+      orders: [
+        { task: TASK, run: 1, size: { processor: 1_000, memory: 64, accelerators: 0 }, estimateMilliseconds: 100 }
+      ]
+    }, agent.advance(0))
+    agent.answerLastStart('unanswered')
+    agent.failListing('unreachable')
+    agent.registry.tick(agent.advance(300))
+    const { clock, profile } = agent.watch()
+    expect((profile?.openOrders?.[0]?.until ?? 0) - clock).toBeGreaterThan(2_500)
+  })
 })
