Keep the open orders of each agent and incarnation apart

With orders of one task at two agents only the last one told counted. Cause: one order was kept for each task, and the first answer of a fenced agent removed it, whichever incarnation had told it. Change: orders are kept by agent, and an incarnation takes back only what it has told itself.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -109,7 +109,7 @@
   const assignedTask = state.assigned.get(report.task)
   const assignment = assignedTask?.task.assignment
   if (report.openOrderMilliseconds !== undefined) {
-    state.openOrders.add(report.task, view.name, now + report.openOrderMilliseconds)
+    state.openOrders.add(report.task, view.name, view.incarnation, now + report.openOrderMilliseconds)
   }
   if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== report.run) return
   switch (readOutcome(report.outcome)) {
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -130,10 +130,9 @@
   now: number
 ): readonly AgentView[] {
   const { heldBy } = task
-  const openAt = state.openOrders.agentOf(task.name, now)
   const eligible = agents.filter(view => {
     if (heldBy !== undefined && now < heldBy.until && view.name !== heldBy.agent) return false
-    if (openAt !== undefined && view.name !== openAt) return false
+    if (state.openOrders.isOpenElsewhere(task.name, view.name, now)) return false
     if (!mayRun(view, task, job, plan)) return false
     const share = shares.get(view.name)
     if (share === undefined) return true
--- a/packages/dispatching/src/open-orders.ts
+++ b/packages/dispatching/src/open-orders.ts
@@ -3,19 +3,28 @@
 import type { AgentView } from './agent-view.js'
 import type { Job } from './job.js'
 
+/** Orders at one agent: which incarnation of it sent them, and the time from which they are not expected any more. */
+interface OrdersOfAgent {
+  readonly incarnation: string
+  readonly until: number
+}
+
 /**
  * The agents at which tasks have such an order. No other agent may get the task meanwhile; that one may, as it orders
  * starts only at an upstream where no late order is carried out. Times are on the entry's steady clock.
  */
 export interface OpenOrders {
-  /** Records that the upstream of an agent may carry out an order of a task until the given time. */
-  add: (task: string, agent: string, until: number) => void
-  /** Replaces what is recorded of an agent by what it tells; adds to that while its upstream is not fenced. */
+  /** Records that the upstream of an agent may carry out an order of a task, sent by an incarnation, until a time. */
+  add: (task: string, agent: string, incarnation: string, until: number) => void
+  /**
+   * Replaces what is recorded of an agent's incarnation by what it tells, or adds that while its upstream is not
+   * fenced. It knows nothing of the orders of its former incarnations.
+   */
   learn: (view: AgentView, answer: StopAnswer, now: number) => void
   /** Whether a task may yet be started by an earlier order. */
   has: (task: string) => boolean
-  /** Returns the only agent that may get a task; undefined if all may. */
-  agentOf: (task: string, now: number) => string | undefined
+  /** Whether a task may yet be started by the upstream of another agent. */
+  isOpenElsewhere: (task: string, agent: string, now: number) => boolean
   /** Removes what is over. */
   expire: (now: number) => void
 }
@@ -25,28 +34,39 @@
  *
  * @example
  * const openOrders = createOpenOrders()
- * openOrders.add('5c0e7a21d94b36f8.0.0.0', 'agent-1', now + 2_400)
+ * openOrders.add('5c0e7a21d94b36f8.0.0.0', 'agent-1', 'agent-1-7', now + 2_400)
  */
 export function createOpenOrders (): OpenOrders {
-  const ordersByTask = new Map<string, { readonly agent: string, readonly until: number }>()
+  const agentsByTask = new Map<string, Map<string, OrdersOfAgent>>()
+
+  function add (task: string, agent: string, incarnation: string, until: number): void {
+    const agents = agentsByTask.get(task) ?? new Map<string, OrdersOfAgent>()
+    agentsByTask.set(task, agents)
+    if ((agents.get(agent)?.until ?? -Infinity) < until) agents.set(agent, { incarnation, until })
+  }
+
+  function remove (isOver: (agent: string, orders: OrdersOfAgent) => boolean): void {
+    for (const [task, agents] of agentsByTask) {
+      for (const [agent, orders] of agents) if (isOver(agent, orders)) agents.delete(agent)
+      if (agents.size === 0) agentsByTask.delete(task)
+    }
+  }
 
   return {
-    add: (task, agent, until) => { ordersByTask.set(task, { agent, until }) },
-    learn: ({ name }, { profile, clock, cleared }, now) => {
+    add,
+    learn: ({ name }, { profile, clock, cleared, incarnation }, now) => {
       if (profile === undefined) return
-      for (const [task, { agent }] of ordersByTask) if (cleared && agent === name) ordersByTask.delete(task)
+      if (cleared) remove((agent, orders) => agent === name && orders.incarnation === incarnation)
       for (const { task, until } of profile.openOrders ?? []) {
-        ordersByTask.set(task, { agent: name, until: now + Math.min(until - clock, LATE_ORDER_MILLISECONDS) })
+        add(task, name, incarnation, now + Math.min(until - clock, LATE_ORDER_MILLISECONDS))
       }
     },
-    has: task => ordersByTask.has(task),
-    agentOf: (task, now) => {
-      const order = ordersByTask.get(task)
-      return order === undefined || now >= order.until ? undefined : order.agent
+    has: task => agentsByTask.has(task),
+    isOpenElsewhere: (task, agent, now) => {
+      for (const [other, { until }] of agentsByTask.get(task) ?? []) if (other !== agent && now < until) return true
+      return false
     },
-    expire: now => {
-      for (const [task, { until }] of ordersByTask) if (now >= until) ordersByTask.delete(task)
-    }
+    expire: now => { remove((_agent, { until }) => now >= until) }
   }
 }
 
--- a/packages/dispatching/tests/open-orders.test.ts
+++ b/packages/dispatching/tests/open-orders.test.ts
@@ -113,4 +113,23 @@
     expect(starts[1]?.view.name).toBe(first.view.name)
     expect(answers).toEqual([])
   })
+
+  it('stays held when its agent, started again alone, has fenced the same instance', () => {
+    const { dispatcher, starts, first, other } = sendTask()
+    const report = { ...NOT_STARTED, openOrderMilliseconds: 2_900 }
+    dispatcher.watchAnswered(first.view, answerOf(200, { reports: [report] }, { accepting: false }), 100)
+    dispatcher.watchAnswered(first.view, answerOf(50, { incarnation: '2' }, { accepting: false }), 600)
+    dispatcher.watchAnswered(other, answerOf(610), 610)
+    dispatcher.tick(620)
+    expect(starts).toHaveLength(1)
+  })
+
+  it('goes to no agent while two of them have such an order', () => {
+    const { dispatcher, starts, first, other } = sendTask()
+    const report = { ...NOT_STARTED, openOrderMilliseconds: 2_900 }
+    dispatcher.watchAnswered(first.view, answerOf(200, { reports: [report] }, { accepting: false }), 100)
+    dispatcher.watchAnswered(other, answerOf(210, {}, { version: 2, openOrders: [{ task: TASK, until: 510 }] }), 110)
+    dispatcher.tick(120)
+    expect(starts).toHaveLength(1)
+  })
 })
--- a/packages/fleet-calls/tests/builds-side-by-side.test.ts
+++ b/packages/fleet-calls/tests/builds-side-by-side.test.ts
@@ -5,7 +5,9 @@
 const SIZE = { processor: 1_000, memory: 64, accelerators: 0 }
 const MEMBER = { name: 'front-1', role: 'entry', address: '10.1.0.13:7720' }
 const EVACUATIONS = { position: 3, domains: ['dakar-a'] }
-const CALLER = { entry: 'front-1', incarnation: 'a', heardAt: 100, heardFrom: 'b', evacuations: EVACUATIONS }
+const CALLER = {
+  entry: 'front-1', incarnation: 'a', heardAt: 100, heardFrom: 'b', formerFence: 7, evacuations: EVACUATIONS
+}
 const STATE = {
   incarnation: 'b',
   clock: 120,
@@ -20,6 +22,8 @@
     instance: 5,
     routeFactors: { loans: 1.2 },
     crashes: { crashes: [{ id: 'b.1', candidates: [{ task: 't', route: 'loans', isUnconfirmed: true }] }], cleared: ['t'] },
+    fence: 9,
+    openOrders: [{ task: 't', until: 3_100 }],
     leases: { entryMilliseconds: 570, runMilliseconds: 652.8 }
   },
   evacuations: EVACUATIONS,
@@ -35,7 +39,7 @@
     parameters: { caller: CALLER, acknowledged: 0, profileVersion: 0, waitMilliseconds: 280 },
     answer: {
       ...STATE,
-      reports: [{ sequence: 1, task: 't', run: 1, outcome: 'done', reason: '', milliseconds: 60 }]
+      reports: [{ sequence: 1, task: 't', run: 1, outcome: 'not-started', reason: '', milliseconds: 60, openOrderMilliseconds: 2_900 }]
     }
   },
   start: {
--- a/packages/rehearsal/tests/late-orders.test.ts
+++ b/packages/rehearsal/tests/late-orders.test.ts
@@ -71,4 +71,16 @@
     await vi.advanceTimersByTimeAsync(6_000)
     expect(fleet.runLog.violations).toEqual([])
   })
+
+  // Its next incarnation fenced the living instance, and knew nothing of the order.
+  it.each([0, 4, 8, 12, 16, 19])('%i ms before it runs no task that runs elsewhere, if its agent alone had started again before', async milliseconds => {
+    const agent = await delayOrder(2_000)
+    fleet.killAgent(agent)
+    await vi.advanceTimersByTimeAsync(200)
+    fleet.startAgent(agent)
+    await vi.advanceTimersByTimeAsync(800)
+    agent.standIn.crash(980 - milliseconds)
+    await vi.advanceTimersByTimeAsync(6_000)
+    expect(fleet.runLog.violations).toEqual([])
+  })
 })
