Learn the pace of an entry's jobs from those that others waited for

What callers saw: an entry that was busy for a sixth of its time refused two of three jobs that arrived together, without end, and reported itself as overloaded. Cause: the time between two jobs counted as the time that one waits for another, with all the work that came between them. Change: it counts only while a job waits. Without one it is an upper limit, and the pace falls, so that one which has become too slow to let any job wait doesn't last. The other tests of wait-limit.test.ts pass as before.

--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -35,7 +35,7 @@
    */
   admits: (waitingJobs: number) => boolean
   /** Records that the entry begins to handle a job that it has accepted. */
-  recordHandling: () => void
+  recordHandling: (waitingJobs: number) => void
   /** Time for which the entry works from the beginning of one job's handling to that of the next, in milliseconds. */
   handlingMilliseconds: () => number
   /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
@@ -240,7 +240,7 @@
       overload.record(!isAdmitted, now())
       return isAdmitted
     },
-    recordHandling: () => { waitLimit.recordHandling(readLoop()) },
+    recordHandling: waitingJobs => { waitLimit.recordHandling(waitingJobs, readLoop()) },
     handlingMilliseconds: waitLimit.handlingMilliseconds,
     isOverloaded: () => overload.isRaised(now()),
     isReachable: name => {
--- a/packages/dispatching/src/wait-limit.ts
+++ b/packages/dispatching/src/wait-limit.ts
@@ -7,13 +7,15 @@
 const INITIAL_HANDLING_MILLISECONDS = 10
 /** Weight of the newest job in the moving average of the handling times. */
 const HANDLING_WEIGHT = 0.1
+/** Share of the known handling time that a job counts for which shows no more than an upper limit. */
+const UNKNOWN_PACE_SHARE = 0.5
 
 export interface WaitLimit {
   /** Whether a job that is read now is accepted, while others wait to be handled. */
   admit: (waitingJobs: number) => boolean
-  /** Records that the handling of a job begins. */
-  recordHandling: (reading: LoopReading) => void
-  /** Time for which the event loop works from the beginning of one job's handling to that of the next, in ms. */
+  /** Records that the handling of a job begins, while others wait. */
+  recordHandling: (waitingJobs: number, reading: LoopReading) => void
+  /** Time for which a waiting job waits for each one before it, in milliseconds. */
   handlingMilliseconds: () => number
 }
 
@@ -26,20 +28,25 @@
  * @example
  * const limit = createWaitLimit()
  * limit.admit(0) // true
- * limit.recordHandling({ now, idle })
+ * limit.recordHandling(0, { now, idle })
  */
 export function createWaitLimit (): WaitLimit {
   let handlingMilliseconds = INITIAL_HANDLING_MILLISECONDS
   let last: LoopReading | undefined
+  let hadWaitingJobs = false
 
   return {
     admit: waitingJobs => waitingJobs === 0 || waitingJobs * handlingMilliseconds <= LONGEST_WAIT_MILLISECONDS,
-    recordHandling: reading => {
+    recordHandling: (waitingJobs, reading) => {
       if (last !== undefined) {
         const worked = reading.now - last.now - (reading.idle - last.idle)
-        handlingMilliseconds += HANDLING_WEIGHT * (worked - handlingMilliseconds)
+        // Without a waiting job, work that no job would have waited for is included; a pace that is too slow to let any
+        // wait must not last, so it falls.
+        const pace = hadWaitingJobs ? worked : Math.min(worked, handlingMilliseconds * UNKNOWN_PACE_SHARE)
+        handlingMilliseconds += HANDLING_WEIGHT * (pace - handlingMilliseconds)
       }
       last = reading
+      hadWaitingJobs = waitingJobs > 0
     },
     handlingMilliseconds: () => handlingMilliseconds
   }
--- a/packages/dispatching/tests/wait-limit.test.ts
+++ b/packages/dispatching/tests/wait-limit.test.ts
@@ -64,7 +64,7 @@
     }
     const arrivedAt = waiting.shift()
     if (arrivedAt !== undefined) {
-      limit.recordHandling({ now, idle })
+      limit.recordHandling(waiting.length, { now, idle })
       work(HANDLING_MILLISECONDS)
       for (let index = 1; index <= MESSAGES; index += 1) {
         messages.push({ at: now + RUN_MILLISECONDS * index / MESSAGES, arrivedAt, isLast: index === MESSAGES })
@@ -108,6 +108,30 @@
     for (const { refused } of play({ seconds: 10, jobsPerSecond: () => 0.9 * CAPACITY })) expect(refused).toBe(0)
   })
 
+  // The work between two groups of jobs counted as the time that one of them waits for another.
+  it('refuses nobody of a few jobs that arrive together at an entry that is idle for most of its time', () => {
+    const limit = createWaitLimit()
+    let now = 0
+    let idle = 0
+    let refused = 0
+    for (let group = 0; group < 200; group += 1) {
+      const arrivedAt = now
+      let waiting = 0
+      for (let job = 0; job < 3; job += 1) {
+        if (limit.admit(waiting)) waiting += 1
+        else refused += 1
+      }
+      for (; waiting > 0; waiting -= 1) {
+        limit.recordHandling(waiting - 1, { now, idle })
+        now += HANDLING_MILLISECONDS
+      }
+      const pause = 400 - (now - arrivedAt)
+      now += pause
+      idle += 0.85 * pause
+    }
+    expect(refused).toBe(0)
+  })
+
   // After a burst the rate stayed at what it had fallen to, and jobs were late or refused for three seconds.
   it('serves what it carries in a burst, and everyone from a tenth of a second after it', () => {
     const outcomes = play({ seconds: 6, jobsPerSecond: now => (now >= 2_000 && now < 2_900 ? 4 : 0.7) * CAPACITY })
