--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -36,7 +36,7 @@
   admits: (waitingJobs: number) => boolean
   /** Records that the entry begins to handle a job that it has accepted. */
   recordHandling: (waitingJobs: number) => void
-  /** Time for which the entry works from the beginning of one job's handling to that of the next, in milliseconds. */
+  /** Time for which a waiting job waits for each one before it, in milliseconds. */
   handlingMilliseconds: () => number
   /** Whether the entry has refused jobs for a while, so that callers are better served elsewhere. */
   isOverloaded: () => boolean
--- a/packages/dispatching/src/wait-limit.ts
+++ b/packages/dispatching/src/wait-limit.ts
@@ -7,7 +7,7 @@
 const INITIAL_HANDLING_MILLISECONDS = 10
 /** Weight of the newest job in the moving average of the handling times. */
 const HANDLING_WEIGHT = 0.1
-/** Share of the known handling time that a job counts for which shows no more than an upper limit. */
+/** Share of the known handling time that a job counts for if none waited: its own time is only an upper limit. */
 const UNKNOWN_PACE_SHARE = 0.5
 
 export interface WaitLimit {
--- a/packages/fleet-calls/src/late-orders.ts
+++ b/packages/fleet-calls/src/late-orders.ts
@@ -12,7 +12,7 @@
 /** Tasks with such orders at one upstream. */
 export const OpenOrders = Schema.Array(Schema.Struct({
   task: Schema.String,
-  /** Time from which none of them is expected to be carried out, on the agent's steady clock in milliseconds. */
+  /** Time from which none of them is expected to be carried out, on the clock that answers carry, in milliseconds. */
   until: SteadyTime
 }))
 export type OpenOrders = typeof OpenOrders.Type
