Give each executor of a large case a thread of its own

Cause: on a busy machine the stand-ins of review/1, all in one thread, answered late, and the case failed once without its disruption. Change: executors of that case run in threads; records are written ten times a second.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -14,7 +14,7 @@
 const DEADLINE_MILLISECONDS = 30_000
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, isDisrupted, start }) => {
-  const site = await start({ fronts: 2, sides: 8 })
+  const site = await start({ fronts: 2, sides: 8, hasThreads: true })
   await site.waitUntilReady()
   const [entry] = site.entries
   const observation = observeAnswers(site, entry, record)
@@ -25,10 +25,10 @@
   record(`large client: POST ${id}, a job with ${TASKS} tasks, to ${entry.name}`)
   const large = callFront(entry, 'POST', id, { body, deadline: DEADLINE_MILLISECONDS })
     .then(answer => { record(`large client: POST ${id} answered ${answer.status} ${answer.body}`) })
-  const countStarts = () => site.executors.reduce((sum, { history }) => sum + history.length, 0)
+  const countStarts = () => site.executors.reduce((sum, executor) => sum + executor.startCount(), 0)
   for (let waited = 0; waited < 4_000 && countStarts() < TASKS; waited += 100) await pause(100)
-  const busiest = [...site.executors].sort((left, right) => right.runningTasks().length - left.runningTasks().length)[0]
-  record(`${countStarts()} tasks have started, ${busiest.runningTasks().length} of them on ${busiest.machine}`)
+  const busiest = [...site.executors].sort((left, right) => right.runningCount() - left.runningCount())[0]
+  record(`${countStarts()} tasks have started, ${busiest.runningCount()} of them on ${busiest.machine}`)
   if (isDisrupted) busiest.crash(DOWN_MILLISECONDS)
   await large
   await pause(2_000)
--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -12,6 +12,7 @@
 import { fileURLToPath } from 'node:url'
 import { setTimeout as pause } from 'node:timers/promises'
 import { createExecutor } from './executor.mjs'
+import { createExecutorThread } from './executor-thread.mjs'
 import { startProxy } from './proxy.mjs'
 import { createStore } from './store.mjs'
 
@@ -63,12 +64,19 @@
   return { words, env }
 }
 
-/** Opens the record of a case; its lines carry milliseconds since its start. */
+/** Opens the record of a case; its lines carry milliseconds since its start. They are written ten times a second. */
 export function openRecord (directory) {
   const path = join(directory, 'record.txt')
   writeFileSync(path, '')
   const startedAt = performance.now()
-  return text => { appendFileSync(path, `${String(Math.round(performance.now() - startedAt)).padStart(6)} ms  ${text}\n`) }
+  let lines = ''
+  const flush = () => {
+    if (lines !== '') appendFileSync(path, lines)
+    lines = ''
+  }
+  setInterval(flush, 100).unref()
+  process.on('exit', flush)
+  return text => { lines += `${String(Math.round(performance.now() - startedAt)).padStart(6)} ms  ${text}\n` }
 }
 
 /**
@@ -159,7 +167,7 @@
   for (let index = 0; index < sides; index += 1) {
     const address = `${base}.${30 + index}`
     const zone = options.sideZones?.[index] ?? zones[index % zones.length]
-    const executor = createExecutor({
+    const executor = (options.hasThreads === true ? createExecutorThread : createExecutor)({
       id: `i-${index + 1}`,
       machine: `side-${index + 1}`,
       service: SERVICE,
