--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -13,7 +13,10 @@
 const DOWN_MILLISECONDS = 4_000
 const DEADLINE_MILLISECONDS = 30_000
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, isDisrupted, start }) => {
+/** `TROUBLE=0` plays the case without its disruption. */
+const isDisrupted = process.env.TROUBLE !== '0'
+
+await runCase(dirname(fileURLToPath(import.meta.url)), isDisrupted, async ({ record, start }) => {
   const site = await start({ fronts: 2, sides: 8, hasThreads: true })
   await site.waitUntilReady()
   const [entry] = site.entries
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -38,7 +38,10 @@
   }
 }
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, isDisrupted, start }) => {
+/** `TROUBLE=0` plays the case without its disruption. */
+const isDisrupted = process.env.TROUBLE !== '0'
+
+await runCase(dirname(fileURLToPath(import.meta.url)), isDisrupted, async ({ record, start }) => {
   const site = await start({ fronts: 2, sides: SIDES })
   await site.waitUntilReady()
   const [first, second] = site.entries
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -13,7 +13,10 @@
 /** Longest time of the observation after the large job was sent. */
 const OBSERVED_MILLISECONDS = 40_000
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, isDisrupted, start }) => {
+/** `TROUBLE=0` plays the case without its disruption. */
+const isDisrupted = process.env.TROUBLE !== '0'
+
+await runCase(dirname(fileURLToPath(import.meta.url)), isDisrupted, async ({ record, start }) => {
   const site = await start({ fronts: 2, sides: 4 })
   await site.waitUntilReady()
   const [entry] = site.entries
--- a/review/stand-ins/proxy.mjs
+++ b/review/stand-ins/proxy.mjs
@@ -6,32 +6,36 @@
 
 export async function startProxy ({ host, port, target, from, to }) {
   const sockets = new Set()
+  let isDark = false
   const server = createServer({ allowHalfOpen: true }, incoming => {
+    sockets.add(incoming)
+    incoming.on('error', () => {})
+    if (isDark) return
     const outgoing = connect({ host: target, port, allowHalfOpen: true })
     for (const [one, other] of [[incoming, outgoing], [outgoing, incoming]]) {
       sockets.add(one)
       one.setNoDelay(true)
-      one.on('data', data => { other.write(Buffer.from(data.toString('latin1').replaceAll(from, to), 'latin1')) })
-      one.on('end', () => { other.end() })
-      one.on('error', () => { other.resetAndDestroy() })
+      one.on('data', data => { if (!isDark) other.write(Buffer.from(data.toString('latin1').replaceAll(from, to), 'latin1')) })
+      one.on('end', () => { if (!isDark) other.end() })
+      one.on('error', () => { if (!isDark) other.resetAndDestroy() })
       one.on('close', () => {
         sockets.delete(one)
-        if (!one.readableEnded) other.destroy()
+        if (!isDark && !one.readableEnded) other.destroy()
       })
     }
   })
-  const listen = () => new Promise((resolve, reject) => {
+  await new Promise((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
   })
-  await listen()
   return {
-    /** Cuts the machine off: open connections are reset, and new ones are refused. */
-    cut: () => {
-      server.close()
+    /** The machine has no power: nothing answers, and open connections hang. */
+    darken: () => { isDark = true },
+    /** The machine has power again and knows nothing of its connections. */
+    lighten: () => {
+      isDark = false
       for (const socket of [...sockets]) socket.resetAndDestroy()
     },
-    heal: listen,
     close: () => {
       server.close()
       for (const socket of [...sockets]) socket.destroy()
--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -260,10 +260,13 @@
   return number.toString(16).padStart(16, '0')
 }
 
-/** Runs a case: exits with 1 if it finds broken rules, with 0 if it finds none, and with 2 if it could not run. */
-export async function runCase (directory, play) {
+/**
+ * Runs a case: exits with 1 if it finds broken rules, with 0 if it finds none, and with 2 if it could not run.
+ *
+ * @param isDisrupted - Whether the case is played with its disruption, for the record.
+ */
+export async function runCase (directory, isDisrupted, play) {
   const record = openRecord(directory)
-  const isDisrupted = process.env.TROUBLE !== '0'
   record(`disruption: ${isDisrupted ? 'yes' : 'no'}`)
   const state = { site: undefined }
   const guard = setTimeout(() => { finish(2, 'the case took too long') }, 115_000)
@@ -276,7 +279,7 @@
   }
   for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { finish(2, `ended by ${signal}`) })
   try {
-    const broken = await play({ record, isDisrupted, start: async options => (state.site = await startSite({ record, ...options })) })
+    const broken = await play({ record, start: async options => (state.site = await startSite({ record, ...options })) })
     for (const line of broken) record(`broken: ${line}`)
     await finish(broken.length > 0 ? 1 : 0, broken.length > 0 ? `the rule was broken: ${broken[0]}` : 'the rule held')
   } catch (failure) {
