Tell entries which runs have no start order without an answer

Agents now name, in the answers that they give anyway, the runs of which every start order was answered, until the entry has received such an answer. 'task waits again' has 'confirmed'. No decision uses it yet.

Builds before this one ignore the field; of their agents' runs none is confirmed.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -12,7 +12,7 @@
   'admission limited': 'Calls to agents are late, and the entry refuses jobs above a rate: `callDelay` in ms, `jobsPerSecond`',
   'overload changed': 'Whether an entry reports itself not ready since it has refused jobs for a while: `overloaded`, open `jobs`, `handling` (time in ms for which it works from the beginning of one job’s handling to that of the next)',
   'admission not limited any more': 'Calls to agents are answered in time again, and no rate limits the jobs: `callDelay` in ms',
-  'task waits again': 'A run ended without completing its task, which is queued again: `task`, `run`, `reason`, `left` ms to the deadline, number of `crashes` under it without another known cause',
+  'task waits again': 'A run ended without completing its task, which is queued again: `task`, `run`, `reason`, `left` ms to the deadline, whether its agent had `confirmed` that every start order of the run was answered, number of `crashes` under it without another known cause',
   'crash of an upstream': 'An agent told of a crash of its upstream that was not known: `agent`, `crash` (its identity), number of `candidates` (tasks that were there)',
   'crash not kept': 'An agent did not take a crash of another upstream, which it keeps for entries that start again: `agent`, `reason`',
   'task crashes its upstreams': 'A job is failed for a task under which upstreams crashed, at one of them with everything else that was there done since: `task`, `route`, number of `crashes`',
--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -14,6 +14,14 @@
 import { learnCrashes } from './learn-crashes.js'
 import { learnOpenOrders } from './learn-open-orders.js'
 
+/** Records which runs' start orders have all been answered, as the agent tells. */
+function confirmAssignments (state: DispatcherState, view: AgentView, { confirmed = [] }: StopAnswer): void {
+  for (const { task, run } of confirmed) {
+    const assignment = assignmentOf(state, view, task, run)?.task.assignment
+    if (assignment?.incarnation === view.incarnation) assignment.isConfirmed = true
+  }
+}
+
 /**
  * Applies the agent state at the head of an answer. Load and profile of an answer older than the view are ignored.
  *
@@ -39,6 +47,7 @@
     view.unconfirmedSize = EMPTY_SIZE
     view.isToldEvacuated = false
   }
+  confirmAssignments(state, view, answer)
   if (answer.cleared) endFormerRuns(state, ports, view, now)
   if (answer.evacuations !== undefined && state.evacuations?.merge(answer.evacuations) === true) {
     ports.evacuationsChanged?.(view.name)
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -24,7 +24,9 @@
     const { agent } = choice
     task.lastRun += 1
     task.state = 'assigned'
-    task.assignment = { agent: agent.name, incarnation: agent.incarnation, run: task.lastRun, sentAt: now }
+    task.assignment = {
+      agent: agent.name, incarnation: agent.incarnation, run: task.lastRun, sentAt: now, isConfirmed: false
+    }
     state.assigned.set(task.name, { job, task })
     const pending = byAgent.get(agent.name) ??
       { view: agent, orders: [], maximumWaitMilliseconds: 0, isWhole: false }
--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -32,6 +32,7 @@
   state: DispatcherState, ports: DispatcherPorts, { job, task }: TaskOfJob, reason: string, now: number
 ): void {
   state.assigned.delete(task.name)
+  const confirmed = task.assignment?.isConfirmed
   if (task.assignment !== undefined) task.avoidedAgents.add(task.assignment.agent)
   task.assignment = undefined
   if (job.isAnswered) {
@@ -42,7 +43,7 @@
   // A run that was refused its upstream for itself has kept that free for a while.
   if (state.crashes.suspicionOf(task.name, now) === 'lone') task.notBefore = now + LONE_RETRY_MILLISECONDS
   const left = Math.round(job.request.deadlineAt - now)
-  ports.logger.info('task waits again', { task: task.name, run: task.lastRun, reason, left, crashes: state.crashes.crashCountOf(task.name) })
+  ports.logger.info('task waits again', { task: task.name, run: task.lastRun, reason, left, confirmed, crashes: state.crashes.crashCountOf(task.name) })
   addWaiting(state, job)
 }
 
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -64,6 +64,8 @@
   readonly incarnation: string
   readonly run: number
   readonly sentAt: number
+  /** Whether the agent has told that every start order of the run was answered: none is carried out later. */
+  isConfirmed: boolean
 }
 
 export type TaskState = 'blocked' | 'waiting' | 'assigned' | 'stopping' | 'done'
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -115,7 +115,7 @@
 export type RunReport = typeof RunReport.Type
 
 /** Runs of one entry, by task and run number. */
-const RunsToStop = Schema.Array(Schema.Struct({ task: Schema.String, run: Count }))
+const RunsOfEntry = Schema.Array(Schema.Struct({ task: Schema.String, run: Count }))
 
 /** Asks for changes; answered as soon as there are any, or after the wait. Renews the entry's lease. */
 export const Watch = Schema.Struct({
@@ -126,7 +126,7 @@
   profileVersion: Count,
   waitMilliseconds: Amount,
   /** Runs to stop of which no stop call was answered: a watch renews the lease of them all. Absent for none. */
-  stops: Schema.optionalKey(RunsToStop)
+  stops: Schema.optionalKey(RunsOfEntry)
 })
 export type Watch = typeof Watch.Type
 
@@ -142,6 +142,12 @@
   profile: Schema.optionalKey(UpstreamProfile),
   /** The evacuated failure domains; absent unless the agent knows them at a later position than the entry. */
   evacuations: Schema.optionalKey(EvacuationState),
+  /**
+   * Runs of the calling entry of which every start order has been answered, until the entry has received an answer that
+   * names them; absent without any, and from builds before they were told. An order of any other run may yet be carried
+   * out when the agent is gone.
+   */
+  confirmed: Schema.optionalKey(RunsOfEntry),
   room: UpstreamLoad
 }
 
@@ -207,7 +213,7 @@
 /** Stops runs and cancels orders; the outcomes follow as reports. */
 export const Stop = Schema.Struct({
   caller: CallingEntry,
-  runs: RunsToStop,
+  runs: RunsOfEntry,
   /** Whether runs that have been ordered at the upstream go on; false where absent. */
   isOnlyWaiting: Schema.optionalKey(Schema.Boolean)
 })
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -4,7 +4,7 @@
   type Start, type StartAnswer, type Stop, type StopAnswer, type UpstreamLoad, type UpstreamProfile, type Verdict,
   type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import { acknowledgeReports, addReport, type EntrySession } from './entry-session.js'
+import { acknowledgeReports, addReport, tellConfirmed, type EntrySession } from './entry-session.js'
 import { expectedStarts, type ExpectedEnd } from './expected-starts.js'
 import { isForEarlierAgent, isOpen, leaseEnd, openSession, toldClock } from './open-session.js'
 import { isAccepting, startWaitingRuns, stopRun } from './orders.js'
@@ -80,13 +80,15 @@
 
 /** Returns the fields common to all answers to entries; the profile only if `profileVersion` is outdated. */
 function describeAgent (
-  state: RunRegistryState, caller: CallingEntry, profileVersion: number, now: number
+  state: RunRegistryState, session: EntrySession, caller: CallingEntry, profileVersion: number, now: number
 ): StopAnswer {
+  const confirmed = tellConfirmed(session, toldClock(state, now))
   const agentState = {
     incarnation: state.incarnation,
     clock: toldClock(state, now),
     cleared: state.isCleared,
     room: describeLoad(state, now),
+    ...(confirmed.length === 0 ? {} : { confirmed }),
     ...newerEvacuations(state, caller)
   }
   if (profileVersion === state.profileVersion) return agentState
@@ -198,7 +200,7 @@
   for (const [position, { task, run }] of start.orders.entries()) {
     if (verdicts[position] !== 'accepted') addTombstone(state, session, task, run, now)
   }
-  return { ...describeAgent(state, start.caller, state.profileVersion, now), verdicts }
+  return { ...describeAgent(state, session, start.caller, state.profileVersion, now), verdicts }
 }
 
 /** Prevents the start of a run whose order has not arrived, and reports it as not started. */
@@ -228,13 +230,14 @@
 
 /** Answers an entry's stop call. */
 export function answerStop (state: RunRegistryState, ports: RunRegistryPorts, stop: Stop, now: number): StopAnswer {
-  stopRunsOf(state, ports, openSession(state, ports, stop.caller, now), stop, now)
-  return describeAgent(state, stop.caller, state.profileVersion, now)
+  const session = openSession(state, ports, stop.caller, now)
+  stopRunsOf(state, ports, session, stop, now)
+  return describeAgent(state, session, stop.caller, state.profileVersion, now)
 }
 
 /** Answers an entry's watch. The session may belong to an earlier incarnation of the entry, and is not changed. */
 export function answerWatch (state: RunRegistryState, session: EntrySession, watch: Watch, now: number): WatchAnswer {
-  return { ...describeAgent(state, watch.caller, watch.profileVersion, now), reports: session.reports }
+  return { ...describeAgent(state, session, watch.caller, watch.profileVersion, now), reports: session.reports }
 }
 
 /** Begins a watch: renews the entry's lease, drops acknowledged reports and stops the runs that it names. */
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -1,5 +1,13 @@
 /** An agent's session of one entry: the entry's lease and the reports that it has not acknowledged. */
-import type { CallingEntry, RunOutcome, RunReport } from '@baobabpost/fleet-calls'
+import type { CallingEntry, RunOutcome, RunReport, Stop } from '@baobabpost/fleet-calls'
+
+/** A run of the entry of which every start order has been answered. */
+interface ConfirmedRun {
+  readonly task: string
+  readonly run: number
+  /** Clock of the first answer that named it; undefined before. */
+  toldAt: number | undefined
+}
 
 /** Session of one incarnation of an entry. */
 export interface EntrySession {
@@ -10,6 +18,8 @@
   /** End of the entry's lease on the agent's steady clock, in milliseconds; the entry's runs are stopped then. */
   leaseUntil: number
   reports: RunReport[]
+  /** Confirmed runs by task, until the entry has received an answer that names them or they have ended. */
+  readonly confirmed: Map<string, ConfirmedRun>
   lastSequence: number
   /** Reports up to this sequence number are sent at once; later ones wait for the other runs of their group. */
   urgentSequence: number
@@ -28,6 +38,7 @@
     heardAt: 0,
     leaseUntil: 0,
     reports: [],
+    confirmed: new Map(),
     lastSequence: 0,
     urgentSequence: 0
   }
@@ -61,3 +72,21 @@
   if (session.reports[0] === undefined || session.reports[0].sequence > acknowledged) return
   session.reports = session.reports.filter(report => report.sequence > acknowledged)
 }
+
+/**
+ * Returns the confirmed runs for an answer, and drops those that the entry has heard of.
+ *
+ * @param clock - Time that the answer carries.
+ */
+export function tellConfirmed (session: EntrySession, clock: number): Stop['runs'] {
+  const told: Array<Stop['runs'][number]> = []
+  for (const [task, confirmed] of session.confirmed) {
+    if (confirmed.toldAt !== undefined && confirmed.toldAt <= session.heardAt) {
+      session.confirmed.delete(task)
+      continue
+    }
+    confirmed.toldAt ??= clock
+    told.push({ task, run: confirmed.run })
+  }
+  return told
+}
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -4,7 +4,7 @@
   MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import { indexRuns, isInRegistry, recordLastingRows, rowOf, type ListedRuns } from './listed-runs.js'
-import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import { confirmRun, endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { isAccepting, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import type { ListAnswer, ListedCompletion, Listing } from './upstream.js'
@@ -132,7 +132,7 @@
   }
   state.openOrders.close(record.order.task, record.orderedAt)
   record.state = 'running'
-  record.isConfirmed = true
+  confirmRun(state, record, now)
   record.absenceConclusiveFrom = now
 }
 
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -4,7 +4,7 @@
   MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import {
-  reserveCapacity, endRun, freeCapacity, hasCapacityFor, recordUpstreamClock, type RunRegistryPorts,
+  confirmRun, reserveCapacity, endRun, freeCapacity, hasCapacityFor, recordUpstreamClock, type RunRegistryPorts,
   type RunRegistryState
 } from './run-registry-state.js'
 import { mayStartBesideOthers, mustRunAlone } from './lone-runs.js'
@@ -233,7 +233,7 @@
   recordUpstreamClock(state, ports, answer.clock, now)
   switch (answer.outcome) {
     case 'taken':
-      record.isConfirmed = true
+      confirmRun(state, record, now)
       if (record.state === 'stopping') return
       record.state = 'running'
       record.absenceConclusiveFrom = now
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -164,12 +164,20 @@
   state.usualRun = addSizes(scaleSize(state.usualRun, 1 - weight), scaleSize(record.order.size, weight))
 }
 
+/** Records that the upstream has confirmed a run. Its entry is told unless an earlier order of it is still open. */
+export function confirmRun (state: RunRegistryState, record: RunRecord, now: number): void {
+  record.isConfirmed = true
+  const { session, order: { task, run } } = record
+  if (!state.openOrders.has(task, now)) session.confirmed.set(task, { task, run, toldAt: undefined })
+}
+
 /** Removes a run from the registry and reports its outcome to its entry. */
 export function endRun (
   state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, outcome: RunOutcome, reason: string, now: number
 ): void {
   if (state.runs.get(record.order.task) !== record) return
   state.runs.delete(record.order.task)
+  record.session.confirmed.delete(record.order.task)
   if (hasReservedCapacity(record)) state.reserved = subtractSizes(state.reserved, record.order.size)
   else state.queue.remove(record)
   addTombstone(state, record.session, record.order.task, record.order.run, now)
