Hold a task for as long as a late order of it, or the run that it starts, may be there

Callers could see a task run twice: entries and agents took an order without an answer for dead after 3 s, while the platform's pages have it carried out 2 to 12 s later, and the run that it then starts lives for one more lease of up to 1 s, as the order names a time on the clock of the former instance.

The time is 13.04 s now, from these figures. instance-evidence, lease-of-runs and unanswered-orders had the old figure as their bound; they have the platform's now, and their checks are the same. Cost: a task whose orders were all lost may go to its own agent only, for 13 s instead of 3 s.

--- a/packages/fleet-calls/src/late-orders.ts
+++ b/packages/fleet-calls/src/late-orders.ts
@@ -4,10 +4,20 @@
  * agent has raised the fencing token there.
  */
 import { Schema } from 'effect'
+import { LEASE_MARGIN_MILLISECONDS } from './lease-lengths.js'
 import { SteadyTime } from './wire-values.js'
 
-/** Age of an order without an answer from which it is not expected to be carried out: delays last up to seconds. */
-export const LATE_ORDER_MILLISECONDS = 3_000
+/** Longest delay with which an upstream carries out an order without an answer. */
+const MAXIMUM_ORDER_DELAY_MILLISECONDS = 12_000
+/**
+ * Longest real lease of a run that such an order starts. Its time is one of the former instance's clock, so the next one
+ * may grant its maximum of 1 s; its clock may be 2 % slow.
+ */
+const MAXIMUM_LATE_LEASE_MILLISECONDS = 1_000 * 1.02
+
+/** Age of an order without an answer from which nothing of it runs, although no agent has stopped it. */
+export const LATE_ORDER_MILLISECONDS =
+  MAXIMUM_ORDER_DELAY_MILLISECONDS + MAXIMUM_LATE_LEASE_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
 
 /** Tasks with such orders at one upstream. */
 export const OpenOrders = Schema.Array(Schema.Struct({
