Hold a task for its agent unless that has confirmed its orders

The entry took the end of the leases of a silent agent, or the word of its next incarnation, for the end of all that it had ordered; only the agent knew of the order, and told nobody while its run was awaited.

The design now: an assignment that ends with its agent frees its task only if the agent had confirmed that every start order of the run was answered. Otherwise the task may go to that agent alone until nothing of a late order can run. - Agents tell all entries the open orders of all tasks, also of those that run or are done, 100 ms after they were sent; neither a fence nor a stop closes one, as a later instance knows of neither. - An entry whose agent answers no more has two other agents keep the open orders that it knows or can't exclude there, so that the entries to which callers turn next know them. - A job whose task no agent may get before its deadline is given up at once. Agents of earlier builds confirm nothing: their tasks are held. Earlier entries read the open orders as before.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -14,6 +14,7 @@
   'admission not limited any more': 'Calls to agents are answered in time again, and no rate limits the jobs: `callDelay` in ms',
   'task waits again': 'A run ended without completing its task, which is queued again: `task`, `run`, `reason`, `left` ms to the deadline, whether its agent had `confirmed` that every start order of the run was answered, number of `crashes` under it without another known cause',
   'crash of an upstream': 'An agent told of a crash of its upstream that was not known: `agent`, `crash` (its identity), number of `candidates` (tasks that were there)',
+  'open orders not kept': 'An agent did not take the open orders of another one that does not answer, which it keeps for all entries: `agent`, number of `tasks`, `reason`',
   'crash not kept': 'An agent did not take a crash of another upstream, which it keeps for entries that start again: `agent`, `reason`',
   'task crashes its upstreams': 'A job is failed for a task under which upstreams crashed, at one of them with everything else that was there done since: `task`, `route`, number of `crashes`',
   'route confined': 'Tasks of a route crash upstreams, and the route may use only some of those of its service: `service`, `route`, number of `agents` `of` those of the service',
--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -13,6 +13,7 @@
 import { releaseReservation } from './job-plan.js'
 import { learnCrashes } from './learn-crashes.js'
 import { learnOpenOrders } from './learn-open-orders.js'
+import { keepLostOrders } from './lost-orders.js'
 
 /** Records which runs' start orders have all been answered, as the agent tells. */
 function confirmAssignments (state: DispatcherState, view: AgentView, { confirmed = [] }: StopAnswer): void {
@@ -255,6 +256,7 @@
   ports.logger.warn('start got no answer', { agent: view.name, tasks: unconfirmed.length })
   // The agent gets no further work until it answers a call, which may be the stop sent here.
   view.isReachable = false
+  keepLostOrders(state, ports, view, now)
   stopTasks(state, unconfirmed, now)
 }
 
@@ -265,9 +267,15 @@
   state.stops.answered(view.name)
 }
 
-export function handleWatchFailure (ports: DispatcherPorts, view: AgentView, isRefused: boolean, now: number): void {
-  if (view.isReachable) ports.logger.warn('agent does not answer', { agent: view.name, refused: isRefused, heardAgo: Math.round(now - view.lastContactAt) })
-  view.isReachable = false
+export function handleWatchFailure (
+  state: DispatcherState, ports: DispatcherPorts, view: AgentView, isRefused: boolean, now: number
+): void {
+  if (view.isReachable) {
+    const heardAgo = Math.round(now - view.lastContactAt)
+    ports.logger.warn('agent does not answer', { agent: view.name, refused: isRefused, heardAgo })
+    view.isReachable = false
+    keepLostOrders(state, ports, view, now)
+  }
   if (!isRefused) view.refusedSince = undefined
   else view.refusedSince ??= now
 }
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -4,11 +4,11 @@
 import { isCapacityArriving } from './arriving-capacity.js'
 import { callerFor } from './caller.js'
 import {
-  EVACUATED_RETRY_AFTER_MILLISECONDS, LATE_PRIORITY_OFFSET, LONE_WAIT_MILLISECONDS, MAXIMUM_ATTEMPTS_PER_PASS,
-  MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, MINIMUM_SLOWNESS, RESERVED_CAPACITY_SHARE,
-  USEFUL_OBJECTIVES
+  LATE_PRIORITY_OFFSET, LONE_WAIT_MILLISECONDS, MAXIMUM_ATTEMPTS_PER_PASS, MAXIMUM_WAITING_LATE_JOBS,
+  MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, RESERVED_CAPACITY_SHARE
 } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, PendingOrders } from './dispatcher-state.js'
+import { abandonIfEvacuated, abandonIfHopeless } from './hopeless-jobs.js'
 import { mayHaveRun, type Job, type JobTask } from './job.js'
 import { abandonJob, answerJob } from './job-completion.js'
 import {
@@ -96,22 +96,6 @@
     view.load.waiting.every(processor => processor === 0)
 }
 
-/** Shortest time in which the given tasks can be done, by their estimates. */
-function minimumRemainingMilliseconds (tasks: readonly JobTask[]): number {
-  let minimum = 0
-  for (const { step } of tasks) minimum = Math.max(minimum, MINIMUM_SLOWNESS * step.estimateMilliseconds)
-  return minimum
-}
-
-/** Abandons a job that waits for upstreams which are all evacuated. Returns whether it did. */
-function abandonIfEvacuated (
-  state: DispatcherState, ports: DispatcherPorts, job: Job, agents: AgentsByDistance, now: number
-): boolean {
-  if (!agents.areAllEvacuated || !job.tasks.some(task => task.state === 'waiting')) return false
-  abandonJob(state, ports, job, 'all failure domains are evacuated', now, EVACUATED_RETRY_AFTER_MILLISECONDS)
-  return true
-}
-
 /** Fails a job with a waiting task that crashes its upstreams. Returns whether it did. */
 function failIfBlamed (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
   if (state.crashes.isEmpty()) return false
@@ -134,22 +118,6 @@
   return undefined
 }
 
-/**
- * Abandons a job whose waiting tasks can not end before its deadline or, if none of its tasks has been sent, while an
- * answer is of use. Returns whether it did.
- */
-function abandonIfHopeless (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
-  const waiting = job.tasks.filter(task => task.state === 'waiting')
-  if (waiting.length === 0) return false
-  const { arrivedAt, deadlineAt } = job.request
-  const endsAt = now + minimumRemainingMilliseconds(waiting)
-  const isUseless = endsAt > arrivedAt + USEFUL_OBJECTIVES * job.objectiveMilliseconds && !mayHaveRun(job)
-  if (endsAt <= deadlineAt && !isUseless) return false
-  const reason = isUseless ? 'no room while an answer is of use' : 'no room before its deadline'
-  abandonJob(state, ports, job, reason, now)
-  return true
-}
-
 /** Tries to send the waiting tasks of a job. Returns whether the job has no waiting tasks left. */
 function assignJob (
   state: DispatcherState, ports: DispatcherPorts, job: Job, agentsOfService: AgentsByDistance, now: number
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -254,7 +254,7 @@
       handleWatchAnswer(state, ports, view, answer, now)
       assignWaitingIfDue(state, ports, now)
     },
-    watchFailed: (view, isRefused, now) => { handleWatchFailure(ports, view, isRefused, now) },
+    watchFailed: (view, isRefused, now) => { handleWatchFailure(state, ports, view, isRefused, now) },
     startAnswered: (view, start, answer, now) => {
       handleStartAnswer(state, ports, view, start, answer, now)
       assignWaitingIfDue(state, ports, now)
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -1,6 +1,6 @@
 /** State of an entry's dispatcher and the operations that it needs from its environment. */
 import type { EventLogger } from '@baobabpost/common'
-import type { EvacuationRegister, RunOrder, Start, Stop, UpstreamCrash } from '@baobabpost/fleet-calls'
+import type { EvacuationRegister, RunOrder, Start, Stop, TellOpenOrders, UpstreamCrash } from '@baobabpost/fleet-calls'
 import type { Admission } from './admission.js'
 import type { AgentView } from './agent-view.js'
 import type { Confinements } from './confinement.js'
@@ -23,6 +23,8 @@
   evacuationsChanged?: (source: string) => void
   /** Tells an agent crashes of other upstreams, which need no answer. */
   tellCrashes?: (view: AgentView, crashes: readonly UpstreamCrash[]) => void
+  /** Tells an agent open orders of another one that does not answer, which need no answer. */
+  tellOpenOrders?: (view: AgentView, orders: TellOpenOrders['orders']) => void
   readonly logger: EventLogger
 }
 
--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -5,6 +5,7 @@
 import { LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
 import { settleJob } from './job-completion.js'
+import { keepLostOrders, recordLostOrders } from './lost-orders.js'
 
 /** Ends all assignments to earlier incarnations of an agent. */
 export function endFormerRuns (state: DispatcherState, ports: DispatcherPorts, view: AgentView, now: number): void {
@@ -21,6 +22,8 @@
     (reason === 'agent silent' || assignment.incarnation !== view.incarnation))
   const incarnation = lost[0]?.task.assignment?.incarnation ?? ''
   state.crashes.addLost(incarnation, lost.map(({ job, task }) => ({ task: task.name, route: job.request.route })), now)
+  recordLostOrders(state, view, lost, now)
+  keepLostOrders(state, ports, view, now)
   for (const assignedTask of lost) {
     assignedTask.task.mayHaveStarted = true
     endAssignment(state, ports, assignedTask, reason, now)
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -2,7 +2,7 @@
 import type { EventLogger } from '@baobabpost/common'
 import {
   CallError, createCallClient, type CallClient, type EvacuationRegister, type EvacuationState, type Start, type Stop,
-  type UpstreamCrash
+  type TellOpenOrders, type UpstreamCrash
 } from '@baobabpost/fleet-calls'
 import type { Admission } from './admission.js'
 import type { AgentView } from './agent-view.js'
@@ -88,7 +88,7 @@
   const overload = createOverloadSignal()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({
-    ...options, sendStart, sendStop, tellCrashes, evacuationsChanged: logEvacuations
+    ...options, sendStart, sendStop, tellCrashes, tellOpenOrders, evacuationsChanged: logEvacuations
   })
 
   function sendStart (view: AgentView, start: Start): void {
@@ -130,6 +130,12 @@
     })
   }
 
+  function tellOpenOrders (view: AgentView, orders: TellOpenOrders['orders']): void {
+    client.call(view.address, 'tellOpenOrders', { orders }, timing.timeout()).catch((failure: unknown) => {
+      logger.warn('open orders not kept', { agent: view.name, tasks: orders.length, reason: String(failure) })
+    })
+  }
+
   function logFailure (failure: unknown): void {
     logger.error('entry failed', { reason: String(failure) })
   }
--- a/packages/dispatching/src/open-orders.ts
+++ b/packages/dispatching/src/open-orders.ts
@@ -3,7 +3,7 @@
 import type { AgentView } from './agent-view.js'
 import type { Job } from './job.js'
 
-/** Orders at one agent: which incarnation of it sent them, and the time from which they are not expected any more. */
+/** Orders of a task at one agent: which incarnation of it sent them, and until when one may be carried out. */
 interface OrdersOfAgent {
   readonly incarnation: string
   readonly until: number
@@ -11,11 +11,18 @@
 
 /**
  * The agents at which tasks have such an order. No other agent may get the task meanwhile; that one may, as it orders
- * starts only at an upstream where no late order is carried out. Times are on the entry's steady clock.
+ * starts only at an upstream where no late order is carried out. Times are on the entry's steady clock in
+ * milliseconds.
  */
 export interface OpenOrders {
   /** Records that the upstream of an agent may carry out an order of a task, sent by an incarnation, until a time. */
   add: (task: string, agent: string, incarnation: string, until: number) => void
+  /** Returns the agents at which a task has such an order, with the time until which it may be carried out. */
+  holdersOf: (task: string) => ReadonlyArray<{ readonly agent: string, readonly until: number }>
+  /** Returns the tasks with such an order at an agent. */
+  ordersAt: (
+    agent: string, now: number
+  ) => ReadonlyArray<{ readonly task: string, readonly incarnation: string, readonly until: number }>
   /**
    * Replaces what is recorded of an agent's incarnation by what it tells, or adds that while its upstream is not
    * fenced. It knows nothing of the orders of its former incarnations.
@@ -45,6 +52,17 @@
     if ((agents.get(agent)?.until ?? -Infinity) < until) agents.set(agent, { incarnation, until })
   }
 
+  function ordersAt (
+    agent: string, now: number
+  ): Array<{ readonly task: string, readonly incarnation: string, readonly until: number }> {
+    const orders = []
+    for (const [task, agents] of agentsByTask) {
+      const ordersOfAgent = agents.get(agent)
+      if (ordersOfAgent !== undefined && now < ordersOfAgent.until) orders.push({ task, ...ordersOfAgent })
+    }
+    return orders
+  }
+
   function remove (isOver: (agent: string, orders: OrdersOfAgent) => boolean): void {
     for (const [task, agents] of agentsByTask) {
       for (const [agent, orders] of agents) if (isOver(agent, orders)) agents.delete(agent)
@@ -54,6 +72,8 @@
 
   return {
     add,
+    holdersOf: task => [...agentsByTask.get(task) ?? []].map(([agent, { until }]) => ({ agent, until })),
+    ordersAt,
     learn: ({ name }, { profile, clock, cleared, incarnation }, now) => {
       if (profile === undefined) return
       if (cleared) remove((agent, orders) => agent === name && orders.incarnation === incarnation)
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -9,7 +9,7 @@
 import { CrashFacts } from './crash-facts.js'
 import { EvacuationState } from './evacuations.js'
 import { RememberedRunTimes, RunTimes } from './run-times.js'
-import { OpenOrders } from './late-orders.js'
+import { KeptOrders, OpenOrders } from './late-orders.js'
 import { Size } from './size.js'
 import { Amount, Count, FencingToken, Quantity, SteadyTime, UnixTime } from './wire-values.js'
 
@@ -51,8 +51,10 @@
   fence: Schema.optionalKey(FencingToken),
   /** Recent crashes of the upstream; absent without any. */
   crashes: Schema.optionalKey(CrashFacts),
-  /** Orders that the next instance may yet carry out, of entries that no longer wait for them; absent without any. */
+  /** Tasks with orders that the upstream, or a later instance of it, may yet carry out; absent without any. */
   openOrders: Schema.optionalKey(OpenOrders),
+  /** Such orders of other agents, as entries have told them; absent without any. */
+  keptOrders: Schema.optionalKey(KeptOrders),
   /** `LeaseLengths` that the agent keeps, or those of a later build; absent from builds before they were told. */
   leases: Schema.optionalKey(Schema.Unknown)
 })
--- a/packages/fleet-calls/src/calls.ts
+++ b/packages/fleet-calls/src/calls.ts
@@ -4,6 +4,7 @@
 import {
   Announce, AnnounceAnswer, AskConfiguration, AskConfigurationAnswer, TellEvacuations, TellEvacuationsAnswer
 } from './entry-messages.js'
+import { TellOpenOrders, TellOpenOrdersAnswer } from './late-orders.js'
 
 /**
  * Time without a byte after which an answer of unbounded size is given up; the timeout of its call covers only the time
@@ -27,7 +28,9 @@
   },
   tellEvacuations: { parameters: TellEvacuations, answer: TellEvacuationsAnswer, isShared: true },
   /** Unknown to earlier builds, which answer with an error. */
-  tellCrashes: { parameters: TellCrashes, answer: TellCrashesAnswer, isShared: true }
+  tellCrashes: { parameters: TellCrashes, answer: TellCrashesAnswer, isShared: true },
+  /** Unknown to earlier builds, which answer with an error. */
+  tellOpenOrders: { parameters: TellOpenOrders, answer: TellOpenOrdersAnswer, isShared: true }
 } as const
 
 /** Time without a byte after which the answer to a call is given up once it has begun; undefined if it is small. */
--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -183,7 +183,8 @@
     start,
     stop: parameters => registry.answerStop(parameters, now()),
     tellEvacuations: parameters => registry.answerEvacuations(parameters, now()),
-    tellCrashes: parameters => registry.answerCrashes(parameters, now())
+    tellCrashes: parameters => registry.answerCrashes(parameters, now()),
+    tellOpenOrders: parameters => registry.answerOpenOrders(parameters, now())
   }
   let tickTimer: ReturnType<typeof setTimeout> | undefined
   let nextTickAt = 0
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -2,7 +2,7 @@
 import type { EvacuationReadings } from '@baobabpost/common'
 import type {
   CallingEntry, Start, StartAnswer, Stop, StopAnswer, TellCrashes, TellCrashesAnswer, TellEvacuations,
-  TellEvacuationsAnswer, Watch, WatchAnswer
+  TellEvacuationsAnswer, TellOpenOrders, TellOpenOrdersAnswer, Watch, WatchAnswer
 } from '@baobabpost/fleet-calls'
 import { answerStart, answerStop, answerWatch, beginWatch, describeOpenOrders, describeProfile } from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
@@ -29,6 +29,8 @@
   answerEvacuations: (tell: TellEvacuations, now: number) => TellEvacuationsAnswer
   /** Keeps crashes of other upstreams that an entry tells. */
   answerCrashes: (tell: TellCrashes, now: number) => TellCrashesAnswer
+  /** Keeps open orders of other agents that an entry tells. */
+  answerOpenOrders: (tell: TellOpenOrders, now: number) => TellOpenOrdersAnswer
   beginWatch: (watch: Watch, now: number) => EntrySession
   /** Returns the end of the entry's lease that a call grants. */
   leaseEnd: (caller: CallingEntry) => number
@@ -82,24 +84,25 @@
   let wasAccepting: boolean | undefined
   let describedCrashes = 0
   let describedFence = 0
-  let describedOpenOrders = ''
+  let describedOrders = new Set<string>()
   let openOrdersToldAt = 0
 
-  /** Whether the open orders have changed and entries may be told again. */
-  function takeOpenOrdersChange (now: number): boolean {
+  /** Whether entries are to be told of further open orders now; those that have been told expire by themselves. */
+  function takeNewOpenOrders (now: number): boolean {
     if (now - openOrdersToldAt < OPEN_ORDERS_INTERVAL_MILLISECONDS) return false
-    const described = describeOpenOrders(state, now).map(({ task }) => task).join(' ')
-    if (described === describedOpenOrders) return false
-    describedOpenOrders = described
-    openOrdersToldAt = now
-    return true
+    const { openOrders = [], keptOrders = [] } = describeOpenOrders(state, now)
+    const described = new Set([...openOrders, ...keptOrders].map(order => JSON.stringify(order)))
+    const hasNew = [...described].some(order => !describedOrders.has(order))
+    describedOrders = described
+    if (hasNew) openOrdersToldAt = now
+    return hasNew
   }
 
   function refreshProfile (now: number): void {
     const isAcceptingNow = isAccepting(state, now)
     const crashRevision = state.crashes.revision()
     const isUnchanged = state.upstream.heartbeat === describedHeartbeat && isAcceptingNow === wasAccepting &&
-      crashRevision === describedCrashes && state.fencingToken === describedFence && !takeOpenOrdersChange(now)
+      crashRevision === describedCrashes && state.fencingToken === describedFence && !takeNewOpenOrders(now)
     if (isUnchanged) return
     describedCrashes = crashRevision
     describedFence = state.fencingToken
@@ -121,6 +124,7 @@
       state.tombstones.delete(key)
     }
     state.openOrders.expire(now)
+    state.keptOrders.expire(now)
   }
 
   /** Tells entries of the larger share of its capacity that a cold upstream gets. */
@@ -149,6 +153,11 @@
       for (const crash of crashes) state.crashes.recordTold(crash, now)
       return {}
     },
+    answerOpenOrders: ({ orders }, now) => {
+      state.keptOrders.add(orders, now)
+      refreshProfile(now)
+      return {}
+    },
     leaseEnd: caller => leaseEnd(state, caller),
     beginWatch: (watch, now) => beginWatch(state, ports, watch, now),
     hasUpdates: (session, watch) =>
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -1,6 +1,6 @@
 /** Handles the entries' calls to an agent: start, stop and watch. */
 import {
-  EMPTY_SIZE, KEPT_LEASES, type CallingEntry, type EvacuationState, type OpenOrders, type RunOrder,
+  EMPTY_SIZE, KEPT_LEASES, type CallingEntry, type EvacuationState, type RunOrder,
   type Start, type StartAnswer, type Stop, type StopAnswer, type UpstreamLoad, type UpstreamProfile, type Verdict,
   type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
@@ -12,26 +12,31 @@
 import { isKeptForLoneRun } from './lone-runs.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import { adoptRunTimes, describeRunTimes, workOf } from './run-time-reports.js'
-import { ORDER_UNANSWERED, type RunGroup, type RunRecord } from './run-record.js'
+import type { RunGroup, RunRecord } from './run-record.js'
 
-/** Whether the entry of a run still waits for it, so that no entry gets the task to place it. */
-function isAwaited (state: RunRegistryState, task: string): boolean {
-  const record = state.runs.get(task)
-  if (record === undefined || record.state === 'displaced') return false
-  return record.state !== 'stopping' || record.stopReason === ORDER_UNANSWERED
+/** Returns the given orders with times of the clock that answers carry. */
+function toldOrders<Order extends { readonly until: number }> (
+  state: RunRegistryState, orders: readonly Order[]
+): Order[] {
+  return orders.map(order => ({ ...order, until: order.until + state.suspendedMilliseconds }))
 }
 
-/** Returns the tasks with orders that may yet be carried out, although another entry may get the task meanwhile. */
-export function describeOpenOrders (state: RunRegistryState, now: number): OpenOrders {
-  const openOrders = state.openOrders.list(task => !isAwaited(state, task), now)
-  return openOrders.map(({ task, until }) => ({ task, until: until + state.suspendedMilliseconds }))
+/** Returns the tasks with orders that may yet be carried out, at this upstream and at those of other agents. */
+export function describeOpenOrders (
+  state: RunRegistryState, now: number
+): Pick<UpstreamProfile, 'openOrders' | 'keptOrders'> {
+  const openOrders = toldOrders(state, state.openOrders.list(now))
+  const keptOrders = toldOrders(state, state.keptOrders.list(now))
+  return {
+    ...(openOrders.length === 0 ? {} : { openOrders }),
+    ...(keptOrders.length === 0 ? {} : { keptOrders })
+  }
 }
 
 /** Returns the upstream's profile for the entries. */
 export function describeProfile (state: RunRegistryState, now: number): UpstreamProfile {
   const { heartbeat } = state.upstream
   const crashes = state.crashes.facts(now)
-  const openOrders = describeOpenOrders(state, now)
   return {
     version: state.profileVersion,
     service: heartbeat?.service ?? '',
@@ -43,7 +48,7 @@
     fence: state.fencingToken,
     ...(heartbeat?.instance.startedAt === undefined ? {} : { instance: heartbeat.instance.startedAt }),
     ...(crashes === undefined ? {} : { crashes }),
-    ...(openOrders.length === 0 ? {} : { openOrders })
+    ...describeOpenOrders(state, now)
   }
 }
 
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -25,7 +25,6 @@
   for (const record of [...state.runs.values()]) {
     const { order: { task }, upstreamRunNumber: run } = record
     if (!listedRuns.hasTask(task) && !listedRuns.isDoubtful(task)) {
-      state.openOrders.closeEarlier(task, state.upstream.instance?.startedAt)
       endRun(state, ports, record, 'lost', record.stopReason, now)
       continue
     }
@@ -78,7 +77,7 @@
     const processor = state.upstream.heartbeat?.capacity.processor ?? Infinity
     state.upstream.slowStart.recordCompletion(record.order.size.processor / Math.max(1, processor))
   }
-  state.openOrders.close(completion.task, record.orderedAt)
+  if (!record.isConfirmed) state.openOrders.closeOnlyOrder(completion.task)
   if (completion.kind === 'failed') state.upstream.observations.recordFailure()
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
@@ -130,7 +129,7 @@
     if (isRepeatable) return retryStart(state, ports, record, ORDER_UNANSWERED, now)
     return stopRun(state, ports, record, ORDER_UNANSWERED, now)
   }
-  state.openOrders.close(record.order.task, record.orderedAt)
+  state.openOrders.closeOnlyOrder(record.order.task)
   record.state = 'running'
   confirmRun(state, record, now)
   record.absenceConclusiveFrom = now
@@ -204,7 +203,6 @@
     return
   }
   state.upstream.phase = 'serving'
-  state.openOrders.closeAllEarlier(state.upstream.instance?.startedAt)
   state.fencingTokenStep = FENCING_TOKEN_STEP
   state.isCleared = true
   ports.logger.info('upstream serves', { fence: state.fencingToken })
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -60,7 +60,7 @@
   record.orderedAt = now
   record.orderedFence = state.fencingToken
   record.absenceConclusiveFrom = undefined
-  state.openOrders.add(task, state.upstream.instance?.startedAt, now)
+  state.openOrders.add(task, now)
   ports.sendStart(record, {
     task,
     run: record.upstreamRunNumber,
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -6,6 +6,7 @@
 } from '@baobabpost/fleet-calls'
 import { addReport, type EntrySession } from './entry-session.js'
 import { createCrashRecord, type CrashRecord } from './crash-record.js'
+import { createKeptOrders, type KeptOrders } from './kept-orders.js'
 import { createOpenOrders, type OpenOrders } from './open-orders.js'
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
@@ -44,6 +45,8 @@
   readonly tombstones: Map<string, number>
   /** Start orders of all runs, also of those that have ended, which may yet be carried out. */
   readonly openOrders: OpenOrders
+  /** Such orders of other agents, as entries have told them. */
+  readonly keptOrders: KeptOrders
   reserved: Size
   /** Moving average of the sizes of the started runs. */
   usualRun: Size
@@ -87,6 +90,7 @@
     sessions: new Map(),
     tombstones: new Map(),
     openOrders: createOpenOrders(),
+    keptOrders: createKeptOrders(),
     reserved: EMPTY_SIZE,
     usualRun: EMPTY_SIZE,
     upstream: createUpstreamState(undefined, routeFactor),
@@ -183,7 +187,6 @@
   addTombstone(state, record.session, record.order.task, record.order.run, now)
   if (outcome === 'done' && record.order.crashCount !== undefined) state.crashes.recordCleared(record.order.task, now)
   const milliseconds = record.orderedAt === 0 ? 0 : now - record.orderedAt
-  if (outcome === 'done') state.openOrders.forget(record.order.task)
   const openOrderMilliseconds = Math.ceil(state.openOrders.remainingMilliseconds(record.order.task, now))
   const reportedOutcome = record.isSuperseded ? 'superseded' : outcome
   record.group.openRunCount -= 1
