Forget what others keep of an agent once that answers again

An entry that lost contact for a moment has other agents keep the orders that it can't exclude. Orders of two incarnations of an agent shared one record, so that the later one's word ended those of the earlier.

What others keep counts until the incarnation itself answers; an entry asks a lost agent for its whole profile; each incarnation has its own record.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -66,8 +66,8 @@
     view.leases = readLeases(answer.profile.leases)
     view.fence = Math.max(view.fence, answer.profile.fence ?? 0)
     learnCrashes(state, ports, view, now)
-    learnOpenOrders(state, view, answer, now)
   }
+  learnOpenOrders(state, view, answer, now)
   state.runTimes.applyAnswer(view)
   return true
 }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -245,7 +245,8 @@
       return {
         caller: callerFor(state, view),
         acknowledged: view.acknowledgedSequence,
-        profileVersion: view.profile?.version ?? 0,
+        // An agent that was lost tells anew which orders are open.
+        profileVersion: view.isReachable ? view.profile?.version ?? 0 : 0,
         waitMilliseconds: watchMilliseconds(view),
         ...(unanswered.length === 0 ? {} : { stops: unanswered })
       }
--- a/packages/dispatching/src/open-orders.ts
+++ b/packages/dispatching/src/open-orders.ts
@@ -3,29 +3,40 @@
 import type { AgentView } from './agent-view.js'
 import type { Job } from './job.js'
 
-/** Orders of a task at one agent: which incarnation of it sent them, and until when one may be carried out. */
+/** Orders of a task that an incarnation of an agent has sent. */
 interface OrdersOfAgent {
+  readonly agent: string
   readonly incarnation: string
+  /** Time until which one of them may be carried out. */
+  readonly until: number
+  /** Whether other agents keep them for this one, which does not answer. */
+  readonly isKept: boolean
+}
+
+/** An agent at which a task has such an order, and the time until which that may be carried out. */
+export interface OrderHolder {
+  readonly agent: string
   readonly until: number
 }
 
 /**
  * The agents at which tasks have such an order. No other agent may get the task meanwhile; that one may, as it orders
- * starts only at an upstream where no late order is carried out. Times are on the entry's steady clock in
- * milliseconds.
+ * starts only at an upstream where no late order is carried out. Times are on the entry's steady clock, in ms.
  */
 export interface OpenOrders {
   /** Records that the upstream of an agent may carry out an order of a task, sent by an incarnation, until a time. */
   add: (task: string, agent: string, incarnation: string, until: number) => void
-  /** Returns the agents at which a task has such an order, with the time until which it may be carried out. */
-  holdersOf: (task: string) => ReadonlyArray<{ readonly agent: string, readonly until: number }>
+  /** Records the same of an order that other agents keep, until the incarnation itself answers. */
+  addKept: (task: string, agent: string, incarnation: string, until: number) => void
+  /** Returns the agents at which a task has such an order. */
+  holdersOf: (task: string) => readonly OrderHolder[]
   /** Returns the tasks with such an order at an agent. */
   ordersAt: (
     agent: string, now: number
   ) => ReadonlyArray<{ readonly task: string, readonly incarnation: string, readonly until: number }>
   /**
-   * Replaces what is recorded of an agent's incarnation by what it tells, or adds that while its upstream is not
-   * fenced. It knows nothing of the orders of its former incarnations.
+   * Takes over what an agent's answer tells. It replaces what is recorded of its incarnation, or adds to that while its
+   * upstream is not fenced. It knows nothing of the orders of its former incarnations.
    */
   learn: (view: AgentView, answer: StopAnswer, now: number) => void
   /** Whether a task may yet be started by an earlier order. */
@@ -44,49 +55,72 @@
  * openOrders.add('5c0e7a21d94b36f8.0.0.0', 'agent-1', 'agent-1-7', now + 2_400)
  */
 export function createOpenOrders (): OpenOrders {
-  const agentsByTask = new Map<string, Map<string, OrdersOfAgent>>()
+  const ordersByTask = new Map<string, readonly OrdersOfAgent[]>()
+  /** Agents of which others keep orders. */
+  const keptAgents = new Set<string>()
 
-  function add (task: string, agent: string, incarnation: string, until: number): void {
-    const agents = agentsByTask.get(task) ?? new Map<string, OrdersOfAgent>()
-    agentsByTask.set(task, agents)
-    if ((agents.get(agent)?.until ?? -Infinity) < until) agents.set(agent, { incarnation, until })
+  function record (task: string, added: OrdersOfAgent): void {
+    const orders = ordersByTask.get(task) ?? []
+    const { agent, incarnation, isKept } = added
+    const isSame = (other: OrdersOfAgent): boolean =>
+      other.agent === agent && other.incarnation === incarnation && other.isKept === isKept
+    if (orders.some(other => isSame(other) && other.until >= added.until)) return
+    ordersByTask.set(task, [...orders.filter(other => !isSame(other)), added])
   }
 
-  function ordersAt (
-    agent: string, now: number
-  ): Array<{ readonly task: string, readonly incarnation: string, readonly until: number }> {
-    const orders = []
-    for (const [task, agents] of agentsByTask) {
-      const ordersOfAgent = agents.get(agent)
-      if (ordersOfAgent !== undefined && now < ordersOfAgent.until) orders.push({ task, ...ordersOfAgent })
-    }
-    return orders
+  function add (task: string, agent: string, incarnation: string, until: number): void {
+    record(task, { agent, incarnation, until, isKept: false })
   }
 
-  function remove (isOver: (agent: string, orders: OrdersOfAgent) => boolean): void {
-    for (const [task, agents] of agentsByTask) {
-      for (const [agent, orders] of agents) if (isOver(agent, orders)) agents.delete(agent)
-      if (agents.size === 0) agentsByTask.delete(task)
+  function remove (isOver: (orders: OrdersOfAgent) => boolean): void {
+    for (const [task, orders] of ordersByTask) {
+      if (!orders.some(isOver)) continue
+      const left = orders.filter(each => !isOver(each))
+      if (left.length > 0) ordersByTask.set(task, left)
+      else ordersByTask.delete(task)
     }
   }
 
   return {
     add,
-    holdersOf: task => [...agentsByTask.get(task) ?? []].map(([agent, { until }]) => ({ agent, until })),
-    ordersAt,
+    addKept: (task, agent, incarnation, until) => {
+      keptAgents.add(agent)
+      record(task, { agent, incarnation, until, isKept: true })
+    },
+    holdersOf: task => {
+      const untilByAgent = new Map<string, number>()
+      for (const { agent, until } of ordersByTask.get(task) ?? []) {
+        untilByAgent.set(agent, Math.max(until, untilByAgent.get(agent) ?? until))
+      }
+      return [...untilByAgent].map(([agent, until]) => ({ agent, until }))
+    },
+    ordersAt: (agent, now) => {
+      const found = []
+      for (const [task, orders] of ordersByTask) {
+        for (const { agent: holder, incarnation, until } of orders) {
+          if (holder === agent && now < until) found.push({ task, incarnation, until })
+        }
+      }
+      return found
+    },
     learn: ({ name }, { profile, clock, cleared, incarnation }, now) => {
+      const isOfIncarnation = (orders: OrdersOfAgent): boolean =>
+        orders.agent === name && orders.incarnation === incarnation
+      if (keptAgents.delete(name)) remove(orders => isOfIncarnation(orders) && orders.isKept)
       if (profile === undefined) return
-      if (cleared) remove((agent, orders) => agent === name && orders.incarnation === incarnation)
+      if (cleared) remove(isOfIncarnation)
       for (const { task, until } of profile.openOrders ?? []) {
         add(task, name, incarnation, now + Math.min(until - clock, LATE_ORDER_MILLISECONDS))
       }
     },
-    has: task => agentsByTask.has(task),
+    has: task => ordersByTask.has(task),
     isOpenElsewhere: (task, agent, now) => {
-      for (const [other, { until }] of agentsByTask.get(task) ?? []) if (other !== agent && now < until) return true
+      for (const { agent: holder, until } of ordersByTask.get(task) ?? []) {
+        if (holder !== agent && now < until) return true
+      }
       return false
     },
-    expire: now => { remove((_agent, { until }) => now >= until) }
+    expire: now => { remove(({ until }) => now >= until) }
   }
 }
 
--- a/packages/dispatching/tests/open-orders.test.ts
+++ b/packages/dispatching/tests/open-orders.test.ts
@@ -22,7 +22,7 @@
   }
 }
 
-function requestAt (now: number): JobRequest {
+function requestAt (now: number, deadlineMilliseconds: number): JobRequest {
   return {
     id: '0000000000000001',
     route: 'route',
@@ -42,12 +42,12 @@
     stretch: 4,
     targetLatencyMilliseconds: 3_000,
     arrivedAt: now,
-    deadlineAt: now + 2_000
+    deadlineAt: now + deadlineMilliseconds
   }
 }
 
 /** Creates an entry with two agents, and returns its parts and the agent that got the only task. */
-function sendTask () {
+function sendTask (deadlineMilliseconds = 2_000) {
   const told: Array<{ readonly agent: string, readonly orders: TellOpenOrders['orders'] }> = []
   const starts: Array<{ readonly view: AgentView, readonly start: Start }> = []
   const answers: JobAnswer[] = []
@@ -62,7 +62,7 @@
   })
   const agents = [1, 2].map(number => dispatcher.agentFound(`agent-${number}`, `10.1.0.${number}:7720`))
   for (const view of agents) if (view !== undefined) dispatcher.watchAnswered(view, answerOf(100), 0)
-  dispatcher.submit(requestAt(1), answer => { answers.push(answer) }, 1)
+  dispatcher.submit(requestAt(1, deadlineMilliseconds), answer => { answers.push(answer) }, 1)
   const [first] = starts
   const other = agents.find(view => view !== undefined && view !== first?.view)
   if (first === undefined || other === undefined) throw new Error('expected an order and another agent')
@@ -159,12 +159,30 @@
     expect(starts).toHaveLength(2)
   })
 
-  it('that another agent keeps goes to any agent if its own answers and does not tell it', () => {
+  it('that another agent keeps goes to any agent once its own answers and does not tell it', () => {
     const { dispatcher, starts, first, other } = sendTask()
     const keptOrders = [{ task: TASK, agent: first.view.name, incarnation: '1', until: 1_110 }]
     dispatcher.startFailed(first.view, first.start, true, 5)
+    dispatcher.watchAnswered(first.view, answerOf(105, {}, { version: 2, accepting: false }), 6)
     dispatcher.watchAnswered(other, answerOf(110, {}, { version: 2, keptOrders }), 10)
     dispatcher.tick(20)
-    expect(starts).toHaveLength(2)
+    expect(starts).toHaveLength(1)
+    dispatcher.watchAnswered(first.view, answerOf(130, {}, { version: 2, accepting: false }), 30)
+    dispatcher.tick(40)
+    expect(starts[1]?.view.name).toBe(other.name)
+  })
+
+  it('goes to any agent once its own, which was cut off, tells anew that there is none', () => {
+    const { dispatcher, starts, first, other } = sendTask(20_000)
+    dispatcher.watchFailed(first.view, false, 100)
+    for (let now = 110; now <= 1_400; now += 10) {
+      dispatcher.watchAnswered(other, answerOf(100 + now), now)
+      dispatcher.tick(now)
+    }
+    expect(starts).toHaveLength(1)
+    expect(dispatcher.nextWatch(first.view).profileVersion).toBe(0)
+    dispatcher.watchAnswered(first.view, answerOf(1_500, {}, { accepting: false }), 1_410)
+    dispatcher.tick(1_420)
+    expect(starts[1]?.view.name).toBe(other.name)
   })
 })
