Start tasks that only their agent may get beside each other

Tasks that are lost together are candidates of a crash and are spread over upstreams; agents without a candidate were looked for among all of them, and then none was left that may have the task.

Agents that may not get the task are left out first; candidates that only one agent may get go there together.

--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -121,7 +121,6 @@
 
 /** Returns the agents that may run a task; those where it ended without success only if there are no others. */
 function candidatesFor (
-  state: DispatcherState,
   agents: readonly AgentView[],
   shares: ReadonlyMap<string, number>,
   task: JobTask,
@@ -132,7 +131,6 @@
   const { heldBy } = task
   const eligible = agents.filter(view => {
     if (heldBy !== undefined && now < heldBy.until && view.name !== heldBy.agent) return false
-    if (state.openOrders.isOpenElsewhere(task.name, view.name, now)) return false
     if (!mayRun(view, task, job, plan)) return false
     const share = shares.get(view.name)
     if (share === undefined) return true
@@ -171,6 +169,14 @@
   return narrowed.near.length + narrowed.far.length > 0 ? narrowed : agents
 }
 
+/** Returns the agents that may get a task of which earlier orders may yet be carried out. */
+function withoutOpenOrdersElsewhere (
+  state: DispatcherState, task: JobTask, agents: AgentsByDistance, now: number
+): AgentsByDistance {
+  if (!state.openOrders.has(task.name)) return agents
+  return filterAgents(agents, ({ name }) => !state.openOrders.isOpenElsewhere(task.name, name, now))
+}
+
 /**
  * Chooses an agent for a task. Upstreams that a confined route of the service may crash are chosen only if no other
  * is in time.
@@ -178,7 +184,7 @@
 function chooseAgent (
   state: DispatcherState, job: Job, task: JobTask, agents: AgentsByDistance, plan: JobPlan, now: number
 ): PlacementChoice | undefined {
-  const allowed = narrowForSuspect(state, task, agents, plan, now)
+  const allowed = narrowForSuspect(state, task, withoutOpenOrdersElsewhere(state, task, agents, now), plan, now)
   const { atRisk, agentsByRoute } = agents.confinement
   const choose = (from: AgentsByDistance): PlacementChoice | undefined =>
     chooseByDistance(state, job, task, from, plan, now)
@@ -211,12 +217,12 @@
     remainingMilliseconds,
     now
   })
-  const near = candidatesFor(state, agents.near, agents.shares, task, job, plan, now)
+  const near = candidatesFor(agents.near, agents.shares, task, job, plan, now)
   const nearChoice = choose(near)
   const isInTime = nearChoice !== undefined && nearChoice.waitMilliseconds === 0 &&
     nearChoice.finishMilliseconds <= remainingMilliseconds
   if (isInTime || agents.far.length === 0) return nearChoice
-  return choose([...near, ...candidatesFor(state, agents.far, agents.shares, task, job, plan, now)])
+  return choose([...near, ...candidatesFor(agents.far, agents.shares, task, job, plan, now)])
 }
 
 /**
--- a/packages/rehearsal/tests/late-orders.test.ts
+++ b/packages/rehearsal/tests/late-orders.test.ts
@@ -29,15 +29,15 @@
 
 afterEach(() => { vi.useRealTimers() })
 
-/** Delays the start order of a job, and returns the agent that it was sent to. */
-async function delayOrder (milliseconds: number): Promise<FleetAgent> {
+/** Delays the start orders of a job, and returns the agent that the first of them was sent to. */
+async function delayOrder (milliseconds: number, job = JOB): Promise<FleetAgent> {
   let ordering: FleetAgent | undefined
   for (const agent of fleet.agents) {
     const { faults } = agent.standIn
     faults.orderDelayMilliseconds = milliseconds
     faults.isOrderDelayed = () => { ordering ??= agent; return true }
   }
-  first = fleet.send(entry, JOB)
+  first = fleet.send(entry, job)
   await vi.advanceTimersByTimeAsync(20)
   if (ordering === undefined) throw new Error('expected an order')
   for (const { standIn: { faults } } of fleet.agents) faults.isOrderDelayed = () => false
@@ -112,10 +112,12 @@
     expect(fleet.runLog.violations).toEqual([])
   })
 
-  it.each([2_000, 5_000, 11_900])('%i ms after it was sent runs no task that an entry got again after entry and agent were lost', async milliseconds => {
+  it.each([
+    [2_000, 20], [2_000, 80], [2_000, 600], [5_000, 600], [11_900, 80], [11_900, 600]
+  ])('%i ms after it was sent runs no task that an entry got again, if entry and agent were lost together %i ms after that', async (milliseconds, lostAfter) => {
     const agent = await delayOrder(milliseconds)
     startAgainBefore(agent, milliseconds)
-    await vi.advanceTimersByTimeAsync(580)
+    await vi.advanceTimersByTimeAsync(lostAfter - 20)
     fleet.killEntry(entry)
     fleet.killAgent(agent)
     await sendAgainFor(milliseconds + 1_000)
