Answer a start call once the upstream has answered its orders

An entry learned from the next answer which runs have no open order, up to 280 ms after their start. The tasks of an agent that was lost within that time could go to that agent alone, although nothing of them was open.

No message is added.

--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -5,6 +5,7 @@
   type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import { createRunRegistry, type RunRegistry } from './create-run-registry.js'
+import { createPendingStarts } from './pending-starts.js'
 import type { EntrySession } from './entry-session.js'
 import {
   LIST_TIMEOUT_MILLISECONDS, ORDER_TIMEOUT_MILLISECONDS, RETRY_DELAY_MILLISECONDS
@@ -69,6 +70,7 @@
 export function startAgentProgram (options: AgentProgramOptions): AgentProgram {
   const { upstream, now } = options
   const waitingWatches = new Set<WaitingWatch>()
+  const pendingStarts = createPendingStarts()
   const lastWatchAt = new Map<string, number>()
   let isListingScheduled = false
   const lifecycle = { isStopped: false }
@@ -79,7 +81,10 @@
     logger: options.logger,
     sendStart: (record, order) => {
       upstream.start(order, ORDER_TIMEOUT_MILLISECONDS)
-        .then(answer => { registry.handleStartAnswer(record, answer, order.fencingToken, now()) }, logFailure)
+        .then(answer => {
+          registry.handleStartAnswer(record, answer, order.fencingToken, now())
+          pendingStarts.answered(order.task)
+        }, logFailure)
     },
     sendStop: (record, order) => {
       upstream.stop(order, ORDER_TIMEOUT_MILLISECONDS)
@@ -163,9 +168,10 @@
     })
   }
 
-  function start (parameters: Start): StartAnswer {
+  /** Answers once the upstream has, so that the entry knows at once which runs have no open order. */
+  async function start (parameters: Start): Promise<StartAnswer> {
     const wasIdle = registry.runCount() === 0
-    const answer = registry.answerStart(parameters, now())
+    const accepted = registry.acceptStart(parameters, now())
     // The lease of the entry that ordered the first run may end before the next tick of an idle agent.
     if (wasIdle && registry.runCount() > 0 && registry.leaseEnd(parameters.caller) < nextTickAt) scheduleTick()
     // Watches renew the entry's lease; one that began before the entry had runs here would outlast the lease.
@@ -175,7 +181,8 @@
       waitingWatch.answerWithin(
         Math.min(MAXIMUM_BUSY_WATCH_MILLISECONDS, Math.max(0, (session.leaseUntil - now()) / 2)))
     }
-    return answer
+    await pendingStarts.wait(registry.tasksOnTheirWay(accepted))
+    return registry.answerStart(accepted, now())
   }
 
   const handlers: CallHandlers = {
