Log when the assignments of a silent agent end, and what bounded them

The log did not tell which of the two bounds, the last contact or the first refusal, had ended the assignments of an agent.

--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -13,10 +13,14 @@
   endLostRuns(state, ports, view, 'agent restarted', now)
 }
 
-/** Ends the assignments to an agent, or only those to its earlier incarnations if it was restarted. */
+/**
+ * Ends the assignments to an agent, or only those to its earlier incarnations if it was restarted.
+ *
+ * @returns the number of these assignments.
+ */
 function endLostRuns (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, reason: 'agent restarted' | 'agent silent', now: number
-): void {
+): number {
   const lost = [...state.assigned.values()].filter(({ task: { assignment } }) => assignment?.agent === view.name &&
     (reason === 'agent silent' || assignment.incarnation !== view.incarnation))
   const incarnation = lost[0]?.task.assignment?.incarnation ?? ''
@@ -25,6 +29,7 @@
     assignedTask.task.mayHaveStarted = true
     endAssignment(state, ports, assignedTask, reason, now)
   }
+  return lost.length
 }
 
 /** Ends an assignment whose run has ended or will not start, without success: the task waits again if still needed. */
@@ -46,12 +51,23 @@
   addWaiting(state, job)
 }
 
+function logSilentAgent (ports: DispatcherPorts, view: AgentView, tasks: number, now: number): void {
+  const { name, lastContactAt, refusedSince } = view
+  ports.logger.warn('assignments of a silent agent ended', {
+    agent: name,
+    tasks,
+    heardAgo: Math.round(now - lastContactAt),
+    refusedAgo: refusedSince === undefined ? undefined : Math.round(now - refusedSince)
+  })
+}
+
 /** Ends the assignments to agents, or to their earlier incarnations, whose leases have all ended. */
 export function endRunsOfUnresponsiveAgents (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   for (const view of state.agents.values()) {
     const formerRunsEndAt = view.incarnationSince + view.formerRunLeaseMilliseconds + LEASE_MARGIN_MILLISECONDS
     if (now >= formerRunsEndAt) endFormerRuns(state, ports, view, now)
     if (view.isReachable || view.incarnation === '' || now < latestRunEnd(view)) continue
-    endLostRuns(state, ports, view, 'agent silent', now)
+    const tasks = endLostRuns(state, ports, view, 'agent silent', now)
+    if (tasks > 0) logSilentAgent(ports, view, tasks, now)
   }
 }
--- a/packages/dispatching/tests/told-leases.test.ts
+++ b/packages/dispatching/tests/told-leases.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { silentLogger } from '@baobabpost/common'
+import { silentLogger, type EventLogger } from '@baobabpost/common'
 import { createDispatcher, type AgentView, type Dispatcher } from '@baobabpost/dispatching'
 import { KEPT_LEASES, type Start, type WatchAnswer } from '@baobabpost/fleet-calls'
 
@@ -34,13 +34,13 @@
 }
 
 /** Returns an entry with one task, which it has sent to the first of two agents. */
-function entryWithTask (leases: unknown): EntryWithTask {
+function entryWithTask (leases: unknown, logger: EventLogger = silentLogger): EntryWithTask {
   const starts: Array<{ readonly agent: string, readonly start: Start }> = []
   const dispatcher = createDispatcher({
     entry: 'entry-1',
     incarnation: '1',
     failureDomain: 'a',
-    logger: silentLogger,
+    logger,
     sendStart: ({ name }, start) => { starts.push({ agent: name, start }) },
     sendStop: () => {}
   })
@@ -108,6 +108,18 @@
   })
 })
 
+it('logs how long ago a silent agent was heard, and since when it refuses connections', () => {
+  const logged: unknown[] = []
+  const warn: EventLogger['warn'] = (event, fields) => { logged.push({ event, ...fields }) }
+  const { dispatcher, first } = entryWithTask(KEPT_LEASES, { ...silentLogger, warn })
+  dispatcher.watchFailed(first, false, 100)
+  dispatcher.watchFailed(first, true, 300)
+  for (let now = 300; now < 2_000; now += 50) dispatcher.tick(now)
+  expect(logged.filter(line => JSON.stringify(line).includes('silent'))).toEqual([
+    { event: 'assignments of a silent agent ended', agent: 'agent-1', tasks: 1, heardAgo: 1_000, refusedAgo: 700 }
+  ])
+})
+
 it('does not move a task of a former incarnation before the run lease which that one told has ended', () => {
   const { dispatcher, first, starts } = entryWithTask({ entryMilliseconds: 600, runMilliseconds: 900 })
   const next = (now: number): void => {
