Take a refused connection for no proof that an agent is gone

What callers saw: two runs of one task at once. An agent behind a cut that refuses connections lives, and renews the lease of its upstream until the entry's lease has ended. Killed meanwhile, its runs went on for up to 640 ms, while the entry moved their tasks one run lease after the first refusal. Cause: `latestRunEnd` took the first refusal for the end of the agent's process. Change: only the last contact bounds the runs: entry lease, run lease and margins. `refusedSince` is gone, and with it `refusedAgo` of the line on a silent agent. Tasks of a killed agent move up to 0.5 s later, unless its next incarnation has cleared its upstream before.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -22,7 +22,7 @@
   'agent added': 'An agent became known: `agent`, `address`',
   'agent found': 'An agent answered for the first time since it started: `agent`, `incarnation`',
   'agent does not answer': 'An agent stopped answering: `agent`, `refused` if it refused the connection, `heardAgo` in ms since the last contact',
-  'assignments of a silent agent ended': 'The runs at an agent that answers no more have ended with their leases: `agent`, number of `tasks`, `heardAgo` in ms since the last contact, `refusedAgo` in ms since it began to refuse connections, if it does',
+  'assignments of a silent agent ended': 'The runs at an agent that answers no more have ended with their leases: `agent`, number of `tasks`, `heardAgo` in ms since the last contact',
   'member found': 'A process of the fleet became known, or its address changed: `member`, `memberRole`, `address`',
   'configuration read': 'A configuration was read: `version`, `before` (the previous version), `applied`, `source`',
   'configuration skipped: it does not decode': 'A configuration could not be decoded: `source`',
--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -43,7 +43,6 @@
   if (answer.evacuations !== undefined && state.evacuations?.merge(answer.evacuations) === true) {
     ports.evacuationsChanged?.(view.name)
   }
-  view.refusedSince = undefined
   // A restarted agent was not silent: its new incarnation begins with what entries remember.
   if (!view.isReachable && view.lastContactAt > 0 && view.incarnationSince < now) view.silentUntil = now
   view.isReachable = true
@@ -259,6 +258,4 @@
 export function handleWatchFailure (ports: DispatcherPorts, view: AgentView, isRefused: boolean, now: number): void {
   if (view.isReachable) ports.logger.warn('agent does not answer', { agent: view.name, refused: isRefused, heardAgo: Math.round(now - view.lastContactAt) })
   view.isReachable = false
-  if (!isRefused) view.refusedSince = undefined
-  else view.refusedSince ??= now
 }
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -36,8 +36,6 @@
   acknowledgedSequence: number
   /** Set by every answer of the agent, cleared when a watch call fails or a start call gets no answer. */
   isReachable: boolean
-  /** When its address began to refuse connections; undefined while it does not. */
-  refusedSince: number | undefined
   /** Total size of the tasks reserved or sent there whose start the agent has not answered yet. */
   unconfirmedSize: Size
   /** Whether the agent was last told that its failure domain is evacuated; false for a new incarnation. */
@@ -79,7 +77,6 @@
     lastContactAt: 0,
     acknowledgedSequence: 0,
     isReachable: false,
-    refusedSince: undefined,
     unconfirmedSize: EMPTY_SIZE,
     isToldEvacuated: false,
     silentUntil: undefined,
@@ -104,10 +101,10 @@
   return now + longestRunLease(view) + 2 * LEASE_MARGIN_MILLISECONDS
 }
 
-/** Returns the time by which all runs of an unresponsive agent have ended, on the entry's steady clock. */
+/**
+ * Returns the time by which all runs of an unresponsive agent have ended, on the entry's steady clock. A refused
+ * connection does not bring it forward: the agent may be behind a partition that refuses, and renew the run lease.
+ */
 export function latestRunEnd (view: AgentView): number {
-  const runMilliseconds = longestRunLease(view)
-  const endAfterLastContact = view.lastContactAt + view.leases.entryMilliseconds + runMilliseconds
-  const endAfterRefusal = view.refusedSince === undefined ? Infinity : view.refusedSince + runMilliseconds
-  return Math.min(endAfterLastContact, endAfterRefusal) + 2 * LEASE_MARGIN_MILLISECONDS
+  return view.lastContactAt + view.leases.entryMilliseconds + longestRunLease(view) + 2 * LEASE_MARGIN_MILLISECONDS
 }
--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -52,12 +52,10 @@
 }
 
 function logSilentAgent (ports: DispatcherPorts, view: AgentView, tasks: number, now: number): void {
-  const { name, lastContactAt, refusedSince } = view
   ports.logger.warn('assignments of a silent agent ended', {
-    agent: name,
+    agent: view.name,
     tasks,
-    heardAgo: Math.round(now - lastContactAt),
-    refusedAgo: refusedSince === undefined ? undefined : Math.round(now - refusedSince)
+    heardAgo: Math.round(now - view.lastContactAt)
   })
 }
 
