Log lease renewals that got no answer, and when a later order outdates them

What callers saw: nothing yet. Cause: not touched here. The log did not tell how many such orders were open when an agent died or relied on the end of the lease. Change: two lines, each at most once a second, with the orders since the last one: for renewals without an answer, and for the first answered order with a higher fencing token, which outdates them. As long as the token is not raised, list orders without a lease also count after renewals were lost.

--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -7,6 +7,7 @@
 import { endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { isAccepting, raiseFencingToken, retryStart, startWaitingRuns, stopRun } from './orders.js'
 import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
+import { recordRenewal } from './unanswered-renewals.js'
 import type { ListAnswer, ListedCompletion, Listing } from './upstream.js'
 import { recordPace, recordRunTime } from './run-time-reports.js'
 import { beginInstance, endExpiredRuns, handleUnreachable } from './upstream-instance.js'
@@ -261,6 +262,7 @@
   requestedAt: number,
   now: number
 ): void {
+  recordRenewal(state, ports, answer.outcome, usedFencingToken, now)
   if (answer.outcome === 'fenced') return raiseFencingToken(state, ports, usedFencingToken)
   if (answer.outcome === 'unreachable') return handleUnreachable(state, ports, now)
   // The id of the instance that answers is not known until its heartbeat.
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -10,6 +10,7 @@
 import { mayStartBesideOthers, mustRunAlone } from './lone-runs.js'
 import { renewLease } from './run-lease.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
+import { recordRenewal } from './unanswered-renewals.js'
 import type { OrderAnswer } from './upstream.js'
 
 /** Whether the failure domain of the upstream is evacuated. */
@@ -229,6 +230,7 @@
   now: number
 ): void {
   if (answer.outcome !== 'unanswered') state.openOrders.close(record.order.task, record.orderedAt)
+  recordRenewal(state, ports, answer.outcome, usedFencingToken, now)
   if (!isCurrent(state, record)) return
   recordUpstreamClock(state, ports, answer.clock, now)
   switch (answer.outcome) {
--- a/packages/runs/src/run-lease.ts
+++ b/packages/runs/src/run-lease.ts
@@ -24,10 +24,12 @@
  */
 export function renewLease (state: RunRegistryState, now: number): number | undefined {
   const { upstream } = state
-  if (!isRenewable(state, now)) return upstream.leaseUntil
-  upstream.leaseRenewedAt = now
-  const clock = upstream.clock.timeAt(now)
-  upstream.leaseUntil = clock === undefined ? undefined : clock + RUN_LEASE_MILLISECONDS
+  if (isRenewable(state, now)) {
+    upstream.leaseRenewedAt = now
+    const clock = upstream.clock.timeAt(now)
+    upstream.leaseUntil = clock === undefined ? undefined : clock + RUN_LEASE_MILLISECONDS
+  }
+  if (upstream.leaseUntil !== undefined) upstream.leaseFence = state.fencingToken
   return upstream.leaseUntil
 }
 
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -7,6 +7,7 @@
 import { addReport, type EntrySession } from './entry-session.js'
 import { createCrashRecord, type CrashRecord } from './crash-record.js'
 import { createOpenOrders, type OpenOrders } from './open-orders.js'
+import { createUnansweredRenewals, type UnansweredRenewals } from './renewal-record.js'
 import { createRunQueue, type RunQueue } from './run-queue.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import { limitCapacity } from './slow-start.js'
@@ -52,6 +53,7 @@
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
   isCleared: boolean
   fencingToken: number
+  readonly unansweredRenewals: UnansweredRenewals
   /** Next increment of the fencing token when the upstream has seen a higher one. */
   fencingTokenStep: number
   /** Newest factor on the callers' estimates that an entry told, by route. */
@@ -92,6 +94,7 @@
     upstream: createUpstreamState(undefined, routeFactor),
     isCleared: false,
     fencingToken,
+    unansweredRenewals: createUnansweredRenewals(),
     fencingTokenStep: FENCING_TOKEN_STEP,
     routeFactors,
     routeFactor,
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -57,6 +57,8 @@
   leaseRenewedAt: number
   /** Lease end that this order carried, on the upstream's clock; undefined before the first. */
   leaseUntil: number | undefined
+  /** Fencing token of the last order that carried a lease end; 0 before the first. */
+  leaseFence: number
   /** Rows of the newest listing that show unknown runs or don't decode. */
   readonly lastingRows: LastingRows
   /** Number of runs in the newest listing that were not in the registry and may be running. */
@@ -95,6 +97,7 @@
     unansweredListings: 0,
     leaseRenewedAt: 0,
     leaseUntil: undefined,
+    leaseFence: 0,
     lastingRows: createLastingRows(),
     unknownRunCount: 0
   }
