Outdate a lease renewal without an answer with the next order

What callers saw: by simulation, two runs of one task at once. The upstream carried list orders out 2 to 12 s late and counted their leases from then, as the kinds of disruption have it. Each renewed the lease of all runs there, after their agent was killed, or while it left a run whose stops were lost to the end of its lease; the entry moved the tasks when the leases had ended by what it knew. Cause: the late order had the fencing token of the later ones, so that the upstream did not reject it. Change: the first order without an answer of those with one token raises it by one, if it carried a lease. Once the upstream has carried out any later order, it rejects the late one. A late order comes seconds after it was sent, the last lease ends within 0.7 s of the last order in time: the end of a lease stays a proof, without a longer wait. A start order that is rejected as its agent raised the token meanwhile is repeated and costs no attempt. An upstream that never answers raises the token four times, as the lease is renewed no more then. Entries are told a token that is up to 100 ahead, so that their watches are not answered for each raise. Without an order that got no answer nothing changes. The simulated upstream can carry list orders out late, and count leases from their arrival. Its agents begin with the time as their fencing token, as those of the platform, since a small number would be below the raised token of the former incarnation. Tests: two tests (failed-stops, lost-stops) showed that a listing which was sent after a start order got no answer, but with its token, does not prove that the run is gone. Such a listing has a higher token now, and proves it. They send the listing before, with the token of the order, and ask for the same; they pass before and after.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -63,7 +63,7 @@
   'upstream left': 'The upstream deregistered: `upstream`',
   'upstream life ended': 'An instance of the upstream ended, and all of its runs with it: `reason`, `upstream`, `bornAt`, whether it was `leaving`, number of `runs` there, the `last` ordered ones of them as TASK@AGE in ms',
   'upstream does not answer': 'The upstream did not answer several list requests in a row, and its lease is no longer renewed: number of `listings`',
-  'lease renewal got no answer': 'Orders that renew the lease of all runs got no answer; the upstream may carry them out later, unless it has carried out one with a higher fencing token; at most one line a second: number of `orders` since the last line, number of `open` ones that no later order has outdated, `fence` (the fencing token)',
+  'lease renewal got no answer': 'Orders that renew the lease of all runs got no answer; the upstream may carry them out later, unless it has carried out one with a higher fencing token; at most one line a second: number of `orders` since the last line, number of `open` ones that no later order has outdated, `fence` (the raised fencing token)',
   'lease renewals outdated': 'The upstream carried out an order with a higher fencing token than the lease renewals without an answer, which it rejects from then on; at most one line a second: number of `orders` since the last line, `milliseconds` since the first of the last ones got no answer, `fence`',
   'this VM was suspended': 'The clock of the upstream advanced while this VM was suspended: `milliseconds`',
   'heartbeat skipped: it does not decode': 'A heartbeat could not be decoded: `path`',
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -181,7 +181,7 @@
     const program = startAgentProgram({
       upstream: killableUpstream(standIn.upstream, processState),
       incarnation: String(incarnationCount),
-      fencingToken: incarnationCount,
+      fencingToken: Date.now(),
       logger,
       now
     })
--- a/packages/rehearsal/src/leased-upstream-options.ts
+++ b/packages/rehearsal/src/leased-upstream-options.ts
@@ -27,6 +27,10 @@
   /** Decides for each start or stop order whether it is handled `orderDelayMilliseconds` later and not answered. */
   isOrderDelayed: () => boolean
   orderDelayMilliseconds: number
+  /** Decides the same for each list order. */
+  isListDelayed: () => boolean
+  /** Whether the lease that a delayed order carries counts from its arrival instead of its sending. */
+  countsLeasesFromArrival: boolean
   /** Stop orders are neither carried out nor answered, while all others are. */
   losesStops: boolean
   /** Runs that start from now on never end by themselves. */
@@ -110,6 +114,8 @@
   return {
     isOrderDelayed: () => false,
     orderDelayMilliseconds: 3_000,
+    isListDelayed: () => false,
+    countsLeasesFromArrival: false,
     losesStops: false,
     hangs: false,
     failsAll: false,
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -47,6 +47,16 @@
   return reportsCold && remaining > 0 ? { coldRemainingMilliseconds: remaining } : {}
 }
 
+/** Returns a function that returns an order which is sent now as it is when it arrives. */
+function createArrival <Order extends StartOrder | ListOrder> (
+  order: Order, faults: UpstreamFaults, now: () => number
+): () => Order {
+  const sentAt = now()
+  const { leaseUntil } = order
+  if (leaseUntil === undefined) return () => order
+  return () => faults.countsLeasesFromArrival ? { ...order, leaseUntil: now() + leaseUntil - sentAt } : order
+}
+
 function waitForCompletion (listeners: Set<() => void>, milliseconds: number): Promise<void> {
   if (milliseconds <= 0) return Promise.resolve()
   return new Promise(resolve => {
@@ -244,10 +254,14 @@
       start: (order, timeout) => {
         checkLeaving(order.task)
         observer.ordered?.()
-        return deliver(() => ({ outcome: handleStart(order), clock: now() }), timeout, 'start')
+        const arrive = createArrival(order, faults, now)
+        return deliver(() => ({ outcome: handleStart(arrive()), clock: now() }), timeout, 'start')
       },
       stop: (order, timeout) => deliver(() => ({ outcome: handleStop(order), clock: now() }), timeout, 'stop'),
-      list: (order, timeout) => deliver(() => handleList(order), timeout, 'list')
+      list: (order, timeout) => {
+        const arrive = createArrival(order, faults, now)
+        return deliver(() => handleList(arrive()), timeout, 'list')
+      }
     },
     report: () => {
       sequence += 1
--- a/packages/rehearsal/src/order-delivery.ts
+++ b/packages/rehearsal/src/order-delivery.ts
@@ -40,7 +40,7 @@
     await pause(ORDER_DELAY_MILLISECONDS)
     if (options.isDown()) return { outcome: 'unreachable', clock: undefined }
     const isLostStop = kind === 'stop' && faults.losesStops
-    const isDelayed = kind !== 'list' && !isLostStop && faults.isOrderDelayed()
+    const isDelayed = kind === 'list' ? faults.isListDelayed() : !isLostStop && faults.isOrderDelayed()
     // A crash drops orders that are on their way to the previous instance, and answers from it.
     if (!isDelayed && !isLostStop && !faults.isUnresponsive && startedAt() === instanceBornAt) {
       const answer = await handle()
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -97,12 +97,13 @@
 
   function refreshProfile (now: number): void {
     const isAcceptingNow = isAccepting(state, now)
+    const fence = Math.max(state.fencingToken, state.toldFence)
     const crashRevision = state.crashes.revision()
     const isUnchanged = state.upstream.heartbeat === describedHeartbeat && isAcceptingNow === wasAccepting &&
-      crashRevision === describedCrashes && state.fencingToken === describedFence && !takeOpenOrdersChange(now)
+      crashRevision === describedCrashes && fence === describedFence && !takeOpenOrdersChange(now)
     if (isUnchanged) return
     describedCrashes = crashRevision
-    describedFence = state.fencingToken
+    describedFence = fence
     describedHeartbeat = state.upstream.heartbeat
     wasAccepting = isAcceptingNow
     const digest = JSON.stringify({ ...describeProfile(state, now), version: 0 })
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -40,7 +40,7 @@
     labels: heartbeat?.labels ?? [],
     accepting: isAccepting(state, now),
     leases: KEPT_LEASES,
-    fence: state.fencingToken,
+    fence: Math.max(state.fencingToken, state.toldFence),
     ...(heartbeat?.instance.startedAt === undefined ? {} : { instance: heartbeat.instance.startedAt }),
     ...(crashes === undefined ? {} : { crashes }),
     ...(openOrders.length === 0 ? {} : { openOrders })
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -169,6 +169,7 @@
 /** Raises the fencing token after the upstream rejected `usedFencingToken` as too old. */
 export function raiseFencingToken (state: RunRegistryState, ports: RunRegistryPorts, usedFencingToken: number): void {
   if (usedFencingToken < state.fencingToken) return
+  state.rejectedFence = usedFencingToken
   state.fencingToken = usedFencingToken + state.fencingTokenStep
   state.fencingTokenStep = Math.min(MAXIMUM_FENCING_TOKEN_STEP, 2 * state.fencingTokenStep)
   ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'upstream has seen a higher one' })
@@ -205,9 +206,9 @@
  * entry's lease has expired or no run may start here any more.
  */
 export function retryStart (
-  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, refusal: string, now: number
+  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, refusal: string, now: number, isCounted = true
 ): void {
-  record.runNumberAttempts += 1
+  if (isCounted) record.runNumberAttempts += 1
   if (record.state === 'stopping') return giveBack(state, ports, record, record.stopReason, now)
   const isRetryPointless = record.runNumberAttempts > MAXIMUM_RUN_NUMBER_ATTEMPTS || now > record.session.leaseUntil
   if (isRetryPointless) return giveBack(state, ports, record, refusal, now)
@@ -244,7 +245,8 @@
       return handleUnansweredStart(ports, record, now)
     case 'fenced':
       raiseFencingToken(state, ports, usedFencingToken)
-      return retryStart(state, ports, record, answer.outcome, now)
+      // One above the rejected tokens was overtaken by a later order of this agent, and costs no attempt.
+      return retryStart(state, ports, record, answer.outcome, now, usedFencingToken <= state.rejectedFence)
     case 'old-run':
       // The run of an earlier order without an answer may have ended already.
       if (state.openOrders.has(record.order.task, now)) return handleUnansweredStart(ports, record, now)
--- a/packages/runs/src/run-lease.ts
+++ b/packages/runs/src/run-lease.ts
@@ -33,7 +33,11 @@
   return upstream.leaseUntil
 }
 
-/** Whether the run lease has expired, even on a slow clock of the upstream. */
+/**
+ * Whether the run lease has expired, even on a slow clock of the upstream. An order without an answer does not renew it
+ * after that: the upstream carries it out in time, or seconds later. The lease has ended by then, or the upstream
+ * has carried out a later order with a higher fencing token, and rejects it.
+ */
 export function isRunLeaseOver (state: RunRegistryState, now: number): boolean {
   return now - state.upstream.leaseRenewedAt >= RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
 }
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -30,6 +30,8 @@
 export const MAXIMUM_FENCING_TOKEN_STEP = 100_000
 /** Largest step back of the time of day that entries make up for; a token further ahead comes from a faulty one. */
 export const MAXIMUM_FORMER_FENCE_LEAD = 30 * 24 * 3_600_000
+/** Lead of the token that entries are told, so that they aren't told each time the agent raises its own by one. */
+export const FENCE_LEAD = 100
 /** Shortest time between two log lines of one kind on lease renewals without an answer. */
 export const RENEWAL_LOG_INTERVAL_MILLISECONDS = 1_000
 /** Smallest forward jump of the upstream's clock that is logged; late readings cause smaller ones. */
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -53,6 +53,10 @@
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
   isCleared: boolean
   fencingToken: number
+  /** Token that entries are told, for the next incarnation: the highest that this one may have used. */
+  toldFence: number
+  /** Highest token that the upstream has rejected although the agent had used none above it; 0 without any. */
+  rejectedFence: number
   readonly unansweredRenewals: UnansweredRenewals
   /** Next increment of the fencing token when the upstream has seen a higher one. */
   fencingTokenStep: number
@@ -94,6 +98,8 @@
     upstream: createUpstreamState(undefined, routeFactor),
     isCleared: false,
     fencingToken,
+    toldFence: fencingToken,
+    rejectedFence: 0,
     unansweredRenewals: createUnansweredRenewals(),
     fencingTokenStep: FENCING_TOKEN_STEP,
     routeFactors,
--- a/packages/runs/src/unanswered-renewals.ts
+++ b/packages/runs/src/unanswered-renewals.ts
@@ -2,15 +2,22 @@
  * Orders that renew the run lease and got no answer. The upstream may carry one out seconds later, and count the lease
  * from then: after its agent is gone, or while the agent waits for the end of the lease.
  */
-import { RENEWAL_LOG_INTERVAL_MILLISECONDS } from './run-limits.js'
+import { FENCE_LEAD, RENEWAL_LOG_INTERVAL_MILLISECONDS } from './run-limits.js'
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
 import type { OrderOutcome } from './upstream.js'
 
-/** Records an order without an answer, if the order may renew the lease. */
-function recordUnanswered (
+/**
+ * Raises the fencing token above that of an order without an answer, if the order may renew the lease. The upstream
+ * rejects it once it has carried out any later order.
+ */
+function outdateRenewal (
   state: RunRegistryState, ports: RunRegistryPorts, usedFencingToken: number, now: number
 ): void {
   if (usedFencingToken > state.upstream.leaseFence) return
+  if (usedFencingToken === state.fencingToken) {
+    state.fencingToken += 1
+    if (state.fencingToken > state.toldFence) state.toldFence = state.fencingToken + FENCE_LEAD
+  }
   const renewals = state.unansweredRenewals
   if (renewals.openCount === 0) renewals.openSince = now
   renewals.openCount += 1
@@ -45,10 +52,11 @@
  *
  * @example
  * recordRenewal(state, ports, 'unanswered', 7, now)
+ * state.fencingToken // 8
  */
 export function recordRenewal (
   state: RunRegistryState, ports: RunRegistryPorts, outcome: OrderOutcome, usedFencingToken: number, now: number
 ): void {
-  if (outcome === 'unanswered') recordUnanswered(state, ports, usedFencingToken, now)
+  if (outcome === 'unanswered') outdateRenewal(state, ports, usedFencingToken, now)
   if (outcome === 'taken') recordCarriedOut(state, ports, usedFencingToken, now)
 }
--- a/packages/runs/tests/failed-stops.test.ts
+++ b/packages/runs/tests/failed-stops.test.ts
@@ -33,10 +33,10 @@
 
   // Nothing was done: its entry would start the task elsewhere, while the start order may yet be carried out.
   it.each(['unhealthy', 'invalid'] as const)('as %s does not prove that a run whose start got no answer is gone', outcome => {
+    const outdated = agent.requestListing()
     agent.answerLastStart('unanswered')
     agent.advance(1)
     agent.stop(1)
-    const outdated = agent.requestListing()
     agent.answerLastStop(outcome)
     outdated()
     expect(agent.watch().reports).toEqual([])
--- a/packages/runs/tests/lost-stops.test.ts
+++ b/packages/runs/tests/lost-stops.test.ts
@@ -81,9 +81,9 @@
 
 describe('a run whose start and stop both got no answer', () => {
   it('ends once a listing with a higher fencing token does not show it', () => {
+    const outdated = agent.requestListing()
     agent.answerLastStart('unanswered')
     agent.stop(1)
-    const outdated = agent.requestListing()
     agent.answerLastStop('unanswered')
     outdated()
     expect(agent.watch().reports).toEqual([])
