Take no word of an agent's next incarnation for the end of a run of the former

A task ran twice at once without any late order: its agent was killed and was back within the lease of the run, 100 to 300 ms later, and the caller sent its job again to the same entry. The entry wanted the run stopped; the next incarnation, which knows nothing of it, reported 'not-started: its order had not arrived', and the entry started the task elsewhere beside the run. The same report freed a task whose start call got no answer, or had its job refused as not run; the verdict 'stale' of the next incarnation on a second attempt did, too.

Reports and verdicts count only for assignments to the incarnation that gives them.

With it: a start call releases what it reserved by its own orders. Since it is answered after the upstream, a report can come first, and the reservation stayed for good.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -19,7 +19,7 @@
 function confirmAssignments (state: DispatcherState, view: AgentView, { confirmed = [] }: StopAnswer): void {
   for (const { task, run } of confirmed) {
     const assignment = assignmentOf(state, view, task, run)?.task.assignment
-    if (assignment?.incarnation === view.incarnation) assignment.isConfirmed = true
+    if (assignment !== undefined) assignment.isConfirmed = true
   }
 }
 
@@ -115,12 +115,11 @@
 function handleReport (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, report: RunReport, now: number
 ): void {
-  const assignedTask = state.assigned.get(report.task)
-  const assignment = assignedTask?.task.assignment
+  const assignedTask = assignmentOf(state, view, report.task, report.run)
   if (report.openOrderMilliseconds !== undefined) {
     state.openOrders.add(report.task, view.name, view.incarnation, now + report.openOrderMilliseconds)
   }
-  if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== report.run) return
+  if (assignedTask === undefined) return
   switch (readOutcome(report.outcome)) {
     case 'done': {
       const { job: { request }, task: { step } } = assignedTask
@@ -198,20 +197,24 @@
   }
 }
 
-/** Returns the task of an order if it is still assigned to this agent with this run number. */
+/**
+ * Returns the task of an order if it is still assigned to this incarnation of the agent with this run number. A later
+ * incarnation knows nothing of the run, so neither its report nor its verdict ends the assignment.
+ */
 function assignmentOf (
   state: DispatcherState, view: AgentView, task: string, run: number
 ): TaskOfJob | undefined {
   const assignedTask = state.assigned.get(task)
   const assignment = assignedTask?.task.assignment
-  return assignment?.agent === view.name && assignment.run === run ? assignedTask : undefined
+  if (assignment?.agent !== view.name || assignment.incarnation !== view.incarnation) return undefined
+  return assignment.run === run ? assignedTask : undefined
 }
 
-function releaseOrders (state: DispatcherState, view: AgentView, start: Start): void {
-  for (const { task, run } of start.orders) {
-    const assignedTask = assignmentOf(state, view, task, run)
-    if (assignedTask !== undefined) releaseReservation(view, assignedTask.task)
-  }
+/** Releases what a start call reserved, also for tasks of which a report came before its answer. */
+function releaseOrders (view: AgentView, { caller, orders }: Start): void {
+  // With a new incarnation the reservations of the former one were dropped.
+  if ((caller.heardFrom ?? '') !== view.incarnation) return
+  for (const { size } of orders) releaseReservation(view, size)
 }
 
 /** Counts a call in which the agent refused tasks for lack of capacity at their job. */
@@ -224,7 +227,7 @@
 export function handleStartAnswer (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, start: Start, answer: StartAnswer, now: number
 ): void {
-  releaseOrders(state, view, start)
+  releaseOrders(view, start)
   if (!applyAgentState(state, ports, view, answer, now)) return
   countRefusal(state, start, answer)
   for (const [position, { task, run }] of start.orders.entries()) {
@@ -243,11 +246,12 @@
 export function handleStartFailure (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, start: Start, isRefused: boolean, now: number
 ): void {
-  releaseOrders(state, view, start)
+  releaseOrders(view, start)
   const unconfirmed: JobTask[] = []
   for (const { task, run } of start.orders) {
-    const assignedTask = assignmentOf(state, view, task, run)
-    if (assignedTask === undefined) continue
+    const assignedTask = state.assigned.get(task)
+    const assignment = assignedTask?.task.assignment
+    if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== run) continue
     if (isRefused) endAssignment(state, ports, assignedTask, 'agent refused the connection', now)
     else unconfirmed.push(assignedTask.task)
   }
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -184,7 +184,7 @@
   const plan = planLateJob(state, job, due, agents, now)
   if (plan.size === due.length) sendPlan(state, ports, job, plan, now)
   else {
-    for (const [task, { agent }] of plan) releaseReservation(agent, task)
+    for (const [task, { agent }] of plan) releaseReservation(agent, task.step.size)
     refuseForCapacity(state, ports, job, due, agents, now)
   }
   return true
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -1,5 +1,5 @@
 /** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
-import { addSizes, EMPTY_SIZE, fitsInto } from '@baobabpost/fleet-calls'
+import { addSizes, EMPTY_SIZE, fitsInto, type Size } from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
 import type { Confinement } from './confinement.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
@@ -269,15 +269,14 @@
   for (const task of tasks) {
     const choice = planTask(state, job, task, agents, plan, now)
     if (choice !== undefined && state.admission.fits(choice, remainingMilliseconds, job.refusedOrders, now)) continue
-    for (const [planned, { agent }] of plan) releaseReservation(agent, planned)
+    for (const [planned, { agent }] of plan) releaseReservation(agent, planned.step.size)
     return { isInTime: false, missed: choice }
   }
   return { isInTime: true, plan }
 }
 
-/** Releases the reservation of a task at an agent. */
-export function releaseReservation (view: AgentView, task: JobTask): void {
-  const { size } = task.step
+/** Releases the reservation of a task's size at an agent. */
+export function releaseReservation (view: AgentView, size: Size): void {
   view.unconfirmedSize = addSizes(view.unconfirmedSize, {
     processor: -size.processor, memory: -size.memory, accelerators: -size.accelerators
   })
