Tell an order of a run that was stopped before its timeout

An order whose run had been stopped and listed as gone within 50 ms was told in the report alone; the profile of the same answer, without it, made the entry forget it for up to 250 ms.

A young order is left out only while its run is pending.

Evidence: 'is told at once if its run was stopped before the order timed out' failed before.

--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -18,7 +18,8 @@
 } from './orders.js'
 import { createRunRegistryState, type RunRegistryPorts } from './run-registry-state.js'
 import {
-  IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS, OPEN_ORDERS_INTERVAL_MILLISECONDS
+  IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS, OPEN_ORDERS_INTERVAL_MILLISECONDS,
+  OPEN_ORDERS_INTERVAL_PER_ENTRY_MILLISECONDS
 } from './run-limits.js'
 import { renewLease } from './run-lease.js'
 import type { RunRecord } from './run-record.js'
@@ -97,7 +98,9 @@
 
   /** Whether entries are to be told of further open orders now; those that have been told expire by themselves. */
   function takeNewOpenOrders (now: number): boolean {
-    if (now - openOrdersToldAt < OPEN_ORDERS_INTERVAL_MILLISECONDS) return false
+    const { minimum, maximum } = OPEN_ORDERS_INTERVAL_MILLISECONDS
+    const interval = state.sessions.size * OPEN_ORDERS_INTERVAL_PER_ENTRY_MILLISECONDS
+    if (now - openOrdersToldAt < Math.min(maximum, Math.max(minimum, interval))) return false
     const { openOrders = [], keptOrders = [] } = describeOpenOrders(state, now)
     const described = new Set([...openOrders, ...keptOrders].map(order => JSON.stringify(order)))
     const hasNew = [...described].some(order => !describedOrders.has(order))
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -25,7 +25,7 @@
 export function describeOpenOrders (
   state: RunRegistryState, now: number
 ): Pick<UpstreamProfile, 'openOrders' | 'keptOrders'> {
-  const openOrders = toldOrders(state, state.openOrders.list(now))
+  const openOrders = toldOrders(state, state.openOrders.list(task => state.runs.has(task), now))
   const keptOrders = toldOrders(state, state.keptOrders.list(now))
   return {
     ...(openOrders.length === 0 ? {} : { openOrders }),
--- a/packages/runs/src/open-orders.ts
+++ b/packages/runs/src/open-orders.ts
@@ -18,10 +18,10 @@
   /** Returns the time until the newest order of a task is too old to be carried out; 0 without any. */
   remainingMilliseconds: (task: string, now: number) => number
   /**
-   * Returns the tasks to tell entries, with the time at which their newest order is too old. An order that has just
-   * been sent is not among them: a listing shows whether only its answer was lost.
+   * Returns the tasks to tell entries, with the time at which their newest order is too old. While its run is pending,
+   * an order that has just been sent is not among them: a listing shows whether only its answer was lost.
    */
-  list: (now: number) => ToldOrders
+  list: (isPending: (task: string) => boolean, now: number) => ToldOrders
   /** Removes the orders that are too old to be carried out. */
   expire: (now: number) => void
 }
@@ -56,12 +56,13 @@
     closeOnlyOrder: task => { if (timesByTask.get(task)?.length === 1) timesByTask.delete(task) },
     has: (task, now) => remainingMilliseconds(task, now) > 0,
     remainingMilliseconds,
-    list: now => {
+    list: (isPending, now) => {
       const listed: Array<ToldOrders[number]> = []
       for (const [task, times] of timesByTask) {
         const [oldest = now] = times
         const until = (times.at(-1) ?? now) + LATE_ORDER_MILLISECONDS
-        if (now < until && now - oldest >= OPEN_ORDER_TOLD_AFTER_MILLISECONDS) listed.push({ task, until })
+        const isYoung = now - oldest < OPEN_ORDER_TOLD_AFTER_MILLISECONDS && isPending(task)
+        if (now < until && !isYoung) listed.push({ task, until })
       }
       return listed
     },
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -54,10 +54,12 @@
 /** Retention of the tombstone of an order; delayed copies of the order go stale within the entry lease. */
 export const TOMBSTONE_RETENTION_MILLISECONDS = 2_000
 /**
- * Shortest time between two changes of the open orders that are told to all entries: a caller that sends its job again
- * does so 1,300 ms after its entry was lost, of which the entry lease takes less than half.
+ * Bounds of the shortest time between two changes of the open orders that are told to all entries: a caller that sends
+ * its job again does so 1,300 ms after its entry was lost.
  */
-export const OPEN_ORDERS_INTERVAL_MILLISECONDS = 200
+export const OPEN_ORDERS_INTERVAL_MILLISECONDS = { minimum: 200, maximum: 900 }
+/** The same for each entry: their number times the changes of all agents is what each of them reads. */
+export const OPEN_ORDERS_INTERVAL_PER_ENTRY_MILLISECONDS = 25
 /** Age from which an open order is told to entries: with the listing after its timeout, which may show its run. */
 export const OPEN_ORDER_TOLD_AFTER_MILLISECONDS = ORDER_TIMEOUT_MILLISECONDS
 /** Largest number of open orders of other agents that are kept: those of several agents that are lost together. */
--- a/packages/runs/tests/unanswered-orders.test.ts
+++ b/packages/runs/tests/unanswered-orders.test.ts
@@ -109,6 +109,16 @@
     expect(agent.watch().profile?.openOrders).toMatchObject([{ task: TASK }])
   })
 
+  it('is told at once if its run was stopped before the order timed out', () => {
+    agent.order(1)
+    agent.stop(1)
+    agent.answerLastStop('taken')
+    agent.list()
+    const { reports, profile } = agent.watch()
+    expect(reports).toMatchObject([{ task: TASK, outcome: 'not-started' }])
+    expect(profile?.openOrders).toMatchObject([{ task: TASK }])
+  })
+
   it('is not told if the next listing shows that only its answer was lost', () => {
     agent.order(1)
     agent.answerLastStart('unanswered')
