Find the open orders of an agent without a walk over all tasks

With 130 open orders at each of 160 agents, an entry spent 2.2 ms on each profile and 1.6 ms on each tick (measured by the review): each walked the tasks of all agents. Tasks are indexed by agent, and expired orders are looked for when one is due.

--- a/packages/dispatching/src/open-orders.ts
+++ b/packages/dispatching/src/open-orders.ts
@@ -56,6 +56,9 @@
  */
 export function createOpenOrders (): OpenOrders {
   const ordersByTask = new Map<string, readonly OrdersOfAgent[]>()
+  const tasksByAgent = new Map<string, Set<string>>()
+  /** Time before which no order is over. */
+  let earliestUntil = Infinity
   /** Agents of which others keep orders. */
   const keptAgents = new Set<string>()
 
@@ -66,18 +69,32 @@
       other.agent === agent && other.incarnation === incarnation && other.isKept === isKept
     if (orders.some(other => isSame(other) && other.until >= added.until)) return
     ordersByTask.set(task, [...orders.filter(other => !isSame(other)), added])
+    tasksByAgent.set(agent, (tasksByAgent.get(agent) ?? new Set()).add(task))
+    earliestUntil = Math.min(earliestUntil, added.until)
   }
 
   function add (task: string, agent: string, incarnation: string, until: number): void {
     record(task, { agent, incarnation, until, isKept: false })
   }
 
-  function remove (isOver: (orders: OrdersOfAgent) => boolean): void {
-    for (const [task, orders] of ordersByTask) {
-      if (!orders.some(isOver)) continue
-      const left = orders.filter(each => !isOver(each))
+  /** Removes orders of an agent. */
+  function remove (agent: string, isOver: (orders: OrdersOfAgent) => boolean): void {
+    const tasks = tasksByAgent.get(agent) ?? new Set()
+    for (const task of tasks) {
+      const left = (ordersByTask.get(task) ?? []).filter(each => each.agent !== agent || !isOver(each))
       if (left.length > 0) ordersByTask.set(task, left)
       else ordersByTask.delete(task)
+      if (!left.some(each => each.agent === agent)) tasks.delete(task)
+    }
+    if (tasks.size === 0) tasksByAgent.delete(agent)
+  }
+
+  function expire (now: number): void {
+    if (now < earliestUntil) return
+    for (const agent of [...tasksByAgent.keys()]) remove(agent, ({ until }) => now >= until)
+    earliestUntil = Infinity
+    for (const orders of ordersByTask.values()) {
+      for (const { until } of orders) earliestUntil = Math.min(earliestUntil, until)
     }
   }
 
@@ -96,19 +113,18 @@
     },
     ordersAt: (agent, now) => {
       const found = []
-      for (const [task, orders] of ordersByTask) {
-        for (const { agent: holder, incarnation, until } of orders) {
+      for (const task of tasksByAgent.get(agent) ?? []) {
+        for (const { agent: holder, incarnation, until } of ordersByTask.get(task) ?? []) {
           if (holder === agent && now < until) found.push({ task, incarnation, until })
         }
       }
       return found
     },
     learn: ({ name }, { profile, clock, cleared, incarnation }, now) => {
-      const isOfIncarnation = (orders: OrdersOfAgent): boolean =>
-        orders.agent === name && orders.incarnation === incarnation
-      if (keptAgents.delete(name)) remove(orders => isOfIncarnation(orders) && orders.isKept)
+      const isOfIncarnation = (orders: OrdersOfAgent): boolean => orders.incarnation === incarnation
+      if (keptAgents.delete(name)) remove(name, orders => isOfIncarnation(orders) && orders.isKept)
       if (profile === undefined) return
-      if (cleared) remove(isOfIncarnation)
+      if (cleared) remove(name, isOfIncarnation)
       for (const { task, until } of profile.openOrders ?? []) {
         add(task, name, incarnation, now + Math.min(until - clock, LATE_ORDER_MILLISECONDS))
       }
@@ -120,7 +136,7 @@
       }
       return false
     },
-    expire: now => { remove(({ until }) => now >= until) }
+    expire
   }
 }
 
