Count a process pause as time for which input waited

Time in which a process is stopped inside the event loop's wait counts as idle, and `unread` is busy time only.

A late tick shows such a pause: from the time at which it was scheduled, while it has not run, and then up to the end of the poll that follows it. Connections are accepted one a turn, so the first requests of those accepted after a pause may be from before it, until a turn accepts none or the listen queue's length has been accepted.

The tests 'takes what it reads for as old as the pause' (decisions) and paused-entry.test.ts (real processes) failed before on their values; the others of read-delay.test.ts use the new functions. Four tests of the ingress give it the new option.

--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -12,7 +12,7 @@
 import { WATCH_RETRY_MILLISECONDS } from './dispatch-limits.js'
 import type { Placement } from './placement.js'
 import { createOverloadSignal } from './overload-signal.js'
-import { createReadDelay, type LoopReading } from './read-delay.js'
+import { createReadDelay, type LoopReading, type TickTiming } from './read-delay.js'
 import { createWaitLimit } from './wait-limit.js'
 import { createEvacuationNotices } from './evacuation-notices.js'
 import { createRetryBudget } from './retry-budget.js'
@@ -42,6 +42,12 @@
   isOverloaded: () => boolean
   /** Returns how long a job that is read now has waited to be read at most, in milliseconds. */
   unreadMilliseconds: () => number
+  /**
+   * Records that a caller's connection is accepted.
+   *
+   * @returns how long its first request may have waited already, in milliseconds.
+   */
+  connectionAccepted: () => number
   /** Applies a change of the evacuated failure domains at once: agents are told, and waiting jobs go elsewhere. */
   evacuationsChanged: (source: string) => void
   /** Whether the agent is known and answers calls. */
@@ -65,6 +71,8 @@
   readonly now: () => number
   /** Total time for which the event loop has waited for input, in milliseconds; a process is never busy by default. */
   readonly idle?: () => number
+  /** Largest number of callers' connections that wait to be accepted; no limit by default. */
+  readonly listenQueueLength?: number
 }
 
 function isRefusal (failure: unknown): boolean {
@@ -191,7 +199,7 @@
   }
 
   const readLoop = (): LoopReading => ({ now: now(), idle: options.idle?.() ?? now() })
-  const readDelay = createReadDelay(readLoop())
+  const readDelay = createReadDelay(readLoop(), options.listenQueueLength)
   let isMarkDue = false
 
   /** Marks the end of this turn of the event loop, in which all input that is there is read. */
@@ -200,11 +208,13 @@
     isMarkDue = true
     setImmediate(() => {
       isMarkDue = false
-      readDelay.markRead(readLoop())
+      readDelay.turnEnds(readLoop())
+      if (readDelay.isAcceptingOld()) markTurn()
     })
   }
 
-  function tick (): void {
+  function tick (timing: TickTiming): void {
+    readDelay.tickRuns(timing, now())
     markTurn()
     observeCalls()
     try {
@@ -232,7 +242,11 @@
     },
     unreadMilliseconds: () => {
       markTurn()
-      return readDelay.longest(readLoop())
+      return readDelay.longest(readLoop(), ticks.next())
+    },
+    connectionAccepted: () => {
+      markTurn()
+      return readDelay.connectionAccepted(ticks.next(), now())
     },
     evacuationsChanged,
     admits: waitingJobs => {
--- a/packages/dispatching/src/read-delay.ts
+++ b/packages/dispatching/src/read-delay.ts
@@ -1,4 +1,10 @@
-/** Time for which input waited before a busy process read it. */
+/** Time for which input waited before a busy or paused process read it. */
+
+/**
+ * Lateness of a tick from which the process counts as paused: time in which it was stopped while the event loop waited
+ * for input counts as idle, and only timers show it.
+ */
+const LATE_TICK_MILLISECONDS = 50
 
 /** Readings of the process, in milliseconds. */
 export interface LoopReading {
@@ -7,25 +13,83 @@
   readonly idle: number
 }
 
+/** When a tick was scheduled, and for when, in milliseconds. */
+export interface TickTiming {
+  readonly scheduledAt: number
+  readonly dueAt: number
+}
+
 export interface ReadDelay {
-  /** Records that all input which was there has been read; to be called once in each turn of the event loop. */
-  markRead: (reading: LoopReading) => void
-  /** Returns how long input that is read now has waited at most, in milliseconds. */
-  longest: (reading: LoopReading) => number
+  /** Records that a tick runs now. */
+  tickRuns: (tick: TickTiming, now: number) => void
+  /** Records the end of a turn of the event loop: all input that was there when it polled has been read. */
+  turnEnds: (reading: LoopReading) => void
+  /** Whether connections from before a process pause may wait to be accepted; each turn is then to be recorded. */
+  isAcceptingOld: () => boolean
+  /**
+   * Records that a connection is accepted.
+   *
+   * @returns how long its first request may have waited already, in milliseconds; 0 if it is from after the last pause.
+   */
+  connectionAccepted: (tick: TickTiming, now: number) => number
+  /** Returns how long input that is read now has waited at most, in milliseconds. `tick` is the next one. */
+  longest: (reading: LoopReading, tick: TickTiming) => number
+}
+
+function isLate (tick: TickTiming, now: number): boolean {
+  return now - tick.dueAt > LATE_TICK_MILLISECONDS
 }
 
 /**
  * Creates the read delay of a process that has just started to listen. Input arrives at any time after the previous
- * input was read; while the event loop waits, it is read as it arrives.
+ * input was read; while the event loop waits, it is read as it arrives, unless the process is paused meanwhile. Input
+ * from a pause is read up to the end of the poll that follows the late tick. Pauses shorter than the interval of the
+ * ticks do not show.
  *
+ * @param listenQueueLength - Largest number of connections that wait to be accepted. One is accepted a turn, so some
+ *   may be from before a pause until a turn accepts none, or as many were accepted.
  * @example
- * const readDelay = createReadDelay({ now: 0, idle: 0 })
- * readDelay.longest({ now: 300, idle: 20 }) // 280
+ * const readDelay = createReadDelay({ now: 0, idle: 0 }, 1_024)
+ * readDelay.longest({ now: 300, idle: 20 }, { scheduledAt: 280, dueAt: 300 }) // 280
  */
-export function createReadDelay (started: LoopReading): ReadDelay {
+export function createReadDelay (started: LoopReading, listenQueueLength = Infinity): ReadDelay {
   let last = started
+  let pausedSince: number | undefined
+  /** Time since which the connections that are accepted now may have waited; undefined if none is old. */
+  let queuedSince: number | undefined
+  let acceptedCount = 0
+  let hasAccepted = false
+
+  function recordPause (tick: TickTiming): void {
+    if (queuedSince === undefined) acceptedCount = 0
+    queuedSince ??= tick.scheduledAt
+  }
+
   return {
-    markRead: reading => { last = reading },
-    longest: ({ now, idle }) => Math.max(0, now - last.now - (idle - last.idle))
+    tickRuns: (tick, now) => {
+      if (!isLate(tick, now)) return
+      pausedSince ??= tick.scheduledAt
+      recordPause(tick)
+    },
+    turnEnds: reading => {
+      last = reading
+      pausedSince = undefined
+      if (!hasAccepted) queuedSince = undefined
+      hasAccepted = false
+    },
+    isAcceptingOld: () => queuedSince !== undefined,
+    connectionAccepted: (tick, now) => {
+      hasAccepted = true
+      if (isLate(tick, now)) recordPause(tick)
+      if (queuedSince === undefined) return 0
+      const waited = now - queuedSince
+      acceptedCount += 1
+      if (acceptedCount >= listenQueueLength) queuedSince = undefined
+      return waited
+    },
+    longest: ({ now, idle }, tick) => {
+      const since = pausedSince ?? (isLate(tick, now) ? tick.scheduledAt : now)
+      return Math.max(0, now - since, now - last.now - (idle - last.idle))
+    }
   }
 }
