Send no task between a process pause and the second tick after it

The guard after a pause covered ticks only: a job that was read just after one, and a waiting job at the answer of an agent that was read before the end of its caller's connection, had their tasks sent at once, beside those of the entry to which the caller had sent the job meanwhile.

The guard covers submissions, answers to watches and starts, and changes of evacuations now. It lasts to the tick after the late one; a whole poll lies between the two. A gap right after such a one is taken for another pause only above a second, so that an entry with slow turns sends tasks at every other tick. `this process stood still` tells the milliseconds.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -36,7 +36,7 @@
   'stop got no answer': 'A stop request to an agent got no answer: `agent`, `reason`',
   'announcement got no answer': 'An entry did not answer an announcement: `address`, `reason`',
   'peer gave no configuration': 'An entry did not answer a request for its configuration: `address`, `reason`',
-  'this process stood still': 'The process was paused; messages that arrived during the pause are handled first',
+  'this process stood still': 'The process was paused; messages that arrived during the pause are handled first: `milliseconds` since the last tick',
   'run ordered': 'The agent ordered the upstream to start a run: `task`, `run`, `entry`, `waited` ms in the queue of the agent, `free` thousandths of a core left, `fence` (the fencing token)',
   'start repeated': 'The agent sends another start order for a run that has not started: `task`, `run` (its number at the upstream), `attempt`, `reason` why the last order failed, `milliseconds` since that order, `fence` (the fencing token)',
   'stop repeated': 'A stop order for a run got no answer or was rejected, and is sent for the second, fourth, eighth ... time: `task`, `run` (its number at the upstream), `attempt`, `reason` of the stop, `milliseconds` since the first one',
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -11,7 +11,7 @@
 import { callerFor } from './caller.js'
 import {
   BUSY_WATCH_MILLISECONDS, IDLE_WATCH_BOUNDS_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT,
-  LONGEST_IDLE_WATCH_MILLISECONDS, PROCESS_PAUSE_MILLISECONDS, REMOTE_IDLE_WATCH_FACTOR
+  LONGEST_IDLE_WATCH_MILLISECONDS, REMOTE_IDLE_WATCH_FACTOR
 } from './dispatch-limits.js'
 import { createConfinements } from './confinement.js'
 import { createCrashEvidence } from './crash-evidence.js'
@@ -25,6 +25,7 @@
 import { createOpenOrders, markOpenTasks } from './open-orders.js'
 import type { Placement } from './placement.js'
 import { rankFor } from './preference.js'
+import { createProcessPause } from './process-pause.js'
 import { createRefusalLedger } from './refusal-ledger.js'
 import { createRouteDemand } from './route-demand.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
@@ -55,8 +56,13 @@
   startFailed: (view: AgentView, start: Start, isRefused: boolean, now: number) => void
   stopAnswered: (view: AgentView, answer: StopAnswer, now: number) => void
   stopFailed: (view: AgentView, now: number) => void
-  /** Answers expired jobs, ends runs of unresponsive agents and assigns waiting jobs; to be called every few ms. */
+  /**
+   * Answers expired jobs, ends runs of unresponsive agents and assigns waiting jobs; to be called every few ms by a
+   * timer. After a process pause no tasks are sent before its second tick.
+   */
   tick: (now: number) => void
+  /** Does what a tick does, at any time but after a process pause. */
+  refresh: (now: number) => void
   /** Whether any agent accepts work. */
   isServing: () => boolean
   /** Whether no job is open and no run may be left anywhere, so that ticks find nothing to do for callers. */
@@ -124,7 +130,7 @@
     lastShareLogAt: 0
   }
   const ports: DispatcherPorts = options
-  let lastTickAt: number | undefined
+  const pause = createProcessPause()
 
   function submit (
     submitted: JobRequest, answer: (answer: JobAnswer) => void, now: number
@@ -139,7 +145,8 @@
     const withdraw = (withdrawnAt: number): void => { abandonJob(job, 'the caller left', withdrawnAt) }
     if (existing === undefined) {
       state.jobs.set(request.id, job)
-      assignNewJob(state, ports, job, now)
+      if (pause.maySend(now)) assignNewJob(state, ports, job, now)
+      else state.waiting.push(job)
       return withdraw
     }
     // The caller resubmitted the job, for example after its connection broke. Only one submission of it may run.
@@ -172,14 +179,14 @@
   }
 
   function tick (now: number): void {
-    const wasPaused = lastTickAt !== undefined && now - lastTickAt > PROCESS_PAUSE_MILLISECONDS
-    lastTickAt = now
+    const pauseMilliseconds = pause.tick(now)
     state.startedAt = Math.min(state.startedAt, now)
-    // After a process pause, messages that arrived meanwhile are handled first: callers may have disconnected.
-    if (wasPaused) {
-      ports.logger.warn('this process stood still')
-      return
-    }
+    if (pauseMilliseconds === 0) return refresh(now)
+    ports.logger.warn('this process stood still', { milliseconds: Math.round(pauseMilliseconds) })
+  }
+
+  function refresh (now: number): void {
+    if (!pause.maySend(now)) return
     endExpiredJobs(now)
     endRunsOfUnresponsiveAgents(state, ports, now)
     state.crashes.expire(now)
@@ -252,17 +259,18 @@
     },
     watchAnswered: (view, answer, now) => {
       handleWatchAnswer(state, ports, view, answer, now)
-      assignWaitingIfDue(state, ports, now)
+      if (pause.maySend(now)) assignWaitingIfDue(state, ports, now)
     },
     watchFailed: (view, isRefused, now) => { handleWatchFailure(ports, view, isRefused, now) },
     startAnswered: (view, start, answer, now) => {
       handleStartAnswer(state, ports, view, start, answer, now)
-      assignWaitingIfDue(state, ports, now)
+      if (pause.maySend(now)) assignWaitingIfDue(state, ports, now)
     },
     startFailed: (view, start, isRefused, now) => { handleStartFailure(state, ports, view, start, isRefused, now) },
     stopAnswered: (view, answer, now) => { handleStopAnswer(state, ports, view, answer, now) },
     stopFailed: (view, now) => { state.stops.failed(view.name, now) },
     tick,
+    refresh,
     isServing: () => {
       for (const view of state.agents.values()) {
         if (isUsable(view) && !isEvacuated(state, view)) return true
--- a/packages/dispatching/src/dispatch-limits.ts
+++ b/packages/dispatching/src/dispatch-limits.ts
@@ -85,3 +85,8 @@
 export const EVACUATED_RETRY_AFTER_MILLISECONDS = 5_000
 /** Gap between two ticks above which the process must have been paused. */
 export const PROCESS_PAUSE_MILLISECONDS = 300
+/**
+ * Gap right after such a one above which the process was paused again. Below it, callers that left meanwhile have not
+ * sent their jobs again, and a process with slow turns must send its tasks.
+ */
+export const REPEATED_PAUSE_MILLISECONDS = 1_000
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -167,7 +167,7 @@
   function evacuationsChanged (source: string): void {
     logEvacuations(source)
     tellEvacuations()
-    dispatcher.tick(now())
+    dispatcher.refresh(now())
   }
 
   function mergeEvacuations (state: EvacuationState, source: string): void {
--- a/packages/dispatching/tests/tick-timer.test.ts
+++ b/packages/dispatching/tests/tick-timer.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { silentLogger } from '@baobabpost/common'
 import { startEntryProgram, type JobAnswer } from '@baobabpost/dispatching'
+import { startTickTimer } from '../src/tick-timer.js'
 
 /** Longest wait of a job for the next tick. */
 const TICK_MILLISECONDS = 20
@@ -66,3 +67,28 @@
     entry.close()
   })
 })
+
+describe('the tick after a late one', () => {
+  beforeEach(() => { vi.useRealTimers() })
+
+  // After a process pause, tasks are sent at the second tick: what arrived meanwhile must have been read by then.
+  it('comes after a poll for input, also if other late timers take long', async () => {
+    const events: string[] = []
+    const stall = (milliseconds: number): void => {
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds)
+    }
+    const ticks = startTickTimer({
+      onTick: () => {
+        events.push('tick')
+        setImmediate(() => { events.push('poll') })
+      },
+      isIdle: () => false,
+      now: () => performance.now()
+    })
+    for (const delay of [21, 22, 23]) setTimeout(() => { stall(30) }, delay)
+    stall(200)
+    await expect.poll(() => events.length).toBeGreaterThanOrEqual(4)
+    ticks.close()
+    expect(events.slice(0, 3)).toEqual(['tick', 'poll', 'tick'])
+  })
+})
