Tell how long jobs that are not placed had waited

Since jobs are submitted after the poll that reads the end of their connection, a job whose caller has left writes no `job received`, and nothing told how long it had waited. `job answered` has `unread` for it, and for one that may have waited longer than its caller does.

--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -5,7 +5,7 @@
 export const LOG_EVENTS = {
   'job received': 'A caller sent a job: `job`, `route`, `tasks`, `priority`, `estimate` and `patience` (maximum wait) in ms, `unread` (longest time in ms for which it waited to be read), `version` of the configuration',
   'job sent': 'Tasks of a job were sent to an agent: `job`, `agent`, `tasks`, `patience` (maximum wait) in ms, `late` if the job is past its objective, `heardAgo` in ms since the last contact with the agent',
-  'job answered': 'A job got its final answer: `job`, `route`, `outcome`, `reason`, `milliseconds`, `objective` in ms; for those that an overloaded entry refuses `moved` (whether it closed the connection), jobs `waiting` to be handled',
+  'job answered': 'A job got its final answer: `job`, `route`, `outcome`, `reason`, `milliseconds`, `objective` in ms; for those that an overloaded entry refuses `moved` (whether it closed the connection), jobs `waiting` to be handled; for those whose callers have left, or may have, before they were placed, `unread` as of `job received`',
   'job refused: not supported': 'A job requires an option that is not supported: `job`, `route`, `option`',
   'job refused: no capacity': 'A job does not fit within its objective by what is queued, and none of its tasks has started: `job`, `route`, `tasks`, `fitting` (how many such tasks the free capacity of all its upstreams holds), `excess` (expected wait beyond the latest start) and `retryAfter` in ms, number of callers `promised` a later start',
   'tasks released': 'A task of a job found no capacity in time; the tasks of the job that have not started are taken back: `job`, number of `agents` and `tasks`',
