Revert "Answer a start call once the upstream has answered its orders"

What it brought stays open: a run is confirmed to its entry with the next answer of its agent, up to 280 ms after its start; tasks that are lost with their agent within that time may go to that agent alone.

--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -5,7 +5,6 @@
   type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import { createRunRegistry, type RunRegistry } from './create-run-registry.js'
-import { createPendingStarts } from './pending-starts.js'
 import type { EntrySession } from './entry-session.js'
 import {
   LIST_TIMEOUT_MILLISECONDS, ORDER_TIMEOUT_MILLISECONDS, RETRY_DELAY_MILLISECONDS
@@ -70,7 +69,6 @@
 export function startAgentProgram (options: AgentProgramOptions): AgentProgram {
   const { upstream, now } = options
   const waitingWatches = new Set<WaitingWatch>()
-  const pendingStarts = createPendingStarts()
   const lastWatchAt = new Map<string, number>()
   let isListingScheduled = false
   const lifecycle = { isStopped: false }
@@ -81,10 +79,7 @@
     logger: options.logger,
     sendStart: (record, order) => {
       upstream.start(order, ORDER_TIMEOUT_MILLISECONDS)
-        .then(answer => {
-          registry.handleStartAnswer(record, answer, order.fencingToken, now())
-          pendingStarts.answered(order.task)
-        }, logFailure)
+        .then(answer => { registry.handleStartAnswer(record, answer, order.fencingToken, now()) }, logFailure)
     },
     sendStop: (record, order) => {
       upstream.stop(order, ORDER_TIMEOUT_MILLISECONDS)
@@ -168,10 +163,9 @@
     })
   }
 
-  /** Answers once the upstream has, so that the entry knows at once which runs have no open order. */
-  async function start (parameters: Start): Promise<StartAnswer> {
+  function start (parameters: Start): StartAnswer {
     const wasIdle = registry.runCount() === 0
-    const accepted = registry.acceptStart(parameters, now())
+    const answer = registry.answerStart(parameters, now())
     // The lease of the entry that ordered the first run may end before the next tick of an idle agent.
     if (wasIdle && registry.runCount() > 0 && registry.leaseEnd(parameters.caller) < nextTickAt) scheduleTick()
     // Watches renew the entry's lease; one that began before the entry had runs here would outlast the lease.
@@ -181,8 +175,7 @@
       waitingWatch.answerWithin(
         Math.min(MAXIMUM_BUSY_WATCH_MILLISECONDS, Math.max(0, (session.leaseUntil - now()) / 2)))
     }
-    await pendingStarts.wait(registry.tasksOnTheirWay(accepted))
-    return registry.answerStart(accepted, now())
+    return answer
   }
 
   const handlers: CallHandlers = {
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -4,10 +4,7 @@
   CallingEntry, Start, StartAnswer, Stop, StopAnswer, TellCrashes, TellCrashesAnswer, TellEvacuations,
   TellEvacuationsAnswer, TellOpenOrders, TellOpenOrdersAnswer, Watch, WatchAnswer
 } from '@baobabpost/fleet-calls'
-import {
-  acceptStart, answerStart, answerStop, answerWatch, beginWatch, describeOpenOrders, describeProfile,
-  type AcceptedStart
-} from './entry-calls.js'
+import { answerStart, answerStop, answerWatch, beginWatch, describeOpenOrders, describeProfile } from './entry-calls.js'
 import { hasUrgentReport, type EntrySession } from './entry-session.js'
 import { applyEvacuations } from './evacuations.js'
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
@@ -27,12 +24,7 @@
 
 /** The runs at one upstream. All times are of the agent's steady clock, in milliseconds. */
 export interface RunRegistry {
-  /** Accepts or refuses the orders of a start call, and starts what has room. */
-  acceptStart: (start: Start, now: number) => AcceptedStart
-  /** Returns the answer to a start call; it names the runs that the upstream has confirmed by now. */
-  answerStart: (accepted: AcceptedStart, now: number) => StartAnswer
-  /** Returns the tasks of a start call with a start order on its way to the upstream. */
-  tasksOnTheirWay: (accepted: AcceptedStart) => string[]
+  answerStart: (start: Start, now: number) => StartAnswer
   answerStop: (stop: Stop, now: number) => StopAnswer
   /** Applies what an entry knows of evacuated failure domains, and returns what the agent knows. */
   answerEvacuations: (tell: TellEvacuations, now: number) => TellEvacuationsAnswer
@@ -153,15 +145,7 @@
   }
 
   return {
-    acceptStart: (start, now) => acceptStart(state, ports, start, now),
-    answerStart: (accepted, now) => answerStart(state, accepted, now),
-    tasksOnTheirWay: ({ start, session }) => {
-      const ordered = start.orders.filter(({ task }) => {
-        const record = state.runs.get(task)
-        return record?.session === session && record.state === 'ordered'
-      })
-      return ordered.map(({ task }) => task)
-    },
+    answerStart: (start, now) => answerStart(state, ports, start, now),
     answerStop: (stop, now) => answerStop(state, ports, stop, now),
     answerEvacuations: ({ evacuations }, now) => {
       applyEvacuations(state, ports, evacuations, 'tellEvacuations', now)
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -101,13 +101,6 @@
   return { ...agentState, profile: { ...describeProfile(state, now), routeFactors } }
 }
 
-/** A start call of which each order has been accepted or refused. */
-export interface AcceptedStart {
-  readonly start: Start
-  readonly session: EntrySession
-  readonly verdicts: readonly Verdict[]
-}
-
 function admitOrder (
   state: RunRegistryState,
   ports: RunRegistryPorts,
@@ -199,10 +192,8 @@
   return true
 }
 
-/** Accepts or refuses the orders of an entry's start call. */
-export function acceptStart (
-  state: RunRegistryState, ports: RunRegistryPorts, start: Start, now: number
-): AcceptedStart {
+/** Answers an entry's start call. */
+export function answerStart (state: RunRegistryState, ports: RunRegistryPorts, start: Start, now: number): StartAnswer {
   const session = openSession(state, ports, start.caller, now)
   adoptRunTimes(state, ports, start)
   const verdicts: Verdict[] = []
@@ -214,13 +205,6 @@
   for (const [position, { task, run }] of start.orders.entries()) {
     if (verdicts[position] !== 'accepted') addTombstone(state, session, task, run, now)
   }
-  return { start, session, verdicts }
-}
-
-/** Returns the answer to a start call. */
-export function answerStart (
-  state: RunRegistryState, { start, session, verdicts }: AcceptedStart, now: number
-): StartAnswer {
   return { ...describeAgent(state, session, start.caller, state.profileVersion, now), verdicts }
 }
 
