Start no waiting run of an entry whose lease has ended

An agent that was paused could order a run that had waited before the pause: a listing, which counts as new when it is read, showed room, and came before the tick that ends the runs of lost entries. Its entry had moved the task meanwhile, or its caller gone elsewhere. Only the lease of the order itself held it back.

--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -78,7 +78,9 @@
   let isKeptFree = false
   for (const record of [...state.queue.inOrder()]) {
     const mayStart = !isKeptFree && hasCapacityFor(state, record.order.size, now) && mayStartBesideOthers(state, record)
-    if (!isAcceptingRuns || mayStart) orderStart(state, ports, record, now)
+    // After a process pause, listings come before the tick that ends the runs of lost entries.
+    if (now >= record.session.leaseUntil) endRun(state, ports, record, 'not-started', 'entry lease ended', now)
+    else if (!isAcceptingRuns || mayStart) orderStart(state, ports, record, now)
     else if (now > record.waitDeadline) endRun(state, ports, record, 'not-started', 'no-room', now)
     else isKeptFree ||= mustRunAlone(record)
   }
--- a/packages/runs/tests/granted-leases.test.ts
+++ b/packages/runs/tests/granted-leases.test.ts
@@ -34,3 +34,18 @@
     expect(agent.nextLease() ?? 0).toBeGreaterThan(agent.advance(0))
   })
 })
+
+// The agent was paused: its entry's caller had gone elsewhere, and the listing came before the tick.
+it('starts no waiting run whose entry lease has ended when a listing shows room for it', () => {
+  const paused = createRegistryUnderTest()
+  const capacity = { processor: 1_000, memory: 131_072, accelerators: 0 }
+  paused.registry.handleHeartbeat(heartbeat({ capacity }), paused.advance(1))
+  paused.list()
+  paused.order(1)
+  paused.answerLastStart('taken')
+  paused.order(1, '5c0e7a21d94b36f8.0.0.1')
+  paused.advance(1_900)
+  paused.list({ ended: [{ number: 1, task: TASK, run: 1, kind: 'done' }] })
+  expect(paused.starts).toHaveLength(1)
+  expect(paused.watch().reports).toMatchObject([{ outcome: 'done' }, { outcome: 'not-started' }])
+})
