Tell the orders of a silent agent once and not at every tick

The end of its assignments told them, also where none was left to end.

Evidence: 'is told to other agents once and not at each tick while its agent is silent' failed before.

--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -24,6 +24,7 @@
 ): number {
   const lost = [...state.assigned.values()].filter(({ task: { assignment } }) => assignment?.agent === view.name &&
     (reason === 'agent silent' || assignment.incarnation !== view.incarnation))
+  if (lost.length === 0) return 0
   const incarnation = lost[0]?.task.assignment?.incarnation ?? ''
   state.crashes.addLost(incarnation, lost.map(({ job, task }) => ({ task: task.name, route: job.request.route })), now)
   recordLostOrders(state, view, lost, now)
--- a/packages/dispatching/tests/open-orders.test.ts
+++ b/packages/dispatching/tests/open-orders.test.ts
@@ -185,4 +185,14 @@
     dispatcher.tick(1_420)
     expect(starts[1]?.view.name).toBe(other.name)
   })
+
+  it('is told to other agents once and not at each tick while its agent is silent', () => {
+    const { dispatcher, first, other, told } = sendTask(20_000)
+    dispatcher.watchFailed(first.view, false, 100)
+    for (let now = 110; now <= 5_000; now += 10) {
+      if (now % 100 === 0) dispatcher.watchAnswered(other, answerOf(100 + now), now)
+      if (now % 20 === 10) dispatcher.tick(now)
+    }
+    expect(told.length).toBeLessThanOrEqual(2)
+  })
 })
