Count the lease of former runs from the first incarnation that replaced theirs

A task stayed assigned for as long as its agent started again within each run lease without clearing its upstream, with a free agent beside it: each incarnation put off the end of the former runs. Incarnations that have not cleared start nothing, so the lease counts from the first of them.

Evidence: 'frees a task with the lease of its run, although its agent starts again and again without clearing' failed before.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -38,6 +38,7 @@
     view.incarnation = answer.incarnation
     view.incarnationSince = now
     view.formerRunLeaseMilliseconds = longestRunLease(view)
+    if (!view.mayHaveFormerRuns) view.formerRunsSince = now
     view.mayHaveFormerRuns = true
     view.formerFence = Math.max(view.formerFence, view.fence)
     view.fence = 0
--- a/packages/dispatching/src/agent-view.ts
+++ b/packages/dispatching/src/agent-view.ts
@@ -18,6 +18,8 @@
   incarnationSince: number
   /** Whether runs of earlier incarnations may still be running. */
   mayHaveFormerRuns: boolean
+  /** When the incarnation that had these runs was first replaced; those in between started none. */
+  formerRunsSince: number
   /** Longest run lease of the incarnations whose runs may still be running, in milliseconds. */
   formerRunLeaseMilliseconds: number
   /** Highest fencing token that the current incarnation told; 0 while it has told none. */
@@ -67,6 +69,7 @@
     formerIncarnations: new Set(),
     incarnationSince: 0,
     mayHaveFormerRuns: false,
+    formerRunsSince: 0,
     formerRunLeaseMilliseconds: 0,
     fence: 0,
     formerFence: 0,
--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -67,7 +67,7 @@
 /** Ends the assignments to agents, or to their earlier incarnations, whose leases have all ended. */
 export function endRunsOfUnresponsiveAgents (state: DispatcherState, ports: DispatcherPorts, now: number): void {
   for (const view of state.agents.values()) {
-    const formerRunsEndAt = view.incarnationSince + view.formerRunLeaseMilliseconds + LEASE_MARGIN_MILLISECONDS
+    const formerRunsEndAt = view.formerRunsSince + view.formerRunLeaseMilliseconds + LEASE_MARGIN_MILLISECONDS
     if (now >= formerRunsEndAt) endFormerRuns(state, ports, view, now)
     if (view.isReachable || view.incarnation === '' || now < latestRunEnd(view)) continue
     const tasks = endLostRuns(state, ports, view, 'agent silent', now)
--- a/packages/dispatching/tests/next-incarnation.test.ts
+++ b/packages/dispatching/tests/next-incarnation.test.ts
@@ -135,6 +135,21 @@
   })
 })
 
+// Each further incarnation put off the end of the former runs.
+it('frees a task with the lease of its run, although its agent starts again and again without clearing', () => {
+  const { dispatcher, view, start, agentsOfStarts } = sendJob()
+  const confirmed = start.orders.map(({ task, run }) => ({ task, run }))
+  dispatcher.watchAnswered(view, answerOf(103, { confirmed }), 5)
+  for (let now = 10; now < 1_500; now += 10) {
+    if (now % 500 === 0) {
+      const incarnation = String(now)
+      dispatcher.watchAnswered(view, answerOf(5, { incarnation, cleared: false }, { accepting: false }), now)
+    }
+    dispatcher.tick(now)
+  }
+  expect(agentsOfStarts()).toHaveLength(2)
+})
+
 it('releases what a start call reserved if a report comes before its answer', () => {
   const { dispatcher, view, start, tickUntil } = sendJob(1, 2)
   const task = start.orders[0]?.task ?? ''
