Take connections for old for a second after a pause only

A second pause inherited the count of the first. A connection that was accepted and then idle had its first request refused.

A caller that left earlier has had time to end its connection, which is read before its job is submitted. The limit by the length of the listen queue is gone, and the test of it is replaced by one of the limit in time.

--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -71,8 +71,6 @@
   readonly now: () => number
   /** Total time for which the event loop has waited for input, in milliseconds; a process is never busy by default. */
   readonly idle?: () => number
-  /** Largest number of callers' connections that wait to be accepted; no limit by default. */
-  readonly listenQueueLength?: number
 }
 
 function isRefusal (failure: unknown): boolean {
@@ -205,7 +203,7 @@
   }
 
   const readLoop = (): LoopReading => ({ now: now(), idle: options.idle?.() ?? now() })
-  const readDelay = createReadDelay(readLoop(), options.listenQueueLength)
+  const readDelay = createReadDelay(readLoop())
   let isMarkDue = false
 
   /** Marks the end of this turn of the event loop, in which all input that is there is read. */
--- a/packages/dispatching/src/read-delay.ts
+++ b/packages/dispatching/src/read-delay.ts
@@ -1,4 +1,5 @@
 /** Time for which input waited before a busy or paused process read it. */
+import { PROCESS_PAUSE_MILLISECONDS } from './dispatch-limits.js'
 
 /**
  * Lateness of a tick from which the process counts as paused: time in which it was stopped while the event loop waited
@@ -6,6 +7,12 @@
  */
 const LATE_TICK_MILLISECONDS = 50
 
+/**
+ * Time after a pause in which connections from it may still be accepted, one a turn. The caller of a later one has had
+ * time to end it, if it left during the pause, and that is read before its job is submitted.
+ */
+const QUEUE_DRAIN_MILLISECONDS = 1_000
+
 /** Readings of the process, in milliseconds. */
 export interface LoopReading {
   readonly now: number
@@ -36,8 +43,8 @@
   longest: (reading: LoopReading, tick: TickTiming) => number
 }
 
-function isLate (tick: TickTiming, now: number): boolean {
-  return now - tick.dueAt > LATE_TICK_MILLISECONDS
+function isLate (tick: TickTiming, now: number, milliseconds = LATE_TICK_MILLISECONDS): boolean {
+  return now - tick.dueAt > milliseconds
 }
 
 /**
@@ -46,46 +53,41 @@
  * from a pause is read up to the end of the poll that follows the late tick. Pauses shorter than the interval of the
  * ticks do not show.
  *
- * @param listenQueueLength - Largest number of connections that wait to be accepted. One is accepted a turn, so some
- *   may be from before a pause until a turn accepts none, or as many were accepted.
  * @example
- * const readDelay = createReadDelay({ now: 0, idle: 0 }, 1_024)
+ * const readDelay = createReadDelay({ now: 0, idle: 0 })
  * readDelay.longest({ now: 300, idle: 20 }, { scheduledAt: 280, dueAt: 300 }) // 280
  */
-export function createReadDelay (started: LoopReading, listenQueueLength = Infinity): ReadDelay {
+export function createReadDelay (started: LoopReading): ReadDelay {
   let last = started
   let pausedSince: number | undefined
-  /** Time since which the connections that are accepted now may have waited; undefined if none is old. */
+  /** Begin of the last pause, from which connections that are accepted now may be; undefined if none is. */
   let queuedSince: number | undefined
-  let acceptedCount = 0
+  let drainedAt = 0
   let hasAccepted = false
 
-  function recordPause (tick: TickTiming): void {
-    if (queuedSince === undefined) acceptedCount = 0
-    queuedSince ??= tick.scheduledAt
+  function recordPause (tick: TickTiming, now: number): void {
+    if (!isLate(tick, now, PROCESS_PAUSE_MILLISECONDS)) return
+    queuedSince = tick.scheduledAt
+    drainedAt = now + QUEUE_DRAIN_MILLISECONDS
   }
 
   return {
     tickRuns: (tick, now) => {
       if (!isLate(tick, now)) return
       pausedSince ??= tick.scheduledAt
-      recordPause(tick)
+      recordPause(tick, now)
     },
     turnEnds: reading => {
       last = reading
       pausedSince = undefined
-      if (!hasAccepted) queuedSince = undefined
+      if (!hasAccepted || reading.now >= drainedAt) queuedSince = undefined
       hasAccepted = false
     },
     isAcceptingOld: () => queuedSince !== undefined,
     connectionAccepted: (tick, now) => {
       hasAccepted = true
-      if (isLate(tick, now)) recordPause(tick)
-      if (queuedSince === undefined) return 0
-      const waited = now - queuedSince
-      acceptedCount += 1
-      if (acceptedCount >= listenQueueLength) queuedSince = undefined
-      return waited
+      recordPause(tick, now)
+      return queuedSince === undefined || now >= drainedAt ? 0 : now - queuedSince
     },
     longest: ({ now, idle }, tick) => {
       const since = pausedSince ?? (isLate(tick, now) ? tick.scheduledAt : now)
--- a/packages/dispatching/tests/read-delay.test.ts
+++ b/packages/dispatching/tests/read-delay.test.ts
@@ -48,11 +48,31 @@
     expect(readDelay.connectionAccepted(NEXT_TICK, 3_006)).toBe(0)
   })
 
-  it('counts for no more connections than can wait', () => {
-    const readDelay = createReadDelay({ now: 1_000, idle: 900 }, 3)
+  it('counts for connections of the second after it only, although each turn accepts one', () => {
+    const readDelay = createReadDelay({ now: 1_000, idle: 900 })
     readDelay.tickRuns(TICK, 3_000)
-    const waited = [1, 2, 3, 4].map(turn => readDelay.connectionAccepted(NEXT_TICK, 3_000 + turn))
-    expect(waited).toEqual([2_001, 2_002, 2_003, 0])
+    const waited = [3_010, 3_990, 4_010].map(at => {
+      const milliseconds = readDelay.connectionAccepted({ scheduledAt: at, dueAt: at + 20 }, at)
+      readDelay.turnEnds({ now: at, idle: 900 })
+      return milliseconds
+    })
+    expect(waited).toEqual([2_010, 2_990, 0])
+  })
+
+  it('counts for connections from a second pause, while those of the first are accepted', () => {
+    const readDelay = createReadDelay({ now: 1_000, idle: 900 })
+    readDelay.tickRuns(TICK, 3_000)
+    readDelay.connectionAccepted(NEXT_TICK, 3_001)
+    readDelay.turnEnds({ now: 3_010, idle: 900 })
+    readDelay.tickRuns(NEXT_TICK, 4_900)
+    expect(readDelay.connectionAccepted({ scheduledAt: 4_900, dueAt: 4_920 }, 4_901)).toBe(1_901)
+  })
+
+  // An entry whose listen queue is never empty refused every job of a new connection, after one slow turn.
+  it('does not count for connections if it was no longer than a slow turn', () => {
+    const readDelay = createReadDelay({ now: 1_000, idle: 900 })
+    readDelay.tickRuns({ scheduledAt: 1_000, dueAt: 1_020 }, 1_140)
+    expect(readDelay.connectionAccepted({ scheduledAt: 1_140, dueAt: 1_160 }, 1_141)).toBe(0)
   })
 })
 
