--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -250,6 +250,7 @@
   releaseOrders(view, start)
   const unconfirmed: JobTask[] = []
   for (const { task, run } of start.orders) {
+    // Whichever incarnation answers by now, the call may have reached the one that it was sent to.
     const assignedTask = state.assigned.get(task)
     const assignment = assignedTask?.task.assignment
     if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== run) continue
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -145,9 +145,9 @@
   /** The evacuated failure domains; absent unless the agent knows them at a later position than the entry. */
   evacuations: Schema.optionalKey(EvacuationState),
   /**
-   * Runs of the calling entry of which every start order has been answered, until the entry has received an answer that
-   * names them; absent without any, and from builds before they were told. An order of any other run may yet be carried
-   * out when the agent is gone.
+   * Runs of the calling entry that have started and of which no start order is open, until the entry has received an
+   * answer that names them; absent without any, and from builds before they were told. An order of any other run may
+   * still be carried out when the agent is gone.
    */
   confirmed: Schema.optionalKey(RunsOfEntry),
   room: UpstreamLoad
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -1,7 +1,7 @@
 /** An agent's session of one entry: the entry's lease and the reports that it has not acknowledged. */
 import type { CallingEntry, RunOutcome, RunReport, Stop } from '@baobabpost/fleet-calls'
 
-/** A run of the entry of which every start order has been answered. */
+/** A run of the entry that has started and of which no start order is open. */
 interface ConfirmedRun {
   readonly task: string
   readonly run: number
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -60,7 +60,7 @@
 export const OPEN_ORDERS_INTERVAL_MILLISECONDS = { minimum: 200, maximum: 900 }
 /** The same for each entry: their number times the changes of all agents is what each of them reads. */
 export const OPEN_ORDERS_INTERVAL_PER_ENTRY_MILLISECONDS = 25
-/** Age from which an open order is told to entries: with the listing after its timeout, which may show its run. */
+/** Age from which the open order of a pending run is told to entries: that of the listing after its timeout. */
 export const OPEN_ORDER_TOLD_AFTER_MILLISECONDS = ORDER_TIMEOUT_MILLISECONDS
 /** Largest number of open orders of other agents that are kept: those of several agents that are lost together. */
 export const MAXIMUM_KEPT_ORDERS = 500
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -56,7 +56,7 @@
   /** Whether the phase was `serving` before: no run of an earlier incarnation of the agent is left. */
   isCleared: boolean
   fencingToken: number
-  /** Token that entries are told, for the next incarnation: the highest that this one may have used. */
+  /** Lower bound of the token that entries are told for the next incarnation, which then needs no telling each time. */
   toldFence: number
   /** Highest token that the upstream has rejected although the agent had used none above it; 0 without any. */
   rejectedFence: number
