Count the tasks of a job by step instead of looking through all of them

Cause: with each completed task, `unblockTasks` looked for each blocked task and each of its dependencies through all tasks of the job: 1,600 x 400 x 2,000 in one turn. `handleDone`, `settleJob`, `mayHaveRun`, `isGivenUp`, `abandonIfHopeless`, `countWaitingLateJobs` and `markOpenTasks` looked through all tasks for one of them or for each pass as well, `addWaiting` through all waiting jobs. Change: a job keeps counts of its tasks (open ones and open dependencies by step, waiting, assigned, started), which change only in task-changes.ts. A step whose last dependency is done is unblocked by these counts. Tasks are found by the step and number in their names.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -6,14 +6,15 @@
 import { latestStoppedRunEnd, longestRunLease, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
 import { BUSY_RETRY_MILLISECONDS } from './dispatch-limits.js'
-import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
+import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
+import type { TaskOfJob } from './job.js'
 import { endAssignment, endFormerRuns } from './ended-assignments.js'
-import type { Job, JobTask } from './job.js'
 import { answerJob, settleJob, stopTasks } from './job-completion.js'
-import { releaseReservation } from './job-plan.js'
 import { learnCrashes } from './learn-crashes.js'
 import { learnOpenOrders } from './learn-open-orders.js'
 import { keepLostOrders } from './lost-orders.js'
+import { releaseReservation } from './job-plan.js'
+import { endTask, recordStart, unblockDependents } from './task-changes.js'
 
 /** Records which runs' start orders have all been answered, as the agent tells. */
 function confirmAssignments (state: DispatcherState, view: AgentView, { confirmed = [] }: StopAnswer): void {
@@ -72,44 +73,25 @@
   return true
 }
 
-function unblockTasks (state: DispatcherState, job: Job): void {
-  let hasUnblocked = false
-  for (const task of job.tasks) {
-    if (task.state !== 'blocked') continue
-    const hasOpenDependency = task.step.dependsOn.some(number =>
-      job.tasks.some(other => other.stepNumber === number && other.state !== 'done'))
-    if (hasOpenDependency) continue
-    task.state = 'waiting'
-    hasUnblocked = true
-  }
-  if (hasUnblocked) addWaiting(state, job)
-}
-
 function handleDone (state: DispatcherState, ports: DispatcherPorts, { job, task }: TaskOfJob, now: number): void {
-  state.assigned.delete(task.name)
   state.crashes.clear(task.name)
-  task.assignment = undefined
-  task.state = 'done'
-  task.mayHaveStarted = true
+  recordStart(job, task)
+  endTask(state, { job, task })
   if (job.isAnswered) return settleJob(state, job)
-  if (job.tasks.every(other => other.state === 'done')) {
-    return answerJob(state, ports, job, { kind: 'completed' }, now)
-  }
-  unblockTasks(state, job)
+  if (job.progress.openCount === 0) return answerJob(state, ports, job, { kind: 'completed' }, now)
+  if (unblockDependents(job, task)) addWaiting(state, job)
 }
 
 function handleFailed (
   state: DispatcherState, ports: DispatcherPorts, assignedTask: TaskOfJob, reason: string, now: number
 ): void {
   const { job, task } = assignedTask
-  task.mayHaveStarted = true
+  recordStart(job, task)
   task.failures += 1
   if (job.isAnswered || task.failures < job.request.maximumAttempts) {
     return endAssignment(state, ports, assignedTask, `failed ${reason}`, now)
   }
-  state.assigned.delete(task.name)
-  task.assignment = undefined
-  task.state = 'done'
+  endTask(state, assignedTask)
   answerJob(state, ports, job, { kind: 'failed', task: task.name }, now)
 }
 
@@ -133,14 +115,14 @@
     case 'lapsed':
     case 'lost':
     case 'unknown':
-      assignedTask.task.mayHaveStarted = true
+      recordStart(assignedTask.job, assignedTask.task)
       return endAssignment(state, ports, assignedTask, `${report.outcome} ${report.reason}`, now)
     case 'superseded':
-      assignedTask.task.mayHaveStarted = true
+      recordStart(assignedTask.job, assignedTask.task)
       endAssignment(state, ports, assignedTask, report.outcome, now)
       return answerJob(state, ports, assignedTask.job, { kind: 'given-up', reason: 'another entry has the job' }, now)
     case 'not-started':
-      assignedTask.task.mayHaveStarted ||= report.openOrderMilliseconds !== undefined
+      if (report.openOrderMilliseconds !== undefined) recordStart(assignedTask.job, assignedTask.task)
       return endAssignment(state, ports, assignedTask, `${report.outcome} ${report.reason}`, now)
   }
 }
@@ -194,7 +176,7 @@
     // The agent may have accepted the order: the report on its stop tells.
     case 'unknown':
       ports.logger.warn('verdict not known', { agent: task.assignment?.agent, task: task.name, verdict })
-      return stopTasks(state, [task], now)
+      return stopTasks(state, assignedTask.job, [task], now)
   }
 }
 
@@ -248,21 +230,22 @@
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, start: Start, isRefused: boolean, now: number
 ): void {
   releaseOrders(view, start)
-  const unconfirmed: JobTask[] = []
+  const unconfirmed: TaskOfJob[] = []
   for (const { task, run } of start.orders) {
     // Whichever incarnation answers by now, the call may have reached the one that it was sent to.
     const assignedTask = state.assigned.get(task)
     const assignment = assignedTask?.task.assignment
     if (assignedTask === undefined || assignment?.agent !== view.name || assignment.run !== run) continue
     if (isRefused) endAssignment(state, ports, assignedTask, 'agent refused the connection', now)
-    else unconfirmed.push(assignedTask.task)
+    else unconfirmed.push(assignedTask)
   }
   if (unconfirmed.length === 0) return
   ports.logger.warn('start got no answer', { agent: view.name, tasks: unconfirmed.length })
   // The agent gets no further work until it answers a call, which may be the stop sent here.
   view.isReachable = false
   keepLostOrders(state, ports, view, now)
-  stopTasks(state, unconfirmed, now)
+  const { job } = unconfirmed[0] as TaskOfJob
+  stopTasks(state, job, unconfirmed.map(({ task }) => task), now)
 }
 
 export function handleStopAnswer (
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -15,7 +15,9 @@
   agentsFor, agentsForRoute, fitsNowhere, planTask, planWithinObjective, releaseReservation, remainingMillisecondsOf,
   type AgentsByDistance, type JobPlan
 } from './job-plan.js'
+import { waitingTasks } from './job-progress.js'
 import { isGivenUp, refuseForCapacity, releaseWaitingTasks } from './job-release.js'
+import { assignTask } from './task-changes.js'
 
 function sendPlan (state: DispatcherState, ports: DispatcherPorts, job: Job, plan: JobPlan, now: number): void {
   const byAgent = new Map<string, PendingOrders>()
@@ -23,11 +25,9 @@
   for (const [task, choice] of plan) {
     const { agent } = choice
     task.lastRun += 1
-    task.state = 'assigned'
-    task.assignment = {
+    assignTask(state, { job, task }, {
       agent: agent.name, incarnation: agent.incarnation, run: task.lastRun, sentAt: now, isConfirmed: false
-    }
-    state.assigned.set(task.name, { job, task })
+    })
     const pending = byAgent.get(agent.name) ??
       { view: agent, orders: [], maximumWaitMilliseconds: 0, isWhole: false }
     const crashCount = state.crashes.crashCountOf(task.name)
@@ -112,7 +112,8 @@
 
 /** Returns why no upstream is going to serve a job, if that is known; upstreams of a confined route crash again. */
 function reasonWithoutHope (job: Job, due: readonly JobTask[], agents: AgentsByDistance): string | undefined {
-  if (due.some(task => fitsNowhere(agents, task))) return 'no upstream of its service is large enough'
+  const steps = new Set(due.map(({ step }) => step))
+  if ([...steps].some(step => fitsNowhere(agents, step))) return 'no upstream of its service is large enough'
   const isConfined = agents.confinement.agentsByRoute.has(job.request.route)
   if (isConfined && agents.near.length + agents.far.length === 0) return 'tasks of its route crash their upstreams'
   return undefined
@@ -122,11 +123,10 @@
 function assignJob (
   state: DispatcherState, ports: DispatcherPorts, job: Job, agentsOfService: AgentsByDistance, now: number
 ): boolean {
-  const { request } = job
+  const { request, progress } = job
   const agents = agentsForRoute(agentsOfService, request.route)
-  const waiting = job.tasks.filter(task => task.state === 'waiting')
-  const due = waiting.filter(task => task.notBefore <= now && state.crashes.suspicionOf(task.name, now) !== 'held')
-  if (due.length === 0) return waiting.length === 0
+  const due = waitingTasks(progress).filter(task => task.notBefore <= now && state.crashes.suspicionOf(task.name, now) !== 'held')
+  if (due.length === 0) return progress.waiting.size === 0
   if (job.releasedAt !== undefined && !mayHaveRun(job)) {
     refuseForCapacity(state, ports, job, due, agents, now)
     return true
@@ -135,7 +135,7 @@
     const result = planWithinObjective(state, job, due, agents, now)
     if (result.isInTime) {
       sendPlan(state, ports, job, result.plan, now)
-      return due.length === waiting.length
+      return progress.waiting.size === 0
     }
     const decision = state.admission.decideMiss({
       choice: result.missed,
@@ -143,7 +143,7 @@
       objectiveMilliseconds: job.objectiveMilliseconds,
       waitedMilliseconds: now - request.arrivedAt,
       isCapacityArriving: isCapacityArriving(state, request.service, now),
-      hasLostRun: waiting.some(({ mayHaveStarted }) => mayHaveStarted)
+      hasLostRun: progress.startedWaitingCount > 0
     })
     if (decision === 'wait') return false
     job.isLate = true
@@ -159,7 +159,7 @@
     }
   }
   sendPlan(state, ports, job, planLateJob(state, job, due, agents, now), now)
-  const isWaiting = job.tasks.some(task => task.state === 'waiting')
+  const isWaiting = progress.waiting.size > 0
   if (isWaiting && isGivenUp(job, now)) {
     abandonJob(state, ports, job, 'no capacity within its objective', now)
     return true
@@ -194,20 +194,24 @@
 function countWaitingLateJobs (state: DispatcherState): number {
   let count = 0
   for (const job of state.jobs.values()) {
-    if (job.isLate && !job.isAnswered && job.tasks.some(task => task.state === 'waiting')) count += 1
+    if (job.isLate && !job.isAnswered && job.progress.waiting.size > 0) count += 1
   }
   return count
 }
 
 /** Tries to send a new job at once, unless other jobs that can still meet their objective are waiting. */
 export function assignNewJob (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): void {
-  const isBehindOthers = state.waiting.some(other => !other.isLate && !other.isAnswered)
-  if (!isBehindOthers) {
+  if (!hasJobInTimeWaiting(state)) {
     if (failIfBlamed(state, ports, job, now) || abandonIfHopeless(state, ports, job, now)) return
     const agents = agentsFor(state, job.request.service, now)
     if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) return
   }
-  state.waiting.push(job)
+  state.waiting.add(job)
+}
+
+function hasJobInTimeWaiting ({ waiting }: DispatcherState): boolean {
+  for (const { isLate, isAnswered } of waiting) if (!isLate && !isAnswered) return true
+  return false
 }
 
 /** Assigns the waiting jobs unless the last pass was too recent; the next tick does it in that case. */
@@ -243,10 +247,10 @@
  * them every few milliseconds would leave an entry no time for the answers that bring free capacity.
  */
 export function assignWaiting (state: DispatcherState, ports: DispatcherPorts, now: number): void {
-  if (state.waiting.length === 0) return
+  if (state.waiting.size === 0) return
   state.lastAssignPassAt = now
   const ordered = [...state.waiting].sort(compareJobs)
-  state.waiting = []
+  state.waiting = new Set()
   const tried = jobsToTry(state, ordered)
   const agentsByService = new Map<string, AgentsByDistance>()
   const remaining: Job[] = []
@@ -260,10 +264,10 @@
     }
     remaining.push(job)
   }
-  state.waiting = [...remaining, ...state.waiting]
+  state.waiting = new Set([...remaining, ...state.waiting])
 }
 
 /** Adds a job to the jobs with waiting tasks, if it is not among them. */
 export function addWaiting (state: DispatcherState, job: Job): void {
-  if (!state.waiting.includes(job)) state.waiting.push(job)
+  state.waiting.add(job)
 }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -21,8 +21,9 @@
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
 import { answerJob } from './job-completion.js'
 import { LearnedRunTimes } from './learned-run-times.js'
+import { markOpenTasks } from './learn-open-orders.js'
 import { ObjectivePlacement } from './objective-placement.js'
-import { createOpenOrders, markOpenTasks } from './open-orders.js'
+import { createOpenOrders } from './open-orders.js'
 import type { Placement } from './placement.js'
 import { rankFor } from './preference.js'
 import { createProcessPause } from './process-pause.js'
@@ -123,7 +124,7 @@
     assigned: new Map(),
     openOrders: createOpenOrders(),
     stops,
-    waiting: [],
+    waiting: new Set(),
     nextTurn: 0,
     startedAt: Infinity,
     lastAssignPassAt: 0,
@@ -146,7 +147,7 @@
     if (existing === undefined) {
       state.jobs.set(request.id, job)
       if (pause.maySend(now)) assignNewJob(state, ports, job, now)
-      else state.waiting.push(job)
+      else state.waiting.add(job)
       return withdraw
     }
     // The caller resubmitted the job, for example after its connection broke. Only one submission of it may run.
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -5,7 +5,7 @@
 import type { AgentView } from './agent-view.js'
 import type { Confinements } from './confinement.js'
 import type { CrashEvidence } from './crash-evidence.js'
-import type { Job, JobTask } from './job.js'
+import type { Job, TaskOfJob } from './job.js'
 import type { OpenOrders } from './open-orders.js'
 import type { Placement } from './placement.js'
 import type { RefusalLedger } from './refusal-ledger.js'
@@ -28,12 +28,6 @@
   readonly logger: EventLogger
 }
 
-/** A task together with its job. */
-export interface TaskOfJob {
-  readonly job: Job
-  readonly task: JobTask
-}
-
 export interface DispatcherState {
   readonly entry: string
   readonly incarnation: string
@@ -58,7 +52,7 @@
   readonly openOrders: OpenOrders
   readonly stops: StopQueue
   /** Jobs with tasks that wait to be sent. */
-  waiting: Job[]
+  waiting: Set<Job>
   /** Position, among the waiting jobs behind the first ones, of the next job that a pass tries. */
   nextTurn: number
   /** When this entry began to place jobs, on its steady clock in milliseconds. */
--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -3,9 +3,11 @@
 import { latestRunEnd, type AgentView } from './agent-view.js'
 import { addWaiting } from './assignments.js'
 import { LONE_RETRY_MILLISECONDS } from './dispatch-limits.js'
-import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
+import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
+import type { TaskOfJob } from './job.js'
 import { settleJob } from './job-completion.js'
 import { keepLostOrders, recordLostOrders } from './lost-orders.js'
+import { endTask, recordStart, returnTask } from './task-changes.js'
 
 /** Ends all assignments to earlier incarnations of an agent. */
 export function endFormerRuns (state: DispatcherState, ports: DispatcherPorts, view: AgentView, now: number): void {
@@ -30,7 +32,7 @@
   recordLostOrders(state, view, lost, now)
   keepLostOrders(state, ports, view, now)
   for (const assignedTask of lost) {
-    assignedTask.task.mayHaveStarted = true
+    recordStart(assignedTask.job, assignedTask.task)
     endAssignment(state, ports, assignedTask, reason, now)
   }
   return lost.length
@@ -40,15 +42,13 @@
 export function endAssignment (
   state: DispatcherState, ports: DispatcherPorts, { job, task }: TaskOfJob, reason: string, now: number
 ): void {
-  state.assigned.delete(task.name)
   const confirmed = task.assignment?.isConfirmed
   if (task.assignment !== undefined) task.avoidedAgents.add(task.assignment.agent)
-  task.assignment = undefined
   if (job.isAnswered) {
-    task.state = 'done'
+    endTask(state, { job, task })
     return settleJob(state, job)
   }
-  task.state = 'waiting'
+  returnTask(state, { job, task })
   // A run that was refused its upstream for itself has kept that free for a while.
   if (state.crashes.suspicionOf(task.name, now) === 'lone') task.notBefore = now + LONE_RETRY_MILLISECONDS
   const left = Math.round(job.request.deadlineAt - now)
--- a/packages/dispatching/src/hopeless-jobs.ts
+++ b/packages/dispatching/src/hopeless-jobs.ts
@@ -4,20 +4,14 @@
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { mayHaveRun, type Job, type JobTask } from './job.js'
 import { abandonJob } from './job-completion.js'
+import { findTask, longestWaitingMilliseconds } from './job-progress.js'
 import type { AgentsByDistance } from './job-plan.js'
 
-/** Shortest time in which the given tasks can be done, by their estimates. */
-function minimumRemainingMilliseconds (tasks: readonly JobTask[]): number {
-  let minimum = 0
-  for (const { step } of tasks) minimum = Math.max(minimum, MINIMUM_SLOWNESS * step.estimateMilliseconds)
-  return minimum
-}
-
 /** Abandons a job that waits for upstreams which are all evacuated. Returns whether it did. */
 export function abandonIfEvacuated (
   state: DispatcherState, ports: DispatcherPorts, job: Job, agents: AgentsByDistance, now: number
 ): boolean {
-  if (!agents.areAllEvacuated || !job.tasks.some(task => task.state === 'waiting')) return false
+  if (!agents.areAllEvacuated || job.progress.waiting.size === 0) return false
   abandonJob(state, ports, job, 'all failure domains are evacuated', now, EVACUATED_RETRY_AFTER_MILLISECONDS)
   return true
 }
@@ -40,17 +34,20 @@
  * answer is of use. Returns whether it did.
  */
 export function abandonIfHopeless (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
-  const waiting = job.tasks.filter(task => task.state === 'waiting')
-  if (waiting.length === 0) return false
-  const { arrivedAt, deadlineAt } = job.request
-  const endsAt = now + minimumRemainingMilliseconds(waiting)
+  if (job.progress.waiting.size === 0) return false
+  const { id, arrivedAt, deadlineAt } = job.request
+  const endsAt = now + MINIMUM_SLOWNESS * longestWaitingMilliseconds(job.progress)
   const isUseless = endsAt > arrivedAt + USEFUL_OBJECTIVES * job.objectiveMilliseconds && !mayHaveRun(job)
   if (endsAt > deadlineAt || isUseless) {
     const reason = isUseless ? 'no room while an answer is of use' : 'no room before its deadline'
     abandonJob(state, ports, job, reason, now)
     return true
   }
-  if (!waiting.some(task => isHeldUntil(state, task, deadlineAt, now))) return false
-  abandonJob(state, ports, job, 'an order without an answer may yet be carried out', now)
-  return true
+  for (const name of state.openOrders.tasksOf(id)) {
+    const task = findTask(job.progress, name)
+    if (task?.state !== 'waiting' || !isHeldUntil(state, task, deadlineAt, now)) continue
+    abandonJob(state, ports, job, 'an order without an answer may yet be carried out', now)
+    return true
+  }
+  return false
 }
--- a/packages/dispatching/src/job-completion.ts
+++ b/packages/dispatching/src/job-completion.ts
@@ -1,8 +1,9 @@
 /** Completion of jobs: final answers, stops of runs that are no longer needed, and resubmitted jobs. */
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { RETRY_AFTER_MILLISECONDS } from './dispatch-limits.js'
-import { markOpenTasks } from './open-orders.js'
+import { markOpenTasks } from './learn-open-orders.js'
 import { mayHaveRun, type Job, type JobAnswer, type JobTask } from './job.js'
+import { endTask } from './task-changes.js'
 
 /** Gives a job its final answer and stops its remaining runs. Does nothing if it has been answered. */
 export function answerJob (
@@ -20,7 +21,7 @@
     objective: Math.round(job.objectiveMilliseconds)
   })
   job.answer(answer)
-  stopTasks(state, job.tasks, now)
+  stopTasks(state, job, job.tasks, now)
   settleJob(state, job)
 }
 
@@ -38,9 +39,9 @@
 }
 
 /** Marks unsent tasks as done and sends stops for assigned ones, whose results arrive as reports. */
-export function stopTasks (state: DispatcherState, tasks: readonly JobTask[], now: number): void {
+export function stopTasks (state: DispatcherState, job: Job, tasks: readonly JobTask[], now: number): void {
   for (const task of tasks) {
-    if (task.state === 'waiting' || task.state === 'blocked') task.state = 'done'
+    if (task.state === 'waiting' || task.state === 'blocked') endTask(state, { job, task })
     if (task.state !== 'assigned' || task.assignment === undefined) continue
     task.state = 'stopping'
     const view = state.agents.get(task.assignment.agent)
@@ -51,14 +52,11 @@
 
 /** Removes a job that is answered and has no assigned task. A resubmission that waits for this is then queued. */
 export function settleJob (state: DispatcherState, job: Job): void {
-  if (!job.isAnswered) return
-  for (const task of job.tasks) {
-    if (task.assignment !== undefined) return
-  }
+  if (!job.isAnswered || job.progress.assignedCount > 0) return
   if (state.jobs.get(job.request.id) !== job) return
   state.jobs.delete(job.request.id)
   if (job.successor === undefined || job.successor.isAnswered) return
   markOpenTasks(state.openOrders, job.successor)
   state.jobs.set(job.request.id, job.successor)
-  state.waiting.push(job.successor)
+  state.waiting.add(job.successor)
 }
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -76,11 +76,8 @@
 
 /** Counts the tasks of a step that are assigned to an agent or planned there. */
 function countTasksAt (view: AgentView, stepNumber: number, job: Job, plan: JobPlan): number {
-  let count = 0
-  for (const other of job.tasks) {
-    if (other.stepNumber !== stepNumber) continue
-    if (other.assignment?.agent === view.name || plan.get(other)?.agent === view) count += 1
-  }
+  let count = job.progress.steps[stepNumber]?.assignedByAgent.get(view.name) ?? 0
+  for (const [other, { agent }] of plan) if (other.stepNumber === stepNumber && agent === view) count += 1
   return count
 }
 
@@ -89,8 +86,8 @@
   return label === undefined || profile.labels.includes(label)
 }
 
-/** Whether a task fits into no upstream of its service, as far as these are known. */
-export function fitsNowhere ({ known }: AgentsByDistance, { step }: JobTask): boolean {
+/** Whether a task of a step fits into no upstream of its service, as far as these are known. */
+export function fitsNowhere ({ known }: AgentsByDistance, step: JobStep): boolean {
   return known.length > 0 && !known.some(view => suits(view, step))
 }
 
--- a/packages/dispatching/src/job-release.ts
+++ b/packages/dispatching/src/job-release.ts
@@ -112,7 +112,7 @@
  * Whether a job whose tasks were released is to be given up, as it can't be in time and others need the capacity of its
  * runs. A job that has lost a run since waits for capacity that others leave free.
  */
-export function isGivenUp ({ releasedAt, tasks }: Job, now: number): boolean {
+export function isGivenUp ({ releasedAt, progress }: Job, now: number): boolean {
   if (releasedAt === undefined || now - releasedAt < RELEASE_CONFIRMATION_MILLISECONDS) return false
-  return !tasks.some(({ state, mayHaveStarted }) => state === 'waiting' && mayHaveStarted)
+  return progress.startedWaitingCount === 0
 }
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -1,23 +1,8 @@
 /** Jobs and their tasks at the entry that accepted them. */
-import type { Size } from '@baobabpost/fleet-calls'
+import { createJobProgress, type JobProgress } from './job-progress.js'
+import type { JobStep, JobTask } from './job-task.js'
 
-/** One step of a job: a number of tasks with the same size, estimate and constraints. */
-export interface JobStep {
-  readonly taskCount: number
-  readonly size: Size
-  /** Estimated run time of a task on an upstream of ordinary speed, in milliseconds; corrected once it is accepted. */
-  readonly estimateMilliseconds: number
-  /** Estimate as the caller sent it; the same as `estimateMilliseconds` if absent. */
-  readonly statedMilliseconds?: number
-  /** Numbers (from 0) of the earlier steps that must be done before this one starts. */
-  readonly dependsOn: readonly number[]
-  /** Label that the upstream must have. */
-  readonly label: string | undefined
-  /** Label of the rack near the data; upstreams with this label are preferred. */
-  readonly rack: string | undefined
-  /** Maximum number of tasks of the step on one upstream. */
-  readonly maximumPerUpstream: number | undefined
-}
+export type { Assignment, JobStep, JobTask, TaskState } from './job-task.js'
 
 /** A job as a caller submits it. */
 export interface JobRequest {
@@ -56,44 +41,11 @@
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: number }
   | { readonly kind: 'given-up', readonly reason: string }
 
-/** Where a task was sent. */
-export interface Assignment {
-  /** Name of the agent. */
-  readonly agent: string
-  /** Incarnation of the agent that it was sent to. */
-  readonly incarnation: string
-  readonly run: number
-  readonly sentAt: number
-  /** Whether the agent has told that every start order of the run was answered: none is carried out later. */
-  isConfirmed: boolean
-}
-
-export type TaskState = 'blocked' | 'waiting' | 'assigned' | 'stopping' | 'done'
-
-/** One task of a job. */
-export interface JobTask {
-  readonly name: string
-  readonly step: JobStep
-  readonly stepNumber: number
-  state: TaskState
-  assignment: Assignment | undefined
-  /** Number of its last run; 0 before the first. */
-  lastRun: number
-  failures: number
-  /** Whether a run of the task has ended or may have started. */
-  mayHaveStarted: boolean
-  /** Time before which the task is not sent again, on the entry's steady clock in milliseconds. */
-  notBefore: number
-  /** Agents where an earlier assignment of the task ended without success; other agents are preferred. */
-  readonly avoidedAgents: Set<string>
-  /** Agent that is still stopping another run of the task; no other may get the task before that run has ended. */
-  heldBy: { readonly agent: string, readonly until: number } | undefined
-}
-
 /** A job and its state at the entry. */
 export interface Job {
   readonly request: JobRequest
   readonly tasks: readonly JobTask[]
+  readonly progress: JobProgress
   /** Response time, from the arrival of the job, that the entry aims to stay within. */
   readonly objectiveMilliseconds: number
   /**
@@ -116,9 +68,15 @@
   successor: Job | undefined
 }
 
+/** A task together with its job. */
+export interface TaskOfJob {
+  readonly job: Job
+  readonly task: JobTask
+}
+
 /** Whether any task of a job has run, is running, or may still start. */
-export function mayHaveRun (job: Job): boolean {
-  return job.tasks.some(task => task.mayHaveStarted || task.assignment !== undefined)
+export function mayHaveRun ({ progress }: Job): boolean {
+  return progress.hasStarted || progress.assignedCount > 0
 }
 
 /** Longest chain of estimated work through the steps of a job, in milliseconds. */
@@ -139,7 +97,8 @@
         name: `${request.id}.0.${stepNumber}.${index}`,
         step,
         stepNumber,
-        state: step.dependsOn.length === 0 ? 'waiting' : 'blocked',
+        position: tasks.length,
+        state: 'blocked',
         assignment: undefined,
         lastRun: 0,
         failures: 0,
@@ -168,9 +127,11 @@
   options: { readonly estimateFactor?: number, readonly place?: number | undefined } = {}
 ): Job {
   const { estimateFactor = 1, place = request.arrivedAt } = options
+  const tasks = createTasks(request)
   return {
     request,
-    tasks: createTasks(request),
+    tasks,
+    progress: createJobProgress(request.steps, tasks),
     objectiveMilliseconds:
       request.stretch * estimateFactor * longestChainMilliseconds(request.steps) + request.targetLatencyMilliseconds,
     place,
--- a/packages/dispatching/src/lost-orders.ts
+++ b/packages/dispatching/src/lost-orders.ts
@@ -1,7 +1,8 @@
 /** Orders that an agent which is gone may have left without an answer: who else must know of them. */
 import { LATE_ORDER_MILLISECONDS, type TellOpenOrders } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
-import type { DispatcherPorts, DispatcherState, TaskOfJob } from './dispatcher-state.js'
+import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
+import type { TaskOfJob } from './job.js'
 import { keepingAgents } from './keeping-agents.js'
 
 /**
--- a/packages/dispatching/src/open-orders.ts
+++ b/packages/dispatching/src/open-orders.ts
@@ -1,7 +1,7 @@
 /** Tasks with a start order that an upstream may yet carry out, although its run is over as far as its agent knows. */
 import { LATE_ORDER_MILLISECONDS, type StopAnswer } from '@baobabpost/fleet-calls'
 import type { AgentView } from './agent-view.js'
-import type { Job } from './job.js'
+import { jobOfTask } from './job-progress.js'
 
 /** Orders of a task that an incarnation of an agent has sent. */
 interface OrdersOfAgent {
@@ -30,6 +30,9 @@
   addKept: (task: string, agent: string, incarnation: string, until: number) => void
   /** Returns the agents at which a task has such an order. */
   holdersOf: (task: string) => readonly OrderHolder[]
+  /** Returns the tasks of a job with such an order. */
+  tasksOf: (job: string) => Iterable<string>
+  isEmpty: () => boolean
   /** Returns the tasks with such an order at an agent. */
   ordersAt: (
     agent: string, now: number
@@ -57,6 +60,7 @@
 export function createOpenOrders (): OpenOrders {
   const ordersByTask = new Map<string, readonly OrdersOfAgent[]>()
   const tasksByAgent = new Map<string, Set<string>>()
+  const tasksByJob = new Map<string, Set<string>>()
   /** Time before which no order is over. */
   let earliestUntil = Infinity
   /** Agents of which others keep orders. */
@@ -70,6 +74,8 @@
     if (orders.some(other => isSame(other) && other.until >= added.until)) return
     ordersByTask.set(task, [...orders.filter(other => !isSame(other)), added])
     tasksByAgent.set(agent, (tasksByAgent.get(agent) ?? new Set()).add(task))
+    const job = jobOfTask(task)
+    tasksByJob.set(job, (tasksByJob.get(job) ?? new Set()).add(task))
     earliestUntil = Math.min(earliestUntil, added.until)
   }
 
@@ -77,13 +83,21 @@
     record(task, { agent, incarnation, until, isKept: false })
   }
 
+  function forgetTask (task: string): void {
+    ordersByTask.delete(task)
+    const job = jobOfTask(task)
+    const tasks = tasksByJob.get(job)
+    tasks?.delete(task)
+    if (tasks?.size === 0) tasksByJob.delete(job)
+  }
+
   /** Removes orders of an agent. */
   function remove (agent: string, isOver: (orders: OrdersOfAgent) => boolean): void {
     const tasks = tasksByAgent.get(agent) ?? new Set()
     for (const task of tasks) {
       const left = (ordersByTask.get(task) ?? []).filter(each => each.agent !== agent || !isOver(each))
       if (left.length > 0) ordersByTask.set(task, left)
-      else ordersByTask.delete(task)
+      else forgetTask(task)
       if (!left.some(each => each.agent === agent)) tasks.delete(task)
     }
     if (tasks.size === 0) tasksByAgent.delete(agent)
@@ -111,6 +125,8 @@
       }
       return [...untilByAgent].map(([agent, until]) => ({ agent, until }))
     },
+    tasksOf: job => tasksByJob.get(job) ?? [],
+    isEmpty: () => ordersByTask.size === 0,
     ordersAt: (agent, now) => {
       const found = []
       for (const task of tasksByAgent.get(agent) ?? []) {
@@ -139,8 +155,3 @@
     expire
   }
 }
-
-/** Marks the tasks of a job that an upstream may yet start, so that the job is not refused as not run. */
-export function markOpenTasks (openOrders: OpenOrders, job: Job): void {
-  for (const task of job.tasks) task.mayHaveStarted ||= openOrders.has(task.name)
-}
--- /dev/null
+++ b/packages/rehearsal/src/scripted-agents.ts
@@ -0,0 +1,215 @@
+/** An entry's dispatcher with agents that answer as a script says, without clock, timers or network. */
+import { silentLogger } from '@baobabpost/common'
+import { createDispatcher, type AgentView, type Dispatcher, type JobAnswer, type JobRequest, type JobStep } from '@baobabpost/dispatching'
+import type { RunOutcome, RunReport, Size, Start, Stop, UpstreamCrash, UpstreamProfile, WatchAnswer } from '@baobabpost/fleet-calls'
+
+const SERVICE = 'desk'
+const INCARNATION = '1'
+const FAILURE_DOMAIN = 'domain-1'
+/** Size, estimate and constraints of a task without any; a job adds its own. */
+export const PLAIN_STEP: JobStep = {
+  taskCount: 1,
+  size: { processor: 50, memory: 16, accelerators: 0 },
+  estimateMilliseconds: 300,
+  dependsOn: [],
+  label: undefined,
+  rack: undefined,
+  maximumPerUpstream: undefined
+}
+
+/** Runs one call of the dispatcher, which is one turn of an entry's event loop. */
+export type RunTurn = (name: string, turn: () => void) => void
+
+/** Agents that answer as a script says. All times are on the entry's steady clock, in milliseconds. */
+export interface ScriptedAgents {
+  readonly dispatcher: Dispatcher
+  /** Answers of jobs, in their order. */
+  readonly answers: JobAnswer[]
+  submit: (request: Pick<JobRequest, 'id' | 'steps'> & Partial<JobRequest>, now: number) => void
+  /** Calls `tick`. */
+  tick: (now: number) => void
+  /** Accepts the runs of all start calls that were not answered. Returns their number. */
+  acceptStarts: (now: number) => number
+  /** Reports an outcome for up to a number of runs of an agent in one answer. Returns their number. */
+  endRuns: (agent: string, outcome: RunOutcome, maximum: number, now: number) => number
+  /** Crashes the upstream of an agent, which tells this and the loss of all runs in one answer. */
+  crash: (agent: string, now: number) => void
+  /** Reports the runs of all stop calls as stopped. */
+  confirmStops: (now: number) => void
+  /** Fails all calls to an agent. */
+  silence: (agent: string, now: number) => void
+  /** Names of the agents, in their order. */
+  names: () => readonly string[]
+  runningCount: (agent: string) => number
+}
+
+export interface ScriptedAgentsOptions {
+  readonly agents: number
+  readonly capacity: Size
+  readonly runTurn?: RunTurn
+}
+
+interface ScriptedAgent {
+  readonly view: AgentView
+  /** Runs by task, with their sizes. */
+  readonly runs: Map<string, { readonly run: number, readonly size: Size, readonly route: string }>
+  readonly starts: Start[]
+  readonly stops: Stop[]
+  crashes: UpstreamCrash[]
+  profileVersion: number
+  sequence: number
+}
+
+/**
+ * Creates a dispatcher and the agents that it knows, with empty upstreams.
+ *
+ * @example
+ * const agents = createScriptedAgents({ agents: 8, capacity })
+ * agents.submit({ id: '5c0e7a21d94b36f8', steps: [{ ...PLAIN_STEP, taskCount: 2_000 }] }, 0)
+ * agents.acceptStarts(10)
+ */
+export function createScriptedAgents (options: ScriptedAgentsOptions): ScriptedAgents {
+  const runTurn = options.runTurn ?? ((_name, turn) => { turn() })
+  const agents = new Map<string, ScriptedAgent>()
+  const answers: JobAnswer[] = []
+  const dispatcher = createDispatcher({
+    entry: 'entry-1',
+    incarnation: INCARNATION,
+    failureDomain: FAILURE_DOMAIN,
+    logger: silentLogger,
+    sendStart: (view, start) => { agents.get(view.name)?.starts.push(start) },
+    sendStop: (view, stop) => { agents.get(view.name)?.stops.push(stop) }
+  })
+
+  function agentOf (name: string): ScriptedAgent {
+    const agent = agents.get(name)
+    if (agent === undefined) throw new Error(`no agent ${name}`)
+    return agent
+  }
+
+  function profileOf (agent: ScriptedAgent): UpstreamProfile {
+    return {
+      version: agent.profileVersion,
+      service: SERVICE,
+      failureDomain: FAILURE_DOMAIN,
+      capacity: options.capacity,
+      labels: [],
+      accepting: true,
+      ...(agent.crashes.length === 0 ? {} : { crashes: { crashes: agent.crashes, cleared: [] } })
+    }
+  }
+
+  function stateOf (agent: ScriptedAgent, now: number, hasProfile: boolean): Omit<WatchAnswer, 'reports'> {
+    const free = { ...options.capacity }
+    for (const { size } of agent.runs.values()) {
+      free.processor -= size.processor
+      free.memory -= size.memory
+    }
+    const releaseRate = (options.capacity.processor - free.processor) / PLAIN_STEP.estimateMilliseconds
+    return {
+      incarnation: INCARNATION,
+      clock: now,
+      cleared: true,
+      room: { free, waiting: [], releaseRate, slowness: 1, failureShare: 0 },
+      ...(hasProfile ? { profile: profileOf(agent) } : {})
+    }
+  }
+
+  function answerWatch (agent: ScriptedAgent, reports: readonly RunReport[], now: number, hasProfile = false): void {
+    const answer = { ...stateOf(agent, now, hasProfile), reports }
+    runTurn('watchAnswered', () => { dispatcher.watchAnswered(agent.view, answer, now) })
+  }
+
+  function takeRun (agent: ScriptedAgent, task: string, outcome: RunOutcome): RunReport | undefined {
+    const known = agent.runs.get(task)
+    if (known === undefined) return undefined
+    agent.runs.delete(task)
+    agent.sequence += 1
+    const milliseconds = PLAIN_STEP.estimateMilliseconds
+    return { sequence: agent.sequence, task, run: known.run, outcome, reason: '', milliseconds }
+  }
+
+  function takeRuns (agent: ScriptedAgent, tasks: Iterable<string>, outcome: RunOutcome): RunReport[] {
+    const reports: RunReport[] = []
+    for (const task of tasks) {
+      const report = takeRun(agent, task, outcome)
+      if (report !== undefined) reports.push(report)
+    }
+    return reports
+  }
+
+  for (let number = 1; number <= options.agents; number += 1) {
+    const view = dispatcher.agentFound(`agent-${number}`, `10.1.0.${number}:7720`)
+    if (view === undefined) continue
+    const agent: ScriptedAgent = {
+      view, runs: new Map(), starts: [], stops: [], crashes: [], profileVersion: 1, sequence: 0
+    }
+    agents.set(view.name, agent)
+    dispatcher.watchAnswered(view, { ...stateOf(agent, 0, true), reports: [] }, 0)
+  }
+
+  return {
+    dispatcher,
+    answers,
+    submit: (request, now) => {
+      const whole: JobRequest = {
+        route: 'route',
+        service: SERVICE,
+        priority: 0,
+        specification: '{}',
+        maximumAttempts: 3,
+        stretch: 10,
+        targetLatencyMilliseconds: 5_000,
+        arrivedAt: now,
+        deadlineAt: now + 60_000,
+        ...request
+      }
+      runTurn('submit', () => { dispatcher.submit(whole, answer => { answers.push(answer) }, now) })
+    },
+    tick: now => { runTurn('tick', () => { dispatcher.tick(now) }) },
+    acceptStarts: now => {
+      let accepted = 0
+      for (const agent of agents.values()) {
+        for (const start of agent.starts.splice(0)) {
+          for (const { task, run, size } of start.orders) agent.runs.set(task, { run, size, route: start.route ?? '' })
+          accepted += start.orders.length
+          const answer = { ...stateOf(agent, now, false), verdicts: start.orders.map(() => 'accepted') }
+          runTurn('startAnswered', () => { dispatcher.startAnswered(agent.view, start, answer, now) })
+        }
+      }
+      return accepted
+    },
+    endRuns: (name, outcome, maximum, now) => {
+      const agent = agentOf(name)
+      const reports = takeRuns(agent, [...agent.runs.keys()].slice(0, maximum), outcome)
+      if (reports.length > 0) answerWatch(agent, reports, now)
+      return reports.length
+    },
+    crash: (name, now) => {
+      const agent = agentOf(name)
+      const candidates = [...agent.runs].map(([task, { route }]) => ({ task, route }))
+      agent.profileVersion += 1
+      agent.crashes = [...agent.crashes, { id: `${INCARNATION}/${name}/${agent.profileVersion}`, candidates }]
+      answerWatch(agent, takeRuns(agent, [...agent.runs.keys()], 'lost'), now, true)
+    },
+    confirmStops: now => {
+      for (const agent of agents.values()) {
+        const stops = agent.stops.splice(0)
+        if (stops.length === 0) continue
+        for (const stop of stops) {
+          runTurn('stopAnswered', () => { dispatcher.stopAnswered(agent.view, stateOf(agent, now, false), now) })
+          answerWatch(agent, takeRuns(agent, stop.runs.map(({ task }) => task), 'stopped'), now)
+        }
+      }
+    },
+    silence: (name, now) => {
+      const agent = agentOf(name)
+      for (const start of agent.starts.splice(0)) {
+        runTurn('startFailed', () => { dispatcher.startFailed(agent.view, start, false, now) })
+      }
+      runTurn('watchFailed', () => { dispatcher.watchFailed(agent.view, false, now) })
+    },
+    names: () => [...agents.keys()],
+    runningCount: name => agentOf(name).runs.size
+  }
+}
