Index crashes, assignments and plans by task and agent

Cause: each task of the crash is a suspect. The plan of each looked at all assigned tasks for suspects (`agentsWithSuspects`), and each of these at all tasks of the crash for a proven cause (`isExplainedByOther`, `isOnlyCandidate`): the cube of the tasks, in one turn. Plans were walked for each task as well (agents that are used, tasks of a step at an agent), and all assigned tasks for each watch, each lost agent and each failed call. Change: a crash knows its candidates that were not done, and which one is left as its cause; only those left are looked at to prove one. Agents with suspects, assigned tasks by agent and what is planned at an agent are kept where they change. `blamedTasks` replaces a look at all tasks of each waiting job.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -13,7 +13,7 @@
 import { learnCrashes } from './learn-crashes.js'
 import { learnOpenOrders } from './learn-open-orders.js'
 import { keepLostOrders } from './lost-orders.js'
-import { releaseReservation } from './job-plan.js'
+import { releaseReservation } from './plan.js'
 import { endTask, recordStart, unblockDependents } from './task-changes.js'
 
 /** Records which runs' start orders have all been answered, as the agent tells. */
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -12,17 +12,17 @@
 import { mayHaveRun, type Job, type JobTask } from './job.js'
 import { abandonJob, answerJob } from './job-completion.js'
 import {
-  agentsFor, agentsForRoute, fitsNowhere, planTask, planWithinObjective, releaseReservation, remainingMillisecondsOf,
-  type AgentsByDistance, type JobPlan
+  agentsFor, agentsForRoute, fitsNowhere, planTask, planWithinObjective, remainingMillisecondsOf, type AgentsByDistance
 } from './job-plan.js'
-import { waitingTasks } from './job-progress.js'
+import { findTask, jobOfTask, waitingTasks } from './job-progress.js'
 import { isGivenUp, refuseForCapacity, releaseWaitingTasks } from './job-release.js'
+import { createJobPlan, type JobPlan } from './plan.js'
 import { assignTask } from './task-changes.js'
 
 function sendPlan (state: DispatcherState, ports: DispatcherPorts, job: Job, plan: JobPlan, now: number): void {
   const byAgent = new Map<string, PendingOrders>()
   const remainingMilliseconds = remainingMillisecondsOf(job, now)
-  for (const [task, choice] of plan) {
+  for (const [task, choice] of plan.choices) {
     const { agent } = choice
     task.lastRun += 1
     assignTask(state, { job, task }, {
@@ -77,7 +77,7 @@
 function planLateJob (
   state: DispatcherState, job: Job, due: readonly JobTask[], agents: AgentsByDistance, now: number
 ): JobPlan {
-  const plan: JobPlan = new Map()
+  const plan = createJobPlan()
   for (const task of due) {
     const agentsWithSpareCapacity = {
       ...agents,
@@ -99,14 +99,13 @@
 /** Fails a job with a waiting task that crashes its upstreams. Returns whether it did. */
 function failIfBlamed (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
   if (state.crashes.isEmpty()) return false
-  const blamed = job.tasks.find(({ state: taskState, name }) =>
-    taskState === 'waiting' && state.crashes.suspicionOf(name, now) === 'blamed')
+  const blamed = state.crashes.blamedTasks(now).find(name =>
+    jobOfTask(name) === job.request.id && findTask(job.progress, name)?.state === 'waiting')
   if (blamed === undefined) return false
-  const { name: task } = blamed
   ports.logger.warn('task crashes its upstreams', {
-    task, route: job.request.route, crashes: state.crashes.crashCountOf(task)
+    task: blamed, route: job.request.route, crashes: state.crashes.crashCountOf(blamed)
   })
-  answerJob(state, ports, job, { kind: 'failed', task }, now)
+  answerJob(state, ports, job, { kind: 'failed', task: blamed }, now)
   return true
 }
 
@@ -182,9 +181,9 @@
     return false
   }
   const plan = planLateJob(state, job, due, agents, now)
-  if (plan.size === due.length) sendPlan(state, ports, job, plan, now)
+  if (plan.choices.size === due.length) sendPlan(state, ports, job, plan, now)
   else {
-    for (const [task, { agent }] of plan) releaseReservation(agent, task.step.size)
+    plan.release()
     refuseForCapacity(state, ports, job, due, agents, now)
   }
   return true
--- a/packages/dispatching/src/crash-evidence.ts
+++ b/packages/dispatching/src/crash-evidence.ts
@@ -2,6 +2,7 @@
 import {
   CRASH_RETENTION_MILLISECONDS, CRASHES_BEFORE_RUNNING_ALONE, type CrashCandidate, type CrashFacts, type UpstreamCrash
 } from '@baobabpost/fleet-calls'
+import { createCrashCandidates, type KnownCrash } from './crash-candidates.js'
 
 /** Crashes from which a task is blamed if everything else at them was done since: one may be a coincidence. */
 const PROVEN_CRASHES_BEFORE_BLAME = 2
@@ -44,21 +45,14 @@
   suspicionOf: (task: string, now: number) => Suspicion
   /** Returns the number of crashes under a task that no other task is known to have caused; 0 once it was done. */
   crashCountOf: (task: string) => number
+  /** Returns the tasks that are blamed. */
+  blamedTasks: (now: number) => readonly string[]
   /** Fewest routes that explain all tasks which had several crashes without another known cause. */
   implicatedRoutes: () => ReadonlySet<string>
   /** Whether no crash is known. */
   isEmpty: () => boolean
 }
 
-interface KnownCrash {
-  /** Incarnation of the agent that told it. */
-  readonly incarnation: string
-  /** The tasks that were there, by name. */
-  readonly candidates: ReadonlyMap<string, CrashCandidate>
-  isSuspected: boolean
-  readonly learnedAt: number
-}
-
 interface FrequentCandidate {
   readonly candidate: CrashCandidate
   readonly unexplained: readonly KnownCrash[]
@@ -78,41 +72,46 @@
  * evidence.suspicionOf(task, now) // 'suspect'
  */
 export function createCrashEvidence (): CrashEvidence {
-  const crashes = new Map<string, KnownCrash>()
-  const crashesByTask = new Map<string, KnownCrash[]>()
   const clearedAt = new Map<string, number>()
+  const index = createCrashCandidates(task => clearedAt.has(task))
+  /** Tasks that are proven to crash upstreams, as of a revision of the causes. */
+  let provenCauses: ReadonlySet<string> = new Set()
+  let provenRevision = 0
   let lastMergeAt = 0
   let routes: ReadonlySet<string> | undefined = new Set()
 
-  function isOnlyCandidate (task: string, crash: KnownCrash): boolean {
-    for (const other of crash.candidates.keys()) if (other !== task && !clearedAt.has(other)) return false
-    return true
-  }
-
-  /** Returns the crashes of a task at which everything else has been done since. */
-  function provenCrashes (task: string): KnownCrash[] {
-    if (clearedAt.has(task)) return []
-    return (crashesByTask.get(task) ?? []).filter(crash => !crash.isSuspected && isOnlyCandidate(task, crash))
+  function isProvenCause (task: string): boolean {
+    let confirmedCount = 0
+    for (const { candidates } of index.causedBy(task)) {
+      if (candidates.get(task)?.isUnconfirmed !== true) confirmedCount += 1
+    }
+    return confirmedCount >= PROVEN_CRASHES_BEFORE_BLAME
   }
 
-  function isProvenCause (task: string): boolean {
-    const confirmed = provenCrashes(task).filter(({ candidates }) => candidates.get(task)?.isUnconfirmed !== true)
-    return confirmed.length >= PROVEN_CRASHES_BEFORE_BLAME
+  function findProvenCauses (): ReadonlySet<string> {
+    const revision = index.causeRevision()
+    if (revision !== provenRevision) {
+      provenRevision = revision
+      provenCauses = new Set([...index.causes()].filter(isProvenCause))
+    }
+    return provenCauses
   }
 
   function isBlamed (task: string): boolean {
     if (isProvenCause(task)) return true
-    return (crashesByTask.get(task)?.length ?? 0) >= CRASHES_BEFORE_BLAME && provenCrashes(task).length > 0
+    return index.crashesOf(task).length >= CRASHES_BEFORE_BLAME && index.causedBy(task).size > 0
   }
 
-  function isExplainedByOther (task: string, { candidates }: KnownCrash): boolean {
-    for (const other of candidates.keys()) if (other !== task && isProvenCause(other)) return true
+  function isExplainedByOther (task: string, { open }: KnownCrash): boolean {
+    for (const cause of findProvenCauses()) if (cause !== task && open.has(cause)) return true
     return false
   }
 
-  function unexplainedCrashes (task: string): KnownCrash[] {
+  function unexplainedCrashes (task: string): readonly KnownCrash[] {
     if (clearedAt.has(task)) return []
-    return (crashesByTask.get(task) ?? []).filter(crash => !isExplainedByOther(task, crash))
+    const crashes = index.crashesOf(task)
+    if (findProvenCauses().size === 0) return crashes
+    return crashes.filter(crash => !isExplainedByOther(task, crash))
   }
 
   function suspicionOf (task: string, now: number): Suspicion {
@@ -126,23 +125,18 @@
 
   /** Tasks with several crashes without another known cause, and those crashes; the first with several comes first. */
   function frequentCandidates (): FrequentCandidate[] {
-    const frequent = new Map<string, FrequentCandidate>()
-    for (const { candidates } of crashes.values()) {
-      for (const candidate of candidates.values()) {
-        const { task } = candidate
-        const isSeenOnce = (crashesByTask.get(task)?.length ?? 0) < CRASHES_BEFORE_RUNNING_ALONE
-        if (isSeenOnce || frequent.has(task)) continue
-        const unexplained = unexplainedCrashes(task)
-        if (unexplained.length >= CRASHES_BEFORE_RUNNING_ALONE) frequent.set(task, { candidate, unexplained })
-      }
+    const frequent: FrequentCandidate[] = []
+    for (const candidate of index.repeated()) {
+      const unexplained = unexplainedCrashes(candidate.task)
+      if (unexplained.length >= CRASHES_BEFORE_RUNNING_ALONE) frequent.push({ candidate, unexplained })
     }
-    return [...frequent.values()].sort((left, right) =>
+    return frequent.sort((left, right) =>
       Number(isBlamed(right.candidate.task)) - Number(isBlamed(left.candidate.task)) ||
       (left.unexplained[1]?.learnedAt ?? 0) - (right.unexplained[1]?.learnedAt ?? 0))
   }
 
-  function hasCandidateOf (routesOfCause: ReadonlySet<string>, { candidates }: KnownCrash): boolean {
-    for (const { task, route } of candidates.values()) if (routesOfCause.has(route) && !clearedAt.has(task)) return true
+  function hasCandidateOf (routesOfCause: ReadonlySet<string>, { openByRoute }: KnownCrash): boolean {
+    for (const route of routesOfCause) if ((openByRoute.get(route) ?? 0) > 0) return true
     return false
   }
 
@@ -150,70 +144,74 @@
   function findImplicatedRoutes (): ReadonlySet<string> {
     const implicated = new Set<string>()
     for (const { candidate: { route }, unexplained } of frequentCandidates()) {
+      if (implicated.has(route)) continue
       const remaining = unexplained.filter(crash => !hasCandidateOf(implicated, crash))
       if (remaining.length >= CRASHES_BEFORE_RUNNING_ALONE) implicated.add(route)
     }
     return implicated
   }
 
-  function addCrash (incarnation: string, { id, candidates, isSuspected = false }: UpstreamCrash, now: number): void {
-    const candidatesByTask = new Map(candidates.map(candidate => [candidate.task, candidate]))
-    const crash: KnownCrash = { incarnation, candidates: candidatesByTask, isSuspected, learnedAt: now }
-    crashes.set(id, crash)
-    for (const task of crash.candidates.keys()) crashesByTask.set(task, [...crashesByTask.get(task) ?? [], crash])
-  }
-
-  function removeCrash (id: string, crash: KnownCrash): void {
-    crashes.delete(id)
-    for (const task of crash.candidates.keys()) {
-      const remaining = (crashesByTask.get(task) ?? []).filter(other => other !== crash)
-      if (remaining.length > 0) crashesByTask.set(task, remaining)
-      else crashesByTask.delete(task)
-    }
-  }
-
   return {
     merge: (incarnation, facts, now) => {
       lastMergeAt = now
-      if (facts !== undefined || crashes.size > 0) routes = undefined
+      if (facts === undefined && index.crashes.size === 0) return []
       const told = new Map(facts?.crashes.map(crash => [crash.id, crash]))
-      for (const [id, crash] of crashes) {
+      for (const crash of [...index.crashes.values()]) {
         if (crash.incarnation !== incarnation || !crash.isSuspected) continue
-        if (told.has(id)) crash.isSuspected = told.get(id)?.isSuspected === true
-        else removeCrash(id, crash)
+        const toldCrash = told.get(crash.id)
+        if (toldCrash === undefined) index.remove(crash)
+        else index.setSuspected(crash, toldCrash.isSuspected === true)
       }
-      const added = [...told.values()].filter(({ id }) => !crashes.has(id))
-      for (const crash of added) addCrash(incarnation, crash, now)
-      for (const task of facts?.cleared ?? []) if (!clearedAt.has(task)) clearedAt.set(task, now)
+      const added = [...told.values()].filter(({ id }) => !index.crashes.has(id))
+      for (const crash of added) index.add(incarnation, crash, now)
+      for (const task of facts?.cleared ?? []) {
+        if (clearedAt.has(task)) continue
+        clearedAt.set(task, now)
+        index.close(task)
+      }
+      routes = undefined
       return added
     },
     addLost: (incarnation, candidates, now) => {
       const id = `lost with ${incarnation}`
-      if (candidates.length === 0 || crashes.has(id)) return
+      if (candidates.length === 0 || index.crashes.has(id)) return
       lastMergeAt = now
+      index.add('', { id, candidates, isSuspected: true }, now)
       routes = undefined
-      addCrash('', { id, candidates, isSuspected: true }, now)
     },
     clear: task => {
-      if (!crashesByTask.has(task) || clearedAt.has(task)) return
+      if (index.crashesOf(task).length === 0 || clearedAt.has(task)) return
       clearedAt.set(task, lastMergeAt)
+      index.close(task)
       routes = undefined
     },
     expire: now => {
       const oldestAt = now - CRASH_RETENTION_MILLISECONDS
-      for (const [id, crash] of crashes) {
+      let hasChanged = false
+      for (const crash of [...index.crashes.values()]) {
         if (crash.learnedAt >= oldestAt) continue
-        removeCrash(id, crash)
-        routes = undefined
+        index.remove(crash)
+        hasChanged = true
       }
-      for (const [task, at] of clearedAt) if (at < oldestAt) clearedAt.delete(task)
+      for (const [task, at] of clearedAt) {
+        if (at >= oldestAt) continue
+        clearedAt.delete(task)
+        index.reopen(task)
+        hasChanged = true
+      }
+      if (hasChanged) routes = undefined
     },
     suspicionOf,
     crashCountOf: task => unexplainedCrashes(task).length,
+    blamedTasks: now => {
+      const blamed: string[] = []
+      for (const task of index.causes()) if (suspicionOf(task, now) === 'blamed') blamed.push(task)
+      return blamed
+    },
     implicatedRoutes: () => {
       routes ??= findImplicatedRoutes()
       return routes
     },
-    isEmpty: () => crashes.size === 0
+    isEmpty: () => index.crashes.size === 0
   }
 }
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -8,6 +8,7 @@
 import { createAgentView, isUsable, type AgentView } from './agent-view.js'
 import { isEvacuated } from './job-plan.js'
 import { assignNewJob, assignWaitingIfDue, assignWaiting } from './assignments.js'
+import { createAssignedTasks } from './assigned-tasks.js'
 import { callerFor } from './caller.js'
 import {
   BUSY_WATCH_MILLISECONDS, IDLE_WATCH_BOUNDS_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT,
@@ -31,6 +32,7 @@
 import { createRouteDemand } from './route-demand.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
 import { createStopQueue } from './stop-queue.js'
+import { createSuspectAgents } from './suspect-agents.js'
 
 /** Number of seeds from which an incarnation of an entry draws its own. */
 const RANDOM_SEEDS = 2 ** 31
@@ -121,7 +123,8 @@
     confinements: createConfinements({ crashes, demand, logger: options.logger }),
     agents: new Map(),
     jobs: new Map(),
-    assigned: new Map(),
+    assigned: createAssignedTasks(),
+    suspects: createSuspectAgents(task => crashes.crashCountOf(task) > 0),
     openOrders: createOpenOrders(),
     stops,
     waiting: new Set(),
@@ -227,17 +230,10 @@
   /** An agent that was lost, or has just started, answers at once: until then it gets no work. */
   function watchMilliseconds (view: AgentView): number {
     if (!view.isReachable) return 0
-    if (!hasWorkAt(view)) return idleWatchMilliseconds(view)
+    if (!state.assigned.hasAnyAt(view.name)) return idleWatchMilliseconds(view)
     return Math.min(BUSY_WATCH_MILLISECONDS, view.leases.entryMilliseconds / 2)
   }
 
-  function hasWorkAt (view: AgentView): boolean {
-    for (const { task } of state.assigned.values()) {
-      if (task.assignment?.agent === view.name) return true
-    }
-    return false
-  }
-
   return {
     submit,
     knows: id => state.jobs.has(id),
@@ -279,7 +275,7 @@
       }
       return false
     },
-    isIdle: () => state.jobs.size === 0 && state.assigned.size === 0,
+    isIdle: () => state.jobs.size === 0 && state.assigned.count() === 0,
     openJobCount: () => {
       let count = 0
       for (const job of state.jobs.values()) if (!job.isAnswered) count += 1
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -3,15 +3,17 @@
 import type { EvacuationRegister, RunOrder, Start, Stop, TellOpenOrders, UpstreamCrash } from '@baobabpost/fleet-calls'
 import type { Admission } from './admission.js'
 import type { AgentView } from './agent-view.js'
+import type { AssignedTasks } from './assigned-tasks.js'
 import type { Confinements } from './confinement.js'
 import type { CrashEvidence } from './crash-evidence.js'
-import type { Job, TaskOfJob } from './job.js'
+import type { Job } from './job.js'
 import type { OpenOrders } from './open-orders.js'
 import type { Placement } from './placement.js'
 import type { RefusalLedger } from './refusal-ledger.js'
 import type { RouteDemand } from './route-demand.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
 import type { StopQueue } from './stop-queue.js'
+import type { SuspectAgents } from './suspect-agents.js'
 
 /** Operations that the dispatcher needs from its environment. */
 export interface DispatcherPorts {
@@ -46,8 +48,10 @@
   readonly agents: Map<string, AgentView>
   /** Jobs without a final answer, or with tasks that still run, by identity. */
   readonly jobs: Map<string, Job>
-  /** Tasks that are assigned or being stopped, by name. */
-  readonly assigned: Map<string, TaskOfJob>
+  /** Tasks that are assigned or being stopped. */
+  readonly assigned: AssignedTasks
+  /** Agents with such tasks under which upstreams have crashed. */
+  readonly suspects: SuspectAgents
   /** Tasks that only one agent may get, as its upstream may yet carry out an earlier order. */
   readonly openOrders: OpenOrders
   readonly stops: StopQueue
--- a/packages/dispatching/src/ended-assignments.ts
+++ b/packages/dispatching/src/ended-assignments.ts
@@ -24,8 +24,8 @@
 function endLostRuns (
   state: DispatcherState, ports: DispatcherPorts, view: AgentView, reason: 'agent restarted' | 'agent silent', now: number
 ): number {
-  const lost = [...state.assigned.values()].filter(({ task: { assignment } }) => assignment?.agent === view.name &&
-    (reason === 'agent silent' || assignment.incarnation !== view.incarnation))
+  const lost = [...state.assigned.at(view.name)].filter(({ task: { assignment } }) =>
+    reason === 'agent silent' || assignment?.incarnation !== view.incarnation)
   if (lost.length === 0) return 0
   const incarnation = lost[0]?.task.assignment?.incarnation ?? ''
   state.crashes.addLost(incarnation, lost.map(({ job, task }) => ({ task: task.name, route: job.request.route })), now)
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -1,11 +1,12 @@
 /** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
-import { addSizes, EMPTY_SIZE, fitsInto, type Size } from '@baobabpost/fleet-calls'
+import { fitsInto } from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
 import type { Confinement } from './confinement.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
 import type { DispatcherState } from './dispatcher-state.js'
 import { findShares, hasCredit, PROBE_SHARE } from './ejection.js'
 import type { Job, JobStep, JobTask } from './job.js'
+import { createJobPlan, type JobPlan } from './plan.js'
 import type { PlacementChoice } from './placement.js'
 
 /** Share of its objective that a job has left if it has slack for a probe. */
@@ -25,9 +26,6 @@
   readonly confinement: Confinement
 }
 
-/** Tasks with the agents chosen for them, where capacity is reserved. */
-export type JobPlan = Map<JobTask, PlacementChoice>
-
 /** A plan for tasks of a job, or the best choice for the first task that would miss the objective, without any. */
 export type PlanResult =
   | { readonly isInTime: true, readonly plan: JobPlan }
@@ -74,13 +72,6 @@
   return confinedTo === undefined ? agents : filterAgents(agents, ({ name }) => confinedTo.has(name))
 }
 
-/** Counts the tasks of a step that are assigned to an agent or planned there. */
-function countTasksAt (view: AgentView, stepNumber: number, job: Job, plan: JobPlan): number {
-  let count = job.progress.steps[stepNumber]?.assignedByAgent.get(view.name) ?? 0
-  for (const [other, { agent }] of plan) if (other.stepNumber === stepNumber && agent === view) count += 1
-  return count
-}
-
 function suits ({ profile }: AgentView, { size, label }: JobStep): boolean {
   if (profile === undefined || !fitsInto(size, profile.capacity)) return false
   return label === undefined || profile.labels.includes(label)
@@ -95,7 +86,8 @@
   const { step } = task
   if (!suits(view, step)) return false
   if (step.maximumPerUpstream === undefined) return true
-  return countTasksAt(view, task.stepNumber, job, plan) < step.maximumPerUpstream
+  const assignedCount = job.progress.steps[task.stepNumber]?.assignedByAgent.get(view.name) ?? 0
+  return assignedCount + plan.countAt(view.name, task.stepNumber) < step.maximumPerUpstream
 }
 
 /** Returns the time until the objective of a job, or 0 after it. */
@@ -112,8 +104,7 @@
     (task.failures === 0 && remainingMillisecondsOf(job, now) >= PROBE_REMAINING_SHARE * job.objectiveMilliseconds)
   if (!hasSlack) return false
   if (now - view.lastSentAt < PROBE_INTERVAL_MILLISECONDS) return false
-  for (const { agent } of plan.values()) if (agent === view) return false
-  return true
+  return !plan.usedAgents.has(view.name)
 }
 
 /** Returns the agents that may run a task; those where it ended without success only if there are no others. */
@@ -137,16 +128,6 @@
   return preferred.length > 0 ? preferred : eligible
 }
 
-/** Names of the agents that have, or are planned to get, a task of this entry under which an upstream has crashed. */
-function agentsWithSuspects (state: DispatcherState, plan: JobPlan): ReadonlySet<string> {
-  const names = new Set<string>()
-  for (const { task } of state.assigned.values()) {
-    if (task.assignment !== undefined && state.crashes.crashCountOf(task.name) > 0) names.add(task.assignment.agent)
-  }
-  for (const [task, { agent }] of plan) if (state.crashes.crashCountOf(task.name) > 0) names.add(agent.name)
-  return names
-}
-
 function isIdle ({ load, unconfirmedSize }: AgentView): boolean {
   return load.releaseRate === 0 && unconfirmedSize.processor === 0 && load.waiting.every(processor => processor === 0)
 }
@@ -160,9 +141,8 @@
 ): AgentsByDistance {
   const suspicion = state.crashes.isEmpty() ? 'clear' : state.crashes.suspicionOf(task.name, now)
   if (suspicion === 'clear') return agents
-  const withSuspects = agentsWithSuspects(state, plan)
   const narrowed = filterAgents(agents, view =>
-    suspicion === 'lone' ? isIdle(view) : !withSuspects.has(view.name))
+    suspicion === 'lone' ? isIdle(view) : !plan.hasSuspectAt(view.name) && !state.suspects.has(view.name))
   return narrowed.near.length + narrowed.far.length > 0 ? narrowed : agents
 }
 
@@ -201,15 +181,13 @@
 ): PlacementChoice | undefined {
   const { request } = job
   const remainingMilliseconds = remainingMillisecondsOf(job, now)
-  const usedAgents = new Set<string>()
-  for (const { agent } of plan.values()) usedAgents.add(agent.name)
   const choose = (candidates: readonly AgentView[]): PlacementChoice | undefined => state.placement.choose({
     task,
     priority: request.priority,
     route: request.route,
     runTimes: state.runTimes,
     candidates,
-    usedAgents,
+    usedAgents: plan.usedAgents,
     failureDomain: state.failureDomain,
     remainingMilliseconds,
     now
@@ -232,9 +210,8 @@
 ): PlacementChoice | undefined {
   const choice = chooseAgent(state, job, task, agents, plan, now)
   if (choice === undefined) return undefined
-  plan.set(task, choice)
+  plan.add(task, choice, state.crashes.crashCountOf(task.name) > 0)
   if (agents.shares.has(choice.agent.name)) choice.agent.shareCredit = 0
-  choice.agent.unconfirmedSize = addSizes(choice.agent.unconfirmedSize, task.step.size)
   return choice
 }
 
@@ -261,21 +238,13 @@
 function planAll (
   state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: AgentsByDistance, now: number
 ): PlanResult {
-  const plan: JobPlan = new Map()
+  const plan = createJobPlan()
   const remainingMilliseconds = remainingMillisecondsOf(job, now)
   for (const task of tasks) {
     const choice = planTask(state, job, task, agents, plan, now)
     if (choice !== undefined && state.admission.fits(choice, remainingMilliseconds, job.refusedOrders, now)) continue
-    for (const [planned, { agent }] of plan) releaseReservation(agent, planned.step.size)
+    plan.release()
     return { isInTime: false, missed: choice }
   }
   return { isInTime: true, plan }
 }
-
-/** Releases the reservation of a task's size at an agent. */
-export function releaseReservation (view: AgentView, size: Size): void {
-  view.unconfirmedSize = addSizes(view.unconfirmedSize, {
-    processor: -size.processor, memory: -size.memory, accelerators: -size.accelerators
-  })
-  if (view.unconfirmedSize.processor < 1) view.unconfirmedSize = EMPTY_SIZE
-}
--- a/packages/dispatching/src/job-release.ts
+++ b/packages/dispatching/src/job-release.ts
@@ -21,10 +21,8 @@
   for (const { profile, load } of [...agents.near, ...agents.far]) {
     usedProcessor += Math.max(0, (profile?.capacity.processor ?? 0) - load.free.processor)
   }
-  let ownProcessor = 0
-  for (const { task } of state.assigned.values()) ownProcessor += task.step.size.processor
   if (usedProcessor <= 0) return 1
-  return Math.min(1, Math.max(MINIMUM_OWN_SHARE, ownProcessor / usedProcessor))
+  return Math.min(1, Math.max(MINIMUM_OWN_SHARE, state.assigned.processor() / usedProcessor))
 }
 
 /** Answers `refused` to a job none of whose tasks has started, with a Retry-After from the rate of release. */
--- a/packages/dispatching/src/learn-crashes.ts
+++ b/packages/dispatching/src/learn-crashes.ts
@@ -9,6 +9,10 @@
 ): void {
   for (const crash of state.crashes.merge(view.incarnation, view.profile?.crashes, now)) {
     const { id, candidates, isSuspected } = crash
+    for (const { task } of candidates) {
+      const assignment = state.assigned.get(task)?.task.assignment
+      if (assignment !== undefined) state.suspects.add(assignment.agent, task)
+    }
     ports.logger.info('crash of an upstream', { agent: view.name, crash: id, candidates: candidates.length })
     // A crash that was kept elsewhere is not passed on, so that it ends with its retention.
     if (isSuspected === true || !id.startsWith(`${view.incarnation}/`)) continue
--- a/packages/dispatching/src/lost-orders.ts
+++ b/packages/dispatching/src/lost-orders.ts
@@ -27,8 +27,8 @@
   for (const { task, incarnation, until } of state.openOrders.ordersAt(view.name, now)) {
     orders.push({ task, agent: view.name, incarnation, milliseconds: until - now })
   }
-  for (const { task: { name, assignment } } of state.assigned.values()) {
-    if (assignment?.agent !== view.name || assignment.isConfirmed) continue
+  for (const { task: { name, assignment } } of state.assigned.at(view.name)) {
+    if (assignment === undefined || assignment.isConfirmed) continue
     const { incarnation } = assignment
     orders.push({ task: name, agent: view.name, incarnation, milliseconds: LATE_ORDER_MILLISECONDS })
   }
--- a/packages/dispatching/src/task-changes.ts
+++ b/packages/dispatching/src/task-changes.ts
@@ -36,13 +36,15 @@
   task.assignment = assignment
   job.progress.assignedCount += 1
   countAtAgent(job, task, assignment.agent, 1)
-  state.assigned.set(task.name, { job, task })
+  state.assigned.add({ job, task })
+  if (state.crashes.crashCountOf(task.name) > 0) state.suspects.add(assignment.agent, task.name)
 }
 
 /** Ends the assignment of a task, whose state is then to be changed. */
 function unassignTask (state: DispatcherState, { job, task }: TaskOfJob): void {
   if (task.assignment === undefined) return
-  state.assigned.delete(task.name)
+  state.assigned.remove(task)
+  state.suspects.remove(task.assignment.agent, task.name)
   countAtAgent(job, task, task.assignment.agent, -1)
   task.assignment = undefined
   job.progress.assignedCount -= 1
--- a/packages/rehearsal/tests/large-jobs.test.ts
+++ b/packages/rehearsal/tests/large-jobs.test.ts
@@ -47,6 +47,10 @@
   expect(agents.answers).toEqual([{ kind: 'completed' }])
 }
 
+function plainSteps (tasks: number): JobStep[] {
+  return [{ ...PLAIN_STEP, taskCount: tasks }]
+}
+
 /** A quarter of the tasks in steps of one, and a last step that depends on all of them. */
 function fannedInSteps (tasks: number): JobStep[] {
   const first = Array.from({ length: tasks / 4 }, () => PLAIN_STEP)
@@ -60,6 +64,13 @@
 }
 
 describe('the work of an entry for a job', () => {
+  it('grows with its tasks and no faster', () => {
+    expectGrowth(tasks => playSteps(8, agents => {
+      agents.submit({ id: ID, steps: plainSteps(tasks) }, 0)
+      finish(agents, 10)
+    }))
+  })
+
   // An entry answered nobody for 40 s: each completed task looked through all tasks of the job for each dependency of
   // each blocked one.
   it('grows with its tasks and no faster if a step depends on many others', () => {
@@ -68,4 +79,15 @@
       finish(agents, 10)
     }))
   })
+
+  // An entry answered nobody for 28 s: each task that was at a crashed upstream was planned by a look at all assigned
+  // ones, each with all tasks of the crash.
+  it('grows with its tasks and no faster if an upstream crashes under them', () => {
+    expectGrowth(tasks => playSteps(8, agents => {
+      agents.submit({ id: ID, steps: plainSteps(tasks) }, 0)
+      agents.acceptStarts(10)
+      agents.crash('agent-1', 20)
+      finish(agents, 40)
+    }))
+  })
 })
