Plan and send large jobs in several turns of the event loop

Callers saw: while an entry planned a job of 2,000 tasks, or one that waited for room was planned again, nobody else was answered; each answer of an agent was followed by a pass over the waiting jobs, in one turn for all answers that had arrived.

Cause: a plan was made and sent in one turn, and the least interval between passes counts from the start of a pass, so that a pass which takes longer is followed by the next with the next answer that is read, before any other input. After an answer at most one pass follows in a turn.

--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -1,100 +1,20 @@
 /** Assigns the waiting tasks of jobs to agents, and refuses or abandons jobs that can't be done in time. */
-import { CRASHES_BEFORE_RUNNING_ALONE } from '@baobabpost/fleet-calls'
-import type { AgentView } from './agent-view.js'
 import { isCapacityArriving } from './arriving-capacity.js'
-import { callerFor } from './caller.js'
 import {
-  LATE_PRIORITY_OFFSET, LONE_WAIT_MILLISECONDS, MAXIMUM_ATTEMPTS_PER_PASS, MAXIMUM_WAITING_LATE_JOBS,
-  MINIMUM_ASSIGN_INTERVAL_MILLISECONDS, RESERVED_CAPACITY_SHARE
+  MAXIMUM_ATTEMPTS_PER_PASS, MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS
 } from './dispatch-limits.js'
-import type { DispatcherPorts, DispatcherState, PendingOrders } from './dispatcher-state.js'
+import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
 import { abandonIfEvacuated, abandonIfHopeless } from './hopeless-jobs.js'
 import { mayHaveRun, type Job, type JobTask } from './job.js'
 import { abandonJob, answerJob } from './job-completion.js'
-import {
-  agentsFor, agentsForRoute, fitsNowhere, planTask, planWithinObjective, remainingMillisecondsOf, type AgentsByDistance
-} from './job-plan.js'
+import { agentsFor, agentsForRoute, fitsNowhere, remainingMillisecondsOf, type AgentsByDistance } from './job-plan.js'
+import { planLateJob } from './late-plan.js'
 import { findTask, jobOfTask, waitingTasks } from './job-progress.js'
 import { isGivenUp, refuseForCapacity, releaseWaitingTasks } from './job-release.js'
-import { createJobPlan, type JobPlan } from './plan.js'
-import { assignTask } from './task-changes.js'
-
-function sendPlan (state: DispatcherState, ports: DispatcherPorts, job: Job, plan: JobPlan, now: number): void {
-  const byAgent = new Map<string, PendingOrders>()
-  const remainingMilliseconds = remainingMillisecondsOf(job, now)
-  for (const [task, choice] of plan.choices) {
-    const { agent } = choice
-    task.lastRun += 1
-    assignTask(state, { job, task }, {
-      agent: agent.name, incarnation: agent.incarnation, run: task.lastRun, sentAt: now, isConfirmed: false
-    })
-    const pending = byAgent.get(agent.name) ??
-      { view: agent, orders: [], maximumWaitMilliseconds: 0, isWhole: false }
-    const crashCount = state.crashes.crashCountOf(task.name)
-    const maximumWait = crashCount < CRASHES_BEFORE_RUNNING_ALONE
-      ? state.admission.maximumWait(choice, remainingMilliseconds)
-      : LONE_WAIT_MILLISECONDS
-    pending.maximumWaitMilliseconds = Math.max(pending.maximumWaitMilliseconds, maximumWait)
-    pending.isWhole ||= !job.isLate && state.admission.isWhole(choice)
-    pending.orders.push({
-      task: task.name,
-      run: task.lastRun,
-      size: task.step.size,
-      estimateMilliseconds: task.step.estimateMilliseconds,
-      ...state.runTimes.describeOrder(agent, task.step),
-      ...(crashCount === 0 ? {} : { crashCount })
-    })
-    byAgent.set(agent.name, pending)
-  }
-  for (const pending of byAgent.values()) sendOrders(state, ports, job, pending, now)
-}
-
-function sendOrders (
-  state: DispatcherState, ports: DispatcherPorts, job: Job, pending: PendingOrders, now: number
-): void {
-  const { view, orders, maximumWaitMilliseconds, isWhole } = pending
-  view.lastSentAt = now
-  ports.logger.info('job sent', {
-    job: job.request.id,
-    agent: view.name,
-    tasks: orders.length,
-    patience: Math.round(maximumWaitMilliseconds),
-    late: job.isLate,
-    heardAgo: Math.round(now - view.lastContactAt)
-  })
-  ports.sendStart(view, {
-    caller: callerFor(state, view),
-    specification: job.request.specification,
-    priority: job.request.priority + (job.isLate ? LATE_PRIORITY_OFFSET : 0),
-    patienceMilliseconds: Math.round(maximumWaitMilliseconds),
-    ...(isWhole ? { isWhole } : {}),
-    ...state.runTimes.describeStart(view, job.request),
-    orders
-  })
-}
-
-/** Plans the tasks of a late job for which upstreams have free capacity beyond the reserved share. */
-function planLateJob (
-  state: DispatcherState, job: Job, due: readonly JobTask[], agents: AgentsByDistance, now: number
-): JobPlan {
-  const plan = createJobPlan()
-  for (const task of due) {
-    const agentsWithSpareCapacity = {
-      ...agents,
-      near: agents.near.filter(view => hasSpareCapacity(view, task)),
-      far: agents.far.filter(view => hasSpareCapacity(view, task))
-    }
-    planTask(state, job, task, agentsWithSpareCapacity, plan, now)
-  }
-  return plan
-}
-
-function hasSpareCapacity (view: AgentView, task: JobTask): boolean {
-  const capacity = view.profile?.capacity.processor ?? 0
-  const remainingProcessor = view.load.free.processor - view.unconfirmedSize.processor - task.step.size.processor
-  return remainingProcessor >= RESERVED_CAPACITY_SHARE * capacity &&
-    view.load.waiting.every(processor => processor === 0)
-}
+import { keepPlan, planWithinObjective } from './objective-plan.js'
+import { createPlanBudget, type PlanBudget } from './plan-budget.js'
+import type { JobPlan } from './plan.js'
+import { sendPlan } from './send-plan.js'
 
 /** Fails a job with a waiting task that crashes its upstreams. Returns whether it did. */
 function failIfBlamed (state: DispatcherState, ports: DispatcherPorts, job: Job, now: number): boolean {
@@ -118,47 +38,81 @@
   return undefined
 }
 
+/** Returns the waiting tasks of a job that may be sent now. */
+function dueTasks (state: DispatcherState, { progress }: Job, now: number): JobTask[] {
+  const isAnySuspected = !state.crashes.isEmpty()
+  return waitingTasks(progress).filter(({ name, notBefore }) =>
+    notBefore <= now && !(isAnySuspected && state.crashes.suspicionOf(name, now) === 'held'))
+}
+
 /** Tries to send the waiting tasks of a job. Returns whether the job has no waiting tasks left. */
 function assignJob (
-  state: DispatcherState, ports: DispatcherPorts, job: Job, agentsOfService: AgentsByDistance, now: number
+  state: DispatcherState, ports: DispatcherPorts, job: Job, agentsOfService: AgentsByDistance, budget: PlanBudget,
+  now: number
 ): boolean {
-  const { request, progress } = job
-  const agents = agentsForRoute(agentsOfService, request.route)
-  const due = waitingTasks(progress).filter(task => task.notBefore <= now && state.crashes.suspicionOf(task.name, now) !== 'held')
-  if (due.length === 0) return progress.waiting.size === 0
+  const agents = agentsForRoute(agentsOfService, job.request.route)
+  const due = state.plans.get(job)?.tasks ?? dueTasks(state, job, now)
+  if (due.length === 0) return job.progress.waiting.size === 0
   if (job.releasedAt !== undefined && !mayHaveRun(job)) {
     refuseForCapacity(state, ports, job, due, agents, now)
     return true
   }
-  if (!job.isLate) {
-    const result = planWithinObjective(state, job, due, agents, now)
-    if (result.isInTime) {
-      sendPlan(state, ports, job, result.plan, now)
-      return progress.waiting.size === 0
-    }
-    const decision = state.admission.decideMiss({
-      choice: result.missed,
-      remainingMilliseconds: remainingMillisecondsOf(job, now),
-      objectiveMilliseconds: job.objectiveMilliseconds,
-      waitedMilliseconds: now - request.arrivedAt,
-      isCapacityArriving: isCapacityArriving(state, request.service, now),
-      hasLostRun: progress.startedWaitingCount > 0
-    })
-    if (decision === 'wait') return false
-    job.isLate = true
-    const hopeless = mayHaveRun(job) ? undefined : reasonWithoutHope(job, due, agents)
-    if (hopeless !== undefined) {
-      abandonJob(state, ports, job, hopeless, now)
-      return true
-    }
-    if (decision === 'release') return releaseJob(state, ports, job, due, agents, now)
-    if (!mayHaveRun(job) && countWaitingLateJobs(state) > MAXIMUM_WAITING_LATE_JOBS) {
-      abandonJob(state, ports, job, 'no room within its objective', now)
-      return true
-    }
+  return job.isLate
+    ? assignLateJob(state, ports, job, due, agents, budget, now)
+    : assignWithinObjective(state, ports, job, due, agents, budget, now)
+}
+
+/** Tries to send the due tasks of a job so that it is in time, and decides what becomes of one that can't be. */
+function assignWithinObjective (
+  state: DispatcherState, ports: DispatcherPorts, job: Job, due: JobTask[], agents: AgentsByDistance,
+  budget: PlanBudget, now: number
+): boolean {
+  const { request, progress } = job
+  const result = planWithinObjective(state, job, due, agents, budget, now)
+  if (result.kind === 'unfinished') {
+    state.isPassUnfinished = true
+    return false
+  }
+  if (result.kind === 'in-time') {
+    sendPlan(state, ports, job, result.plan, now)
+    if (result.plan.choices.size === 0) return progress.waiting.size === 0
+    keepPlan(state, job, result.plan)
+    state.isPassUnfinished = true
+    return false
+  }
+  const decision = state.admission.decideMiss({
+    choice: result.missed,
+    remainingMilliseconds: remainingMillisecondsOf(job, now),
+    objectiveMilliseconds: job.objectiveMilliseconds,
+    waitedMilliseconds: now - request.arrivedAt,
+    isCapacityArriving: isCapacityArriving(state, request.service, now),
+    hasLostRun: progress.startedWaitingCount > 0
+  })
+  if (decision === 'wait') return false
+  job.isLate = true
+  const hopeless = mayHaveRun(job) ? undefined : reasonWithoutHope(job, due, agents)
+  if (hopeless !== undefined) {
+    abandonJob(state, ports, job, hopeless, now)
+    return true
+  }
+  if (decision === 'release') return releaseJob(state, ports, job, due, agents, budget, now)
+  if (!mayHaveRun(job) && countWaitingLateJobs(state) > MAXIMUM_WAITING_LATE_JOBS) {
+    abandonJob(state, ports, job, 'no room within its objective', now)
+    return true
   }
-  sendPlan(state, ports, job, planLateJob(state, job, due, agents, now), now)
-  const isWaiting = progress.waiting.size > 0
+  return assignLateJob(state, ports, job, due, agents, budget, now)
+}
+
+/** Sends the due tasks of a late job for which others leave capacity. */
+function assignLateJob (
+  state: DispatcherState, ports: DispatcherPorts, job: Job, due: readonly JobTask[], agents: AgentsByDistance,
+  budget: PlanBudget, now: number
+): boolean {
+  const { plan, triedCount } = planLateJob(state, job, due, agents, budget, now)
+  const hasRoom = plan.choices.size > 0
+  sendLatePlan(state, ports, job, plan, now)
+  state.isPassUnfinished ||= triedCount < due.length && hasRoom
+  const isWaiting = job.progress.waiting.size > 0
   if (isWaiting && isGivenUp(job, now)) {
     abandonJob(state, ports, job, 'no capacity within its objective', now)
     return true
@@ -166,6 +120,16 @@
   return !isWaiting
 }
 
+/** Sends the tasks of a plan of a late job; those that are left are planned anew in the next pass. */
+function sendLatePlan (
+  state: DispatcherState, ports: DispatcherPorts, job: Job, plan: JobPlan, now: number
+): void {
+  sendPlan(state, ports, job, plan, now)
+  if (plan.choices.size === 0) return
+  plan.release()
+  state.isPassUnfinished = true
+}
+
 /**
  * Releases the capacity of a job that can't be in time. It runs late if others leave capacity free for all of it.
  * Otherwise it is refused at once if none of its tasks has been sent; if some have, those that wait are taken back.
@@ -174,18 +138,20 @@
  */
 function releaseJob (
   state: DispatcherState, ports: DispatcherPorts, job: Job, due: readonly JobTask[], agents: AgentsByDistance,
-  now: number
+  budget: PlanBudget, now: number
 ): boolean {
   if (mayHaveRun(job)) {
     releaseWaitingTasks(state, ports, job, now)
     return false
   }
-  const plan = planLateJob(state, job, due, agents, now)
-  if (plan.choices.size === due.length) sendPlan(state, ports, job, plan, now)
-  else {
-    plan.release()
-    refuseForCapacity(state, ports, job, due, agents, now)
+  const { plan, triedCount } = planLateJob(state, job, due, agents, budget, now)
+  if (plan.choices.size === triedCount) {
+    sendLatePlan(state, ports, job, plan, now)
+    state.isPassUnfinished ||= triedCount < due.length
+    return job.progress.waiting.size === 0
   }
+  plan.release()
+  refuseForCapacity(state, ports, job, due, agents, now)
   return true
 }
 
@@ -203,7 +169,10 @@
   if (!hasJobInTimeWaiting(state)) {
     if (failIfBlamed(state, ports, job, now) || abandonIfHopeless(state, ports, job, now)) return
     const agents = agentsFor(state, job.request.service, now)
-    if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) return
+    if (abandonIfEvacuated(state, ports, job, agents, now)) return
+    state.isPassUnfinished = false
+    if (assignJob(state, ports, job, agents, createPlanBudget(1, agents), now)) return
+    if (state.isPassUnfinished) ports.requestPass?.()
   }
   state.waiting.add(job)
 }
@@ -213,9 +182,13 @@
   return false
 }
 
-/** Assigns the waiting jobs unless the last pass was too recent; the next tick does it in that case. */
+/**
+ * Assigns the waiting jobs unless the last pass was too recent and left nothing undone; the next tick does it in that
+ * case.
+ */
 export function assignWaitingIfDue (state: DispatcherState, ports: DispatcherPorts, now: number): void {
-  if (now - state.lastAssignPassAt >= MINIMUM_ASSIGN_INTERVAL_MILLISECONDS) assignWaiting(state, ports, now)
+  const isDue = state.isPassUnfinished || now - state.lastAssignPassAt >= MINIMUM_ASSIGN_INTERVAL_MILLISECONDS
+  if (isDue) assignWaiting(state, ports, now)
 }
 
 /** Orders jobs: late ones last, otherwise by priority, then by arrival. */
@@ -250,6 +223,7 @@
   state.lastAssignPassAt = now
   const ordered = [...state.waiting].sort(compareJobs)
   state.waiting = new Set()
+  state.isPassUnfinished = false
   const tried = jobsToTry(state, ordered)
   const agentsByService = new Map<string, AgentsByDistance>()
   const remaining: Job[] = []
@@ -259,11 +233,14 @@
       const { service } = job.request
       const agents = agentsByService.get(service) ?? agentsFor(state, service, now)
       agentsByService.set(service, agents)
-      if (abandonIfEvacuated(state, ports, job, agents, now) || assignJob(state, ports, job, agents, now)) continue
+      const budget = createPlanBudget(tried.size, agents)
+      if (abandonIfEvacuated(state, ports, job, agents, now)) continue
+      if (assignJob(state, ports, job, agents, budget, now)) continue
     }
     remaining.push(job)
   }
   state.waiting = new Set([...remaining, ...state.waiting])
+  if (state.isPassUnfinished) ports.requestPass?.()
 }
 
 /** Adds a job to the jobs with waiting tasks, if it is not among them. */
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -10,10 +10,6 @@
 import { assignNewJob, assignWaitingIfDue, assignWaiting } from './assignments.js'
 import { createAssignedTasks } from './assigned-tasks.js'
 import { callerFor } from './caller.js'
-import {
-  BUSY_WATCH_MILLISECONDS, IDLE_WATCH_BOUNDS_MILLISECONDS, IDLE_WATCH_MILLISECONDS_PER_AGENT,
-  LONGEST_IDLE_WATCH_MILLISECONDS, REMOTE_IDLE_WATCH_FACTOR
-} from './dispatch-limits.js'
 import { createConfinements } from './confinement.js'
 import { createCrashEvidence } from './crash-evidence.js'
 import type { DispatcherPorts, DispatcherState } from './dispatcher-state.js'
@@ -33,6 +29,7 @@
 import type { RunTimeEstimates } from './run-time-estimates.js'
 import { createStopQueue } from './stop-queue.js'
 import { createSuspectAgents } from './suspect-agents.js'
+import { watchMilliseconds } from './watch-wait.js'
 
 /** Number of seeds from which an incarnation of an entry draws its own. */
 const RANDOM_SEEDS = 2 ** 31
@@ -64,6 +61,8 @@
    * timer. After a process pause no tasks are sent before its second tick.
    */
   tick: (now: number) => void
+  /** Assigns waiting jobs, as requested by `requestPass`. */
+  assign: (now: number) => void
   /** Does what a tick does, at any time but after a process pause. */
   refresh: (now: number) => void
   /** Whether any agent accepts work. */
@@ -123,12 +122,14 @@
     confinements: createConfinements({ crashes, demand, logger: options.logger }),
     agents: new Map(),
     jobs: new Map(),
+    plans: new Map(),
     assigned: createAssignedTasks(),
     suspects: createSuspectAgents(task => crashes.crashCountOf(task) > 0),
     openOrders: createOpenOrders(),
     stops,
     waiting: new Set(),
     nextTurn: 0,
+    isPassUnfinished: false,
     startedAt: Infinity,
     lastAssignPassAt: 0,
     lastShareLogAt: 0
@@ -200,6 +201,23 @@
     logShares(state, ports, now)
   }
 
+  /** Whether a pass has followed an answer in this turn of the event loop, in which many answers may be read. */
+  let hasAssignedInTurn = false
+
+  function assign (now: number): void {
+    hasAssignedInTurn = false
+    if (pause.maySend(now)) assignWaitingIfDue(state, ports, now)
+  }
+
+  /** However long a pass takes, other input is handled before the next one. */
+  function assignAfterAnswer (now: number): void {
+    if (hasAssignedInTurn || state.waiting.size === 0) return
+    assign(now)
+    if (ports.requestPass === undefined) return
+    hasAssignedInTurn = true
+    ports.requestPass()
+  }
+
   function agentFound (name: string, address: string): AgentView | undefined {
     const existing = state.agents.get(name)
     if (existing !== undefined) {
@@ -212,28 +230,6 @@
     return view
   }
 
-  function isNear (view: AgentView): boolean {
-    return view.profile?.failureDomain === state.failureDomain
-  }
-
-  /** The call rate of an entry does not rise with the fleet; in a large one it rather knows the agents nearby. */
-  function idleWatchMilliseconds (view: AgentView): number {
-    const { minimum, maximum } = IDLE_WATCH_BOUNDS_MILLISECONDS
-    const evenWait = state.agents.size * IDLE_WATCH_MILLISECONDS_PER_AGENT
-    if (evenWait <= maximum) return Math.max(minimum, evenWait)
-    let weight = 0
-    for (const other of state.agents.values()) weight += isNear(other) ? 1 : 1 / REMOTE_IDLE_WATCH_FACTOR
-    const nearWait = weight * IDLE_WATCH_MILLISECONDS_PER_AGENT
-    return Math.min(LONGEST_IDLE_WATCH_MILLISECONDS, isNear(view) ? nearWait : REMOTE_IDLE_WATCH_FACTOR * nearWait)
-  }
-
-  /** An agent that was lost, or has just started, answers at once: until then it gets no work. */
-  function watchMilliseconds (view: AgentView): number {
-    if (!view.isReachable) return 0
-    if (!state.assigned.hasAnyAt(view.name)) return idleWatchMilliseconds(view)
-    return Math.min(BUSY_WATCH_MILLISECONDS, view.leases.entryMilliseconds / 2)
-  }
-
   return {
     submit,
     knows: id => state.jobs.has(id),
@@ -251,23 +247,24 @@
         acknowledged: view.acknowledgedSequence,
         // An agent that was lost tells anew which orders are open.
         profileVersion: view.isReachable ? view.profile?.version ?? 0 : 0,
-        waitMilliseconds: watchMilliseconds(view),
+        waitMilliseconds: watchMilliseconds(state, view),
         ...(unanswered.length === 0 ? {} : { stops: unanswered })
       }
     },
     watchAnswered: (view, answer, now) => {
       handleWatchAnswer(state, ports, view, answer, now)
-      if (pause.maySend(now)) assignWaitingIfDue(state, ports, now)
+      assignAfterAnswer(now)
     },
     watchFailed: (view, isRefused, now) => { handleWatchFailure(state, ports, view, isRefused, now) },
     startAnswered: (view, start, answer, now) => {
       handleStartAnswer(state, ports, view, start, answer, now)
-      if (pause.maySend(now)) assignWaitingIfDue(state, ports, now)
+      assignAfterAnswer(now)
     },
     startFailed: (view, start, isRefused, now) => { handleStartFailure(state, ports, view, start, isRefused, now) },
     stopAnswered: (view, answer, now) => { handleStopAnswer(state, ports, view, answer, now) },
     stopFailed: (view, now) => { state.stops.failed(view.name, now) },
     tick,
+    assign,
     refresh,
     isServing: () => {
       for (const view of state.agents.values()) {
--- a/packages/dispatching/src/dispatcher-state.ts
+++ b/packages/dispatching/src/dispatcher-state.ts
@@ -9,6 +9,7 @@
 import type { Job } from './job.js'
 import type { OpenOrders } from './open-orders.js'
 import type { Placement } from './placement.js'
+import type { PlanInProgress } from './plan.js'
 import type { RefusalLedger } from './refusal-ledger.js'
 import type { RouteDemand } from './route-demand.js'
 import type { RunTimeEstimates } from './run-time-estimates.js'
@@ -27,6 +28,11 @@
   tellCrashes?: (view: AgentView, crashes: readonly UpstreamCrash[]) => void
   /** Tells an agent open orders of another one that does not answer, which need no answer. */
   tellOpenOrders?: (view: AgentView, orders: TellOpenOrders['orders']) => void
+  /**
+   * Asks for a call of `assign` in the next turn of the event loop. Without it, each answer of an agent may be followed
+   * by a pass over the waiting jobs, and the next tick goes on with what a pass has left.
+   */
+  requestPass?: () => void
   readonly logger: EventLogger
 }
 
@@ -48,6 +54,8 @@
   readonly agents: Map<string, AgentView>
   /** Jobs without a final answer, or with tasks that still run, by identity. */
   readonly jobs: Map<string, Job>
+  /** Plans that the next pass continues. */
+  readonly plans: Map<Job, PlanInProgress>
   /** Tasks that are assigned or being stopped. */
   readonly assigned: AssignedTasks
   /** Agents with such tasks under which upstreams have crashed. */
@@ -59,6 +67,8 @@
   waiting: Set<Job>
   /** Position, among the waiting jobs behind the first ones, of the next job that a pass tries. */
   nextTurn: number
+  /** Whether the last pass had to leave a part of its work to the next turn of the event loop. */
+  isPassUnfinished: boolean
   /** When this entry began to place jobs, on its steady clock in milliseconds. */
   startedAt: number
   /** When the last pass over the waiting jobs began, on the entry's steady clock in milliseconds. */
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -94,8 +94,28 @@
   const overload = createOverloadSignal()
   const status = { isClosed: false }
   const dispatcher = createDispatcher({
-    ...options, sendStart, sendStop, tellCrashes, tellOpenOrders, evacuationsChanged: logEvacuations
+    ...options, sendStart, sendStop, tellCrashes, tellOpenOrders, evacuationsChanged: logEvacuations, requestPass
   })
+  let isPassRequested = false
+
+  /** Has the dispatcher assign waiting jobs once, after the input of this turn of the event loop. */
+  function requestPass (): void {
+    if (isPassRequested || status.isClosed) return
+    isPassRequested = true
+    setImmediate(() => {
+      isPassRequested = false
+      if (!status.isClosed) contain(() => { dispatcher.assign(now()) })
+    })
+  }
+
+  /** Runs a step of the dispatcher. An unexpected error must not end the process. */
+  function contain (step: () => void): void {
+    try {
+      step()
+    } catch (failure) {
+      logFailure(failure)
+    }
+  }
 
   function sendStart (view: AgentView, start: Start): void {
     repeats.record()
@@ -221,12 +241,10 @@
     readDelay.tickRuns(timing, now())
     markTurn()
     observeCalls()
-    try {
+    contain(() => {
       dispatcher.tick(now())
       tellEvacuations()
-    } catch (failure) {
-      logFailure(failure)
-    }
+    })
   }
   const ticks = startTickTimer({ onTick: tick, isIdle: () => dispatcher.isIdle(), now })
 
--- a/packages/dispatching/src/job-completion.ts
+++ b/packages/dispatching/src/job-completion.ts
@@ -21,6 +21,8 @@
     objective: Math.round(job.objectiveMilliseconds)
   })
   job.answer(answer)
+  state.plans.get(job)?.plan.release()
+  state.plans.delete(job)
   stopTasks(state, job, job.tasks, now)
   settleJob(state, job)
 }
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -6,7 +6,7 @@
 import type { DispatcherState } from './dispatcher-state.js'
 import { findShares, hasCredit, PROBE_SHARE } from './ejection.js'
 import type { Job, JobStep, JobTask } from './job.js'
-import { createJobPlan, type JobPlan } from './plan.js'
+import type { JobPlan } from './plan.js'
 import type { PlacementChoice } from './placement.js'
 
 /** Share of its objective that a job has left if it has slack for a probe. */
@@ -26,11 +26,6 @@
   readonly confinement: Confinement
 }
 
-/** A plan for tasks of a job, or the best choice for the first task that would miss the objective, without any. */
-export type PlanResult =
-  | { readonly isInTime: true, readonly plan: JobPlan }
-  | { readonly isInTime: false, readonly missed: PlacementChoice | undefined }
-
 /** Whether the failure domain of an agent's upstream is evacuated. */
 export function isEvacuated (state: DispatcherState, { profile }: AgentView): boolean {
   return profile !== undefined && state.evacuations?.isEvacuated(profile.failureDomain) === true
@@ -214,37 +209,3 @@
   if (agents.shares.has(choice.agent.name)) choice.agent.shareCredit = 0
   return choice
 }
-
-/** Returns the agents with whole shares but for those that only get probes, or undefined if no share changes. */
-function withWholeShares (agents: AgentsByDistance): AgentsByDistance | undefined {
-  const shares = new Map([...agents.shares].filter(([, share]) => share <= PROBE_SHARE))
-  return shares.size === agents.shares.size ? undefined : { ...agents, shares }
-}
-
-/**
- * Plans tasks of a job so that all of them end within its objective, and reserves capacity for them. As soon as one of
- * them can't, nothing is reserved. Reduced shares of upstreams send work elsewhere, but keep none of it waiting.
- */
-export function planWithinObjective (
-  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: AgentsByDistance, now: number
-): PlanResult {
-  const result = planAll(state, job, tasks, agents, now)
-  const whole = result.isInTime ? undefined : withWholeShares(agents)
-  if (whole === undefined) return result
-  const wholeResult = planAll(state, job, tasks, whole, now)
-  return wholeResult.isInTime ? wholeResult : result
-}
-
-function planAll (
-  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: AgentsByDistance, now: number
-): PlanResult {
-  const plan = createJobPlan()
-  const remainingMilliseconds = remainingMillisecondsOf(job, now)
-  for (const task of tasks) {
-    const choice = planTask(state, job, task, agents, plan, now)
-    if (choice !== undefined && state.admission.fits(choice, remainingMilliseconds, job.refusedOrders, now)) continue
-    plan.release()
-    return { isInTime: false, missed: choice }
-  }
-  return { isInTime: true, plan }
-}
--- a/packages/dispatching/src/job.ts
+++ b/packages/dispatching/src/job.ts
@@ -53,6 +53,8 @@
    * earlier refusal, when it first arrived. On the entry's steady clock, in milliseconds.
    */
   readonly place: number
+  /** Position of the first task that the next pass plans, if it is late and a pass had to leave some out. */
+  nextLatePosition: number
   /** Whether the job was found unable to meet its objective. */
   isLate: boolean
   /**
@@ -135,6 +137,7 @@
     objectiveMilliseconds:
       request.stretch * estimateFactor * longestChainMilliseconds(request.steps) + request.targetLatencyMilliseconds,
     place,
+    nextLatePosition: 0,
     isLate: false,
     releasedAt: undefined,
     refusedOrders: 0,
--- a/packages/dispatching/src/plan.ts
+++ b/packages/dispatching/src/plan.ts
@@ -13,6 +13,8 @@
   readonly incarnations: ReadonlyMap<AgentView, string>
   /** Adds a task and reserves capacity for it. */
   add: (task: JobTask, choice: PlacementChoice, isSuspect: boolean) => void
+  /** Removes a task that is sent, for which capacity is reserved until its agent has answered. */
+  take: (task: JobTask) => void
   /** Removes a task and releases what is reserved for it. */
   remove: (task: JobTask) => void
   /** Removes all tasks. */
@@ -23,6 +25,19 @@
   hasSuspectAt: (agent: string) => boolean
 }
 
+/** A plan that is made in several turns of the event loop. */
+export interface PlanInProgress {
+  readonly plan: JobPlan
+  /** Tasks to plan. */
+  readonly tasks: JobTask[]
+  /** Number of them that have been planned. */
+  position: number
+  /** Best choice for the task that missed the objective while upstreams had reduced shares; undefined before. */
+  missed: PlacementChoice | undefined
+  /** Whether upstreams get whole shares, since the objective was missed without. */
+  hasWholeShares: boolean
+}
+
 /** Releases the reservation of a task's size at an agent. */
 export function releaseReservation (view: AgentView, size: Size): void {
   view.unconfirmedSize = addSizes(view.unconfirmedSize, {
@@ -52,11 +67,18 @@
     limitedCounts.set(key, (limitedCounts.get(key) ?? 0) + change)
   }
 
-  function remove (task: JobTask): void {
+  /** Removes a task. Returns the agent that was chosen for it. */
+  function take (task: JobTask): AgentView | undefined {
     const agent = choices.get(task)?.agent
-    if (agent === undefined) return
+    if (agent === undefined) return undefined
     choices.delete(task)
     countLimited(task, agent.name, -1)
+    return agent
+  }
+
+  function remove (task: JobTask): void {
+    const agent = take(task)
+    if (agent === undefined) return
     // With a new incarnation the reservations of the former one were dropped.
     if (incarnations.get(agent) === agent.incarnation) releaseReservation(agent, task.step.size)
   }
@@ -74,6 +96,7 @@
       countLimited(task, agent.name, 1)
       agent.unconfirmedSize = addSizes(agent.unconfirmedSize, task.step.size)
     },
+    take: task => { take(task) },
     remove,
     release: () => { for (const task of [...choices.keys()]) remove(task) },
     countAt: (agent, stepNumber) => limitedCounts.get(`${stepNumber} ${agent}`) ?? 0,
--- a/packages/dispatching/src/refusal-ledger.ts
+++ b/packages/dispatching/src/refusal-ledger.ts
@@ -9,6 +9,9 @@
 /** Time after its promised return for which a caller keeps its place. */
 const RETURN_GRACE_MILLISECONDS = 1_000
 
+/** Interval at which expired promises are dropped. */
+const DROP_INTERVAL_MILLISECONDS = 100
+
 /** A job that is refused for lack of capacity. */
 export interface RefusedJob {
   readonly id: string
@@ -51,7 +54,11 @@
   /** Time by service up to which the released capacity is promised. */
   const promisedUntil = new Map<string, number>()
 
+  let droppedAt = -Infinity
+
   function dropExpired (now: number): void {
+    if (now - droppedAt < DROP_INTERVAL_MILLISECONDS) return
+    droppedAt = now
     for (const [id, { returnAt }] of promises) {
       if (returnAt + RETURN_GRACE_MILLISECONDS < now) promises.delete(id)
     }
--- a/packages/dispatching/src/stop-queue.ts
+++ b/packages/dispatching/src/stop-queue.ts
@@ -46,6 +46,8 @@
   isSending: boolean
   /** Time before which no call is made. */
   pausedUntil: number
+  /** Earliest time at which a run is due. */
+  nextDueAt: number
   failures: number
 }
 
@@ -62,15 +64,18 @@
 
   function takeDue (stops: AgentStops, now: number): Stop['runs'] {
     const due: Array<{ task: string, run: number }> = []
+    stops.nextDueAt = Infinity
     for (const [task, pending] of stops.runs) {
       if (!options.isWanted(task, pending.run)) {
         stops.runs.delete(task)
         continue
       }
-      if (pending.dueAt > now || due.length >= MAXIMUM_RUNS_PER_CALL) continue
-      pending.dueAt = now + REPEAT_MILLISECONDS
-      pending.isSent = true
-      due.push({ task, run: pending.run })
+      if (pending.dueAt <= now && due.length < MAXIMUM_RUNS_PER_CALL) {
+        pending.dueAt = now + REPEAT_MILLISECONDS
+        pending.isSent = true
+        due.push({ task, run: pending.run })
+      }
+      stops.nextDueAt = Math.min(stops.nextDueAt, pending.dueAt)
     }
     return due
   }
@@ -78,15 +83,16 @@
   return {
     add: (view, task, run) => {
       const stops = agents.get(view.name) ?? {
-        view, runs: new Map(), isSending: false, pausedUntil: -Infinity, failures: 0
+        view, runs: new Map(), isSending: false, pausedUntil: -Infinity, nextDueAt: -Infinity, failures: 0
       }
       stops.view = view
+      stops.nextDueAt = -Infinity
       stops.runs.set(task, { run, dueAt: -Infinity, isSent: false, isAnswered: false })
       agents.set(view.name, stops)
     },
     flush: now => {
       for (const [agent, stops] of agents) {
-        if (stops.isSending || now < stops.pausedUntil) continue
+        if (stops.isSending || now < Math.max(stops.pausedUntil, stops.nextDueAt)) continue
         const due = takeDue(stops, now)
         if (stops.runs.size === 0) {
           agents.delete(agent)
--- a/packages/rehearsal/src/scripted-agents.ts
+++ b/packages/rehearsal/src/scripted-agents.ts
@@ -6,6 +6,8 @@
 const SERVICE = 'desk'
 const INCARNATION = '1'
 const FAILURE_DOMAIN = 'domain-1'
+/** Largest number of reports in one answer, as of agents. */
+const REPORTS_PER_ANSWER = 250
 /** Size, estimate and constraints of a task without any; a job adds its own. */
 export const PLAIN_STEP: JobStep = {
   taskCount: 1,
@@ -32,10 +34,12 @@
   acceptStarts: (now: number) => number
   /** Reports an outcome for up to a number of runs of an agent in one answer. Returns their number. */
   endRuns: (agent: string, outcome: RunOutcome, maximum: number, now: number) => number
-  /** Crashes the upstream of an agent, which tells this and the loss of all runs in one answer. */
+  /** Crashes the upstream of an agent, which tells this and the loss of all runs. */
   crash: (agent: string, now: number) => void
   /** Reports the runs of all stop calls as stopped. */
   confirmStops: (now: number) => void
+  /** Answers a watch of each agent, without reports. */
+  answerWatches: (now: number) => void
   /** Fails all calls to an agent. */
   silence: (agent: string, now: number) => void
   /** Names of the agents, in their order. */
@@ -47,6 +51,8 @@
   readonly agents: number
   readonly capacity: Size
   readonly runTurn?: RunTurn
+  /** Requests a pass over the waiting jobs in the next turn; without it, passes follow answers at once. */
+  readonly requestPass?: () => void
 }
 
 interface ScriptedAgent {
@@ -78,7 +84,8 @@
     failureDomain: FAILURE_DOMAIN,
     logger: silentLogger,
     sendStart: (view, start) => { agents.get(view.name)?.starts.push(start) },
-    sendStop: (view, stop) => { agents.get(view.name)?.stops.push(stop) }
+    sendStop: (view, stop) => { agents.get(view.name)?.stops.push(stop) },
+    ...(options.requestPass === undefined ? {} : { requestPass: options.requestPass })
   })
 
   function agentOf (name: string): ScriptedAgent {
@@ -190,7 +197,10 @@
       const candidates = [...agent.runs].map(([task, { route }]) => ({ task, route }))
       agent.profileVersion += 1
       agent.crashes = [...agent.crashes, { id: `${INCARNATION}/${name}/${agent.profileVersion}`, candidates }]
-      answerWatch(agent, takeRuns(agent, [...agent.runs.keys()], 'lost'), now, true)
+      const reports = takeRuns(agent, [...agent.runs.keys()], 'lost')
+      for (let first = 0; first < reports.length; first += REPORTS_PER_ANSWER) {
+        answerWatch(agent, reports.slice(first, first + REPORTS_PER_ANSWER), now, first === 0)
+      }
     },
     confirmStops: now => {
       for (const agent of agents.values()) {
@@ -202,6 +212,7 @@
         }
       }
     },
+    answerWatches: now => { for (const agent of agents.values()) answerWatch(agent, [], now) },
     silence: (name, now) => {
       const agent = agentOf(name)
       for (const start of agent.starts.splice(0)) {
--- a/packages/rehearsal/tests/large-jobs.test.ts
+++ b/packages/rehearsal/tests/large-jobs.test.ts
@@ -57,6 +57,15 @@
   return [...first, { ...PLAIN_STEP, taskCount: tasks - first.length, dependsOn: first.map((_, number) => number) }]
 }
 
+/** Sends a plain job, of which an upstream crashes under the tasks that it has got. */
+function crashUnderJob (agents: ScriptedAgents, tasks: number): void {
+  agents.submit({ id: ID, steps: plainSteps(tasks) }, 0)
+  let now = 10
+  for (; agents.acceptStarts(now) > 0; now += 20) agents.tick(now + 10)
+  agents.crash('agent-1', now)
+  finish(agents, now + 20)
+}
+
 function expectGrowth (play: (tasks: number) => PlayedSteps): void {
   const small = play(SMALL)
   const large = play(LARGE)
@@ -83,11 +92,59 @@
   // An entry answered nobody for 28 s: each task that was at a crashed upstream was planned by a look at all assigned
   // ones, each with all tasks of the crash.
   it('grows with its tasks and no faster if an upstream crashes under them', () => {
-    expectGrowth(tasks => playSteps(8, agents => {
+    expectGrowth(tasks => playSteps(8, agents => { crashUnderJob(agents, tasks) }))
+  })
+})
+
+describe('a turn of the event loop of an entry', () => {
+  /** Numbers of tasks that both take several turns. */
+  const SEVERAL_TURNS = 500
+  const MANY_TURNS = 2_000
+
+  // A job of 2,000 tasks was planned and sent in one turn, in which the entry answered nobody.
+  it.each([
+    ['a plain job', plainSteps], ['a step that depends on many others', fannedInSteps]
+  ])('is not longer for a larger job: %s', (_name, stepsOf) => {
+    const longestOf = (tasks: number): number => playSteps(8, agents => {
+      agents.submit({ id: ID, steps: stepsOf(tasks) }, 0)
+      finish(agents, 10)
+    }).longest
+    expect(longestOf(MANY_TURNS)).toBeLessThan(MAXIMUM_GROWTH * longestOf(SEVERAL_TURNS))
+  })
+
+  it('is not longer for a larger job if an upstream crashes under it', () => {
+    const longestOf = (tasks: number): number => playSteps(8, agents => { crashUnderJob(agents, tasks) }).longest
+    expect(longestOf(MANY_TURNS)).toBeLessThan(MAXIMUM_GROWTH * longestOf(SEVERAL_TURNS))
+  })
+
+  it('is not longer for a larger job in a large fleet', () => {
+    const longestOf = (tasks: number): number => playSteps(160, agents => {
       agents.submit({ id: ID, steps: plainSteps(tasks) }, 0)
-      agents.acceptStarts(10)
-      agents.crash('agent-1', 20)
-      finish(agents, 40)
-    }))
+      for (let now = 10; now < 2_000; now += 20) {
+        agents.acceptStarts(now)
+        agents.tick(now + 10)
+      }
+    }).longest
+    expect(longestOf(MANY_TURNS)).toBeLessThan(MAXIMUM_GROWTH * longestOf(SEVERAL_TURNS))
+  })
+
+  // Each answer of an agent was followed by a pass over the waiting jobs, however long the pass took.
+  it('has one pass over the waiting jobs, however many answers are read in it', () => {
+    let requests = 0
+    const agents = createScriptedAgents({
+      agents: 20, capacity: CAPACITY, requestPass: () => { requests += 1 }
+    })
+    for (let number = 0; number < 40; number += 1) {
+      agents.submit({ id: `5c0e7a21d94b3${600 + number}`, steps: plainSteps(4_000) }, 0)
+    }
+    agents.acceptStarts(10)
+    agents.dispatcher.assign(20)
+    requests = 0
+    const stepsOfAnswers = (now: number): number => counter.count(() => { agents.answerWatches(now) })
+    const withPass = stepsOfAnswers(100)
+    expect(requests).toBeGreaterThan(0)
+    expect(stepsOfAnswers(200)).toBeLessThan(withPass / 2)
+    agents.dispatcher.assign(300)
+    expect(stepsOfAnswers(400)).toBeGreaterThan(withPass / 2)
   })
 })
