Index the runs of an agent by what its calls ask of them

Callers saw nothing of this by itself: the agents' part of a job of 2,000 tasks cost the square of its runs at an upstream.

Cause: for each run that waited, an agent looked through all runs for lone ones and for reserved capacity; for each order through all reports that were not acknowledged; for each start order through all runs for one that keeps the lease from being renewed; for each removal through its queue; for each entry whose lease had ended through all runs, with each tick. Change: the queue is a set for each priority, runs are indexed by session, lone and reserved runs are counted, reported runs are a set, runs that are being stopped are kept apart, and whether the lease may be renewed is found once for all orders of a call.

--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -4,11 +4,13 @@
   type Start, type StartAnswer, type Stop, type StopAnswer, type UpstreamLoad, type UpstreamProfile, type Verdict,
   type Watch, type WatchAnswer
 } from '@baobabpost/fleet-calls'
-import { acknowledgeReports, addReport, tellConfirmed, type EntrySession } from './entry-session.js'
+import { acknowledgeReports, addReport, hasReport, tellConfirmed, type EntrySession } from './entry-session.js'
 import { expectedStarts, type ExpectedEnd } from './expected-starts.js'
 import { isForEarlierAgent, isOpen, leaseEnd, openSession, toldClock } from './open-session.js'
 import { isAccepting, startWaitingRuns, stopRun } from './orders.js'
-import { addTombstone, freeCapacity, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import {
+  addRun, addTombstone, freeCapacity, hasTombstone, removeRun, type RunRegistryPorts, type RunRegistryState
+} from './run-registry-state.js'
 import { isKeptForLoneRun } from './lone-runs.js'
 import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import { adoptRunTimes, describeRunTimes, workOf } from './run-time-reports.js'
@@ -120,13 +122,13 @@
     }
     return 'busy'
   }
-  if (session.reports.some(report => report.task === order.task && report.run === order.run)) return 'accepted'
+  if (hasReport(session, order.task, order.run)) return 'accepted'
   if (hasTombstone(state, session, order.task, order.run)) return 'stopped'
   // The order's own age counts, not the session's lease: other calls may have renewed that while the order was delayed.
   const { caller } = start
   if (now >= leaseEnd(state, caller) || isForEarlierAgent(state, caller, now)) return 'stale'
   if (!isAccepting(state, now)) return 'not-accepting'
-  if (state.queue.inOrder().length >= MAXIMUM_WAITING_RUNS) return 'no-room'
+  if (state.queue.count() >= MAXIMUM_WAITING_RUNS) return 'no-room'
   const record: RunRecord = {
     order,
     work: workOf(start, order),
@@ -154,8 +156,7 @@
     isSuperseded: false
   }
   group.openRunCount += 1
-  state.runs.set(order.task, record)
-  state.queue.add(record)
+  addRun(state, record)
   return 'accepted'
 }
 
@@ -165,8 +166,7 @@
     const record = state.runs.get(task)
     if (verdicts[position] !== 'accepted' || record?.state !== 'waiting') continue
     record.group.openRunCount -= 1
-    state.runs.delete(task)
-    state.queue.remove(record)
+    removeRun(state, record)
     verdicts[position] = 'no-room'
   }
 }
@@ -213,7 +213,7 @@
   state: RunRegistryState, session: EntrySession, task: string, run: number, now: number
 ): void {
   addTombstone(state, session, task, run, now)
-  if (session.reports.some(report => report.task === task && report.run === run)) return
+  if (hasReport(session, task, run)) return
   addReport(session, { task, run, outcome: 'not-started', reason: 'its order had not arrived', milliseconds: 0 }, true)
 }
 
--- a/packages/runs/src/entry-session.ts
+++ b/packages/runs/src/entry-session.ts
@@ -18,6 +18,8 @@
   /** End of the entry's lease on the agent's steady clock, in milliseconds; the entry's runs are stopped then. */
   leaseUntil: number
   reports: RunReport[]
+  /** Runs of these reports, as `TASK RUN`. */
+  reportedRuns: Set<string>
   /** Confirmed runs by task, until the entry has received an answer that names them or they have ended. */
   readonly confirmed: Map<string, ConfirmedRun>
   lastSequence: number
@@ -38,6 +40,7 @@
     heardAt: 0,
     leaseUntil: 0,
     reports: [],
+    reportedRuns: new Set(),
     confirmed: new Map(),
     lastSequence: 0,
     urgentSequence: 0
@@ -54,10 +57,20 @@
   readonly openOrderMilliseconds?: number
 }
 
+function reportKey ({ task, run }: { readonly task: string, readonly run: number }): string {
+  return `${task} ${run}`
+}
+
+/** Whether a report on a run has not been acknowledged. */
+export function hasReport (session: EntrySession, task: string, run: number): boolean {
+  return session.reportedRuns.has(reportKey({ task, run }))
+}
+
 /** Adds a report for the entry; an urgent one is sent at once, together with those before it. */
 export function addReport (session: EntrySession, completion: RunCompletion, isUrgent: boolean): void {
   session.lastSequence += 1
   session.reports.push({ sequence: session.lastSequence, ...completion })
+  session.reportedRuns.add(reportKey(completion))
   if (isUrgent) session.urgentSequence = session.lastSequence
 }
 
@@ -71,6 +84,7 @@
 export function acknowledgeReports (session: EntrySession, acknowledged: number): void {
   if (session.reports[0] === undefined || session.reports[0].sequence > acknowledged) return
   session.reports = session.reports.filter(report => report.sequence > acknowledged)
+  session.reportedRuns = new Set(session.reports.map(reportKey))
 }
 
 /**
--- a/packages/runs/src/open-session.ts
+++ b/packages/runs/src/open-session.ts
@@ -2,7 +2,8 @@
 import { ENTRY_LEASE_MILLISECONDS, type CallingEntry } from '@baobabpost/fleet-calls'
 import { createSession, type EntrySession } from './entry-session.js'
 import { applyEvacuations } from './evacuations.js'
-import { exceedFormerFence, stopRun } from './orders.js'
+import { exceedFormerFence } from './fencing-token.js'
+import { stopRun } from './orders.js'
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
 
 /**
@@ -64,7 +65,5 @@
 export function stopRunsOfEntry (
   state: RunRegistryState, ports: RunRegistryPorts, session: EntrySession, reason: string, now: number
 ): void {
-  for (const record of [...state.runs.values()]) {
-    if (record.session === session) stopRun(state, ports, record, reason, now)
-  }
+  for (const record of [...state.runsBySession.get(session) ?? []]) stopRun(state, ports, record, reason, now)
 }
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,13 +1,13 @@
 /** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
 import {
-  FENCING_TOKEN_STEP, MAXIMUM_FENCING_TOKEN_STEP, MAXIMUM_FORMER_FENCE_LEAD, MAXIMUM_LISTING_AGE_MILLISECONDS,
-  MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
+  MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import {
-  confirmRun, reserveCapacity, endRun, freeCapacity, hasCapacityFor, recordUpstreamClock, type RunRegistryPorts,
-  type RunRegistryState
+  confirmRun, reserveCapacity, endRun, freeCapacity, hasCapacityFor, mustRunAlone, recordUpstreamClock,
+  type RunRegistryPorts, type RunRegistryState
 } from './run-registry-state.js'
-import { mayStartBesideOthers, mustRunAlone } from './lone-runs.js'
+import { raiseFencingToken } from './fencing-token.js'
+import { mayStartBesideOthers } from './lone-runs.js'
 import { renewLease } from './run-lease.js'
 import { hasReservedCapacity, type RunRecord } from './run-record.js'
 import { recordRenewal } from './unanswered-renewals.js'
@@ -76,7 +76,7 @@
 export function startWaitingRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   const isAcceptingRuns = isAccepting(state, now)
   let isKeptFree = false
-  for (const record of [...state.queue.inOrder()]) {
+  for (const record of state.queue.inOrder()) {
     const mayStart = !isKeptFree && hasCapacityFor(state, record.order.size, now) && mayStartBesideOthers(state, record)
     // After a process pause, listings come before the tick that ends the runs of lost entries.
     if (now >= record.session.leaseUntil) endRun(state, ports, record, 'not-started', 'entry lease ended', now)
@@ -92,10 +92,12 @@
 ): void {
   if (record.state === 'waiting') return endRun(state, ports, record, 'not-started', reason, now)
   if (record.state === 'displaced') return
+  state.stops.revision += 1
   if (record.state === 'stopping') {
     record.stopReason = reason
     return
   }
+  state.stops.runs.add(record)
   record.state = 'stopping'
   record.stopReason = reason
   record.absenceConclusiveFrom = undefined
@@ -168,32 +170,6 @@
   }
 }
 
-/** Raises the fencing token after the upstream rejected `usedFencingToken` as too old. */
-export function raiseFencingToken (state: RunRegistryState, ports: RunRegistryPorts, usedFencingToken: number): void {
-  if (usedFencingToken < state.fencingToken) return
-  state.rejectedFence = usedFencingToken
-  state.fencingToken = usedFencingToken + state.fencingTokenStep
-  state.fencingTokenStep = Math.min(MAXIMUM_FENCING_TOKEN_STEP, 2 * state.fencingTokenStep)
-  ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'upstream has seen a higher one' })
-}
-
-/**
- * Raises the fencing token above that of an earlier incarnation of the agent, which an entry remembers. It is higher if
- * the time of day has gone back, and an upstream that started again has not seen it.
- */
-export function exceedFormerFence (state: RunRegistryState, ports: RunRegistryPorts, formerFence: number): void {
-  const { fencingToken } = state
-  if (formerFence <= fencingToken || formerFence - fencingToken > MAXIMUM_FORMER_FENCE_LEAD) return
-  state.fencingToken = formerFence + FENCING_TOKEN_STEP
-  ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'an earlier agent had a higher one' })
-  if (state.runs.size === 0) {
-    // Orders of the earlier incarnation may have started runs until a listing has the new token.
-    state.upstream.phase = 'unfenced'
-    state.isCleared = false
-  }
-  ports.listImmediately()
-}
-
 /** Marks a run as unconfirmed: its start order may have been carried out, or may be later. */
 function handleUnansweredStart (ports: RunRegistryPorts, record: RunRecord, now: number): void {
   ports.logger.warn('start got no answer', { task: record.order.task, run: record.upstreamRunNumber })
@@ -295,6 +271,7 @@
     case 'taken':
     case 'old-run':
       record.absenceConclusiveFrom = now
+      state.stops.revision += 1
       ports.listImmediately()
   }
 }
--- a/packages/runs/src/run-lease.ts
+++ b/packages/runs/src/run-lease.ts
@@ -12,9 +12,23 @@
 }
 
 function isRenewable (state: RunRegistryState, now: number): boolean {
-  if (state.upstream.unknownRunCount > 0) return false
-  for (const record of state.runs.values()) if (dependsOnLeaseEnd(record, now)) return false
-  return true
+  const { stops, upstream } = state
+  if (upstream.unknownRunCount > 0) return false
+  // Many start orders are sent at one time.
+  if (stops.checkedAt === now && stops.checkedRevision === stops.revision) return stops.wasRenewable
+  stops.checkedAt = now
+  stops.checkedRevision = stops.revision
+  stops.wasRenewable = !hasRunThatDependsOnLeaseEnd(state, now)
+  return stops.wasRenewable
+}
+
+function hasRunThatDependsOnLeaseEnd ({ stops, runsBySession }: RunRegistryState, now: number): boolean {
+  for (const record of stops.runs) if (dependsOnLeaseEnd(record, now)) return true
+  for (const [session, runs] of runsBySession) {
+    if (now < session.leaseUntil) continue
+    for (const record of runs) if (dependsOnLeaseEnd(record, now)) return true
+  }
+  return false
 }
 
 /**
--- a/packages/runs/src/run-queue.ts
+++ b/packages/runs/src/run-queue.ts
@@ -4,8 +4,10 @@
 export interface RunQueue {
   add: (record: RunRecord) => void
   remove: (record: RunRecord) => void
-  /** The waiting runs in the order in which they start. */
-  inOrder: () => readonly RunRecord[]
+  /** Number of waiting runs. */
+  count: () => number
+  /** Returns the waiting runs in the order in which they start. */
+  inOrder: () => RunRecord[]
   /** Processor demand of the waiting runs by priority, in thousandths of a core. */
   waitingProcessor: () => number[]
 }
@@ -18,20 +20,41 @@
  * queue.add(record)
  */
 export function createRunQueue (): RunQueue {
-  let records: RunRecord[] = []
+  /** Runs by priority; those of one priority by arrival. */
+  const recordsByPriority = new Map<number, Set<RunRecord>>()
+  const processorByPriority = new Map<number, number>()
+  let count = 0
+
+  function priorities (): number[] {
+    return [...recordsByPriority.keys()].sort((left, right) => left - right)
+  }
+
+  function countProcessor ({ priority, order }: RunRecord, sign: 1 | -1): void {
+    const sum = (processorByPriority.get(priority) ?? 0) + sign * order.size.processor
+    processorByPriority.set(priority, recordsByPriority.has(priority) ? sum : 0)
+  }
+
   return {
     add: record => {
-      let position = records.length
-      while (position > 0 && (records[position - 1] as RunRecord).priority > record.priority) position -= 1
-      records.splice(position, 0, record)
+      const { priority } = record
+      recordsByPriority.set(priority, (recordsByPriority.get(priority) ?? new Set()).add(record))
+      countProcessor(record, 1)
+      count += 1
+    },
+    remove: record => {
+      const records = recordsByPriority.get(record.priority)
+      if (records?.delete(record) !== true) return
+      if (records.size === 0) recordsByPriority.delete(record.priority)
+      countProcessor(record, -1)
+      count -= 1
     },
-    remove: record => { records = records.filter(other => other !== record) },
-    inOrder: () => records,
+    count: () => count,
+    inOrder: () => priorities().flatMap(priority => [...recordsByPriority.get(priority) ?? []]),
     waitingProcessor: () => {
       const sums: number[] = []
-      for (const { priority, order } of records) {
+      for (const priority of priorities()) {
         while (sums.length <= priority) sums.push(0)
-        sums[priority] = (sums[priority] ?? 0) + order.size.processor
+        sums[priority] = processorByPriority.get(priority) ?? 0
       }
       return sums
     }
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -1,8 +1,8 @@
 /** State of an agent's run registry, and the changes to it that several modules share. */
 import type { EventLogger } from '@baobabpost/common'
 import {
-  addSizes, createEvacuationRegister, EMPTY_SIZE, fitsInto, scaleSize, subtractSizes, type EvacuationRegister,
-  type RunOutcome, type Size
+  addSizes, CRASHES_BEFORE_RUNNING_ALONE, createEvacuationRegister, EMPTY_SIZE, fitsInto, scaleSize, subtractSizes,
+  type EvacuationRegister, type RunOutcome, type Size
 } from '@baobabpost/fleet-calls'
 import { addReport, type EntrySession } from './entry-session.js'
 import { createCrashRecord, type CrashRecord } from './crash-record.js'
@@ -33,11 +33,37 @@
   readonly logger: EventLogger
 }
 
+export interface RunCounts {
+  /** Runs that must have their upstream to themselves. */
+  lone: number
+  /** Runs for which capacity is reserved. */
+  reserved: number
+  /** Runs of both kinds. */
+  reservedLone: number
+}
+
+/** The runs that are being stopped, and whether the run lease may be renewed beside them. */
+export interface RunningStops {
+  /** Runs whose stop began, until they end. */
+  readonly runs: Set<RunRecord>
+  /** Rises whenever a run or an order changes so that the lease may no longer be renewed, or may be again. */
+  revision: number
+  /** Agent time and revision for which `wasRenewable` was found. */
+  checkedAt: number
+  checkedRevision: number
+  wasRenewable: boolean
+}
+
 export interface RunRegistryState {
   readonly incarnation: string
   /** Runs by task. */
   readonly runs: Map<string, RunRecord>
+  /** The same runs by session. */
+  readonly runsBySession: Map<EntrySession, Set<RunRecord>>
   readonly queue: RunQueue
+  readonly stops: RunningStops
+  /** Numbers of the runs that lone runs are compared with. */
+  readonly runCounts: RunCounts
   /** Time for which the agent's clock stood still, as the upstream's showed; the clock that entries are told has it. */
   suspendedMilliseconds: number
   /** Newest session of each entry, by the entry's name. */
@@ -91,7 +117,10 @@
   return {
     incarnation,
     runs: new Map(),
+    runsBySession: new Map(),
     queue: createRunQueue(),
+    stops: { runs: new Set(), revision: 0, checkedAt: -Infinity, checkedRevision: 0, wasRenewable: false },
+    runCounts: { lone: 0, reserved: 0, reservedLone: 0 },
     suspendedMilliseconds: 0,
     sessions: new Map(),
     tombstones: new Map(),
@@ -150,6 +179,7 @@
   }
   state.suspendedMilliseconds += suspendedMilliseconds
   for (const session of state.sessions.values()) session.leaseUntil -= suspendedMilliseconds
+  state.stops.revision += 1
 }
 
 /** Capacity of the upstream that is not reserved; while it is cold, of the share that new runs may use. */
@@ -164,14 +194,48 @@
   if (fitsInto(size, freeCapacity(state, now))) return true
   const capacity = state.upstream.heartbeat?.capacity ?? EMPTY_SIZE
   if (state.upstream.slowStart.share(now) >= 1 || !fitsInto(size, capacity)) return false
-  for (const record of state.runs.values()) if (hasReservedCapacity(record)) return false
-  return true
+  return state.runCounts.reserved === 0
+}
+
+/** Whether a run must have its upstream to itself. */
+export function mustRunAlone ({ order }: RunRecord): boolean {
+  return (order.crashCount ?? 0) >= CRASHES_BEFORE_RUNNING_ALONE
+}
+
+/** Adds a run that waits. */
+export function addRun (state: RunRegistryState, record: RunRecord): void {
+  state.runs.set(record.order.task, record)
+  const runsOfSession = state.runsBySession.get(record.session) ?? new Set()
+  state.runsBySession.set(record.session, runsOfSession.add(record))
+  state.queue.add(record)
+  if (mustRunAlone(record)) state.runCounts.lone += 1
+}
+
+/** Counts a run whose capacity is reserved, or no longer is. */
+function countReserved ({ runCounts }: RunRegistryState, record: RunRecord, change: 1 | -1): void {
+  runCounts.reserved += change
+  if (mustRunAlone(record)) runCounts.reservedLone += change
+}
+
+/** Removes a run, and releases the capacity that is reserved for it. */
+export function removeRun (state: RunRegistryState, record: RunRecord): void {
+  state.runs.delete(record.order.task)
+  const runsOfSession = state.runsBySession.get(record.session)
+  runsOfSession?.delete(record)
+  if (runsOfSession?.size === 0) state.runsBySession.delete(record.session)
+  state.stops.runs.delete(record)
+  state.stops.revision += 1
+  if (mustRunAlone(record)) state.runCounts.lone -= 1
+  if (!hasReservedCapacity(record)) return state.queue.remove(record)
+  state.reserved = subtractSizes(state.reserved, record.order.size)
+  countReserved(state, record, -1)
 }
 
 /** Reserves capacity for a run whose start order is about to be sent. */
 export function reserveCapacity (state: RunRegistryState, record: RunRecord): void {
   state.queue.remove(record)
   record.state = 'ordered'
+  countReserved(state, record, 1)
   state.reserved = addSizes(state.reserved, record.order.size)
   const weight = state.usualRun.processor === 0 ? 1 : OBSERVATION_WEIGHT
   state.usualRun = addSizes(scaleSize(state.usualRun, 1 - weight), scaleSize(record.order.size, weight))
@@ -189,10 +253,8 @@
   state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, outcome: RunOutcome, reason: string, now: number
 ): void {
   if (state.runs.get(record.order.task) !== record) return
-  state.runs.delete(record.order.task)
+  removeRun(state, record)
   record.session.confirmed.delete(record.order.task)
-  if (hasReservedCapacity(record)) state.reserved = subtractSizes(state.reserved, record.order.size)
-  else state.queue.remove(record)
   addTombstone(state, record.session, record.order.task, record.order.run, now)
   if (outcome === 'done' && record.order.crashCount !== undefined) state.crashes.recordCleared(record.order.task, now)
   const milliseconds = record.orderedAt === 0 ? 0 : now - record.orderedAt
