Report at most 250 runs in one answer of an agent

Callers saw: when an upstream with hundreds of runs of a job crashed, the entry handled all their reports in one turn. By reading, an answer above 1 MiB, of some 7,000 reports, closed the connection each time it was sent.

Cause: an answer carried all reports that were not acknowledged. Change: an answer carries the first 250; the others follow with the next watch, which is answered at once while urgent ones are left.

--- a/packages/rehearsal/tests/large-starts.test.ts
+++ b/packages/rehearsal/tests/large-starts.test.ts
@@ -91,3 +91,25 @@
     })
   })
 })
+
+describe('an answer of an agent', () => {
+  // An entry handles an answer in one turn, and closes the connection if it is larger than 1 MiB.
+  it('has a part of many reports, and the next ones follow once they are acknowledged', () => {
+    const registry = createServingRegistry()
+    const start = startOf(LARGE, 100)
+    registry.answerStart(start, 10_003)
+    list(registry, start.orders, 10_300)
+    const reported: string[] = []
+    let acknowledged = 0
+    for (let now = 10_302; reported.length < LARGE && now < 10_310; now += 1) {
+      const watch = { caller: callerAt(now), acknowledged, profileVersion: 0, waitMilliseconds: 100 }
+      const session = registry.beginWatch(watch, now)
+      expect(registry.hasUpdates(session, watch)).toBe(true)
+      const { reports } = registry.answerWatch(session, watch, now)
+      expect(reports.length).toBeLessThanOrEqual(250)
+      for (const report of reports) reported.push(report.task)
+      acknowledged = reports.at(-1)?.sequence ?? acknowledged
+    }
+    expect(reported).toEqual(start.orders.map(({ task }) => task))
+  })
+})
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -12,7 +12,7 @@
   addRun, addTombstone, freeCapacity, hasTombstone, removeRun, type RunRegistryPorts, type RunRegistryState
 } from './run-registry-state.js'
 import { isKeptForLoneRun } from './lone-runs.js'
-import { MAXIMUM_WAITING_RUNS } from './run-limits.js'
+import { MAXIMUM_REPORTS_PER_ANSWER, MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import { adoptRunTimes, describeRunTimes, workOf } from './run-time-reports.js'
 import type { RunGroup, RunRecord } from './run-record.js'
 
@@ -240,9 +240,13 @@
   return describeAgent(state, session, stop.caller, state.profileVersion, now)
 }
 
-/** Answers an entry's watch. The session may belong to an earlier incarnation of the entry, and is not changed. */
+/**
+ * Answers an entry's watch. The session may belong to an earlier incarnation of the entry, and is not changed. Reports
+ * beyond the largest number follow with the next watch, which is answered at once.
+ */
 export function answerWatch (state: RunRegistryState, session: EntrySession, watch: Watch, now: number): WatchAnswer {
-  return { ...describeAgent(state, session, watch.caller, watch.profileVersion, now), reports: session.reports }
+  const reports = session.reports.slice(0, MAXIMUM_REPORTS_PER_ANSWER)
+  return { ...describeAgent(state, session, watch.caller, watch.profileVersion, now), reports }
 }
 
 /** Begins a watch: renews the entry's lease, drops acknowledged reports and stops the runs that it names. */
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -70,3 +70,5 @@
 export const MAXIMUM_COMPLETION_GAP = 10_000
 /** Maximum number of runs in an agent's queue: a few seconds of work. */
 export const MAXIMUM_WAITING_RUNS = 400
+/** Largest number of run reports in one answer: an entry handles an answer in one turn of its event loop. */
+export const MAXIMUM_REPORTS_PER_ANSWER = 250
