Limit the orders of an agent to its upstream that have no answer

Callers saw: with two jobs of 2,000 tasks, runs on sound upstreams were stopped and run again (282 of 4,404 in a trial in which one of 12 agents was killed; 24 of 1,126 where one of six upstreams crashed under a job of 1,000), and small jobs of others took up to 3.3 s.

Cause: an agent sent the start orders of a call in one turn, hundreds of them, over eight connections. They waited behind each other past their timeout of 50 ms, counted as unanswered, were repeated, and after two repetitions their runs were stopped and given back (8,717 and 25,577 lines 'start got no answer' in two trials). Stops were sent the same way. Change: at most 32 start orders and 32 stop orders of an agent have no answer at a time. A run whose order waits is `reserved`: its capacity is, it can be ended without an order, and it is no candidate of a crash. The next order goes out with each answer. An order that fails unexpectedly counts as unanswered instead of keeping its run for ever.

--- a/packages/runs/src/agent-program.ts
+++ b/packages/runs/src/agent-program.ts
@@ -9,7 +9,7 @@
 import {
   LIST_TIMEOUT_MILLISECONDS, ORDER_TIMEOUT_MILLISECONDS, RETRY_DELAY_MILLISECONDS
 } from './run-limits.js'
-import type { ListAnswer, Upstream, UpstreamHeartbeat } from './upstream.js'
+import type { ListAnswer, OrderAnswer, Upstream, UpstreamHeartbeat } from './upstream.js'
 
 /** Interval of the checks for expired leases and wait deadlines; short compared with the leases. */
 const TICK_MILLISECONDS = 40
@@ -78,12 +78,14 @@
     fencingToken: options.fencingToken,
     logger: options.logger,
     sendStart: (record, order) => {
-      upstream.start(order, ORDER_TIMEOUT_MILLISECONDS)
-        .then(answer => { registry.handleStartAnswer(record, answer, order.fencingToken, now()) }, logFailure)
+      upstream.start(order, ORDER_TIMEOUT_MILLISECONDS).catch(asUnanswered)
+        .then(answer => { registry.handleStartAnswer(record, answer, order.fencingToken, now()) })
+        .catch(logFailure)
     },
     sendStop: (record, order) => {
-      upstream.stop(order, ORDER_TIMEOUT_MILLISECONDS)
-        .then(answer => { registry.handleStopAnswer(record, answer, order.fencingToken, now()) }, logFailure)
+      upstream.stop(order, ORDER_TIMEOUT_MILLISECONDS).catch(asUnanswered)
+        .then(answer => { registry.handleStopAnswer(record, answer, order.fencingToken, now()) })
+        .catch(logFailure)
     },
     stopUnknownRun: order => { upstream.stop(order, ORDER_TIMEOUT_MILLISECONDS).catch(logFailure) },
     listImmediately,
@@ -94,6 +96,12 @@
     options.logger.error('agent failed', { reason: String(failure) })
   }
 
+  /** An order that fails unexpectedly may have been carried out. */
+  function asUnanswered (failure: unknown): OrderAnswer {
+    logFailure(failure)
+    return { outcome: 'unanswered', clock: undefined }
+  }
+
   function wake (session?: EntrySession): void {
     for (const watch of waitingWatches) {
       if (session === undefined || watch.session === session) watch.answer()
--- a/packages/runs/src/crash-candidates.ts
+++ b/packages/runs/src/crash-candidates.ts
@@ -1,6 +1,6 @@
 /** The runs that may have crashed an upstream: those that were there when its instance ended. */
 import type { CrashCandidate } from '@baobabpost/fleet-calls'
-import { hasReservedCapacity, type RunRecord } from './run-record.js'
+import { isOrdered, type RunRecord } from './run-record.js'
 import type { RunRegistryState } from './run-registry-state.js'
 
 /** Most runs that a log line names. */
@@ -15,7 +15,7 @@
  */
 export function crashCandidates (state: RunRegistryState): RunRecord[] {
   const candidates = [...state.runs.values()].filter(record =>
-    hasReservedCapacity(record) && record.state !== 'displaced')
+    isOrdered(record) && record.state !== 'displaced')
   return candidates.sort((left, right) => right.orderedAt - left.orderedAt)
 }
 
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -10,9 +10,8 @@
 import { handleDeparture, handleHeartbeat } from './heartbeats.js'
 import { handleListAnswer } from './listings.js'
 import { isOpen, leaseEnd, stopRunsOfEntry } from './open-session.js'
-import {
-  isAccepting, startWaitingRuns, handleStartAnswer, handleStopAnswer, repeatDueStops
-} from './orders.js'
+import { isAccepting, startWaitingRuns, handleStartAnswer } from './orders.js'
+import { handleStopAnswer, repeatDueStops } from './stop-orders.js'
 import { createRunRegistryState, type RunRegistryPorts } from './run-registry-state.js'
 import {
   IDLE_LIST_WAIT_MILLISECONDS, LIST_WAIT_MILLISECONDS, MAXIMUM_UNANSWERED_LISTINGS, OPEN_ORDERS_INTERVAL_MILLISECONDS,
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -7,14 +7,14 @@
 import { acknowledgeReports, addReport, hasReport, tellConfirmed, type EntrySession } from './entry-session.js'
 import { expectedStarts, type ExpectedEnd } from './expected-starts.js'
 import { isForEarlierAgent, isOpen, leaseEnd, openSession, toldClock } from './open-session.js'
-import { isAccepting, startWaitingRuns, stopRun } from './orders.js'
-import {
-  addRun, addTombstone, freeCapacity, hasTombstone, removeRun, type RunRegistryPorts, type RunRegistryState
-} from './run-registry-state.js'
+import { isAccepting, startWaitingRuns } from './orders.js'
+import { stopRun } from './stop-orders.js'
+import { addTombstone, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import { addRun, freeCapacity, removeRun } from './registered-runs.js'
 import { isKeptForLoneRun } from './lone-runs.js'
 import { MAXIMUM_REPORTS_PER_ANSWER, MAXIMUM_WAITING_RUNS } from './run-limits.js'
 import { adoptRunTimes, describeRunTimes, workOf } from './run-time-reports.js'
-import type { RunGroup, RunRecord } from './run-record.js'
+import { isOrdered, type RunGroup, type RunRecord } from './run-record.js'
 
 /** Returns the given orders with times of the clock that answers carry. */
 function toldOrders<Order extends { readonly until: number }> (
@@ -180,7 +180,8 @@
   const ends: ExpectedEnd[] = []
   for (const { state: runState, order, orderedAt } of state.runs.values()) {
     if (runState === 'waiting') continue
-    ends.push({ at: Math.max(now, orderedAt + slowness * order.estimateMilliseconds), size: order.size })
+    const startedAt = runState === 'reserved' ? now : orderedAt
+    ends.push({ at: Math.max(now, startedAt + slowness * order.estimateMilliseconds), size: order.size })
   }
   const queued = queue.map(({ order }) => ({
     size: order.size, runMilliseconds: slowness * order.estimateMilliseconds
@@ -225,7 +226,7 @@
   for (const { task, run } of runs) {
     const record = state.runs.get(task)
     if (record !== undefined && record.session === session && record.order.run === run) {
-      if (stop.isOnlyWaiting === true && record.state !== 'waiting') continue
+      if (stop.isOnlyWaiting === true && isOrdered(record)) continue
       stopRun(state, ports, record, 'asked for by its entry', now)
     } else {
       refuseUnknownOrder(state, session, task, run, now)
--- a/packages/runs/src/listed-runs.ts
+++ b/packages/runs/src/listed-runs.ts
@@ -1,4 +1,5 @@
 /** What the rows of a listing show of the runs in the registry, and of others. */
+import { isOrdered } from './run-record.js'
 import type { RunRegistryState } from './run-registry-state.js'
 import type { Listing } from './upstream.js'
 
@@ -29,7 +30,7 @@
 
 export function isInRegistry (state: RunRegistryState, task: string, run: number): boolean {
   const record = state.runs.get(task)
-  return record !== undefined && record.state !== 'waiting' && record.upstreamRunNumber === run
+  return record !== undefined && isOrdered(record) && record.upstreamRunNumber === run
 }
 
 /** Records the rows that show no run of the registry. */
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -4,10 +4,12 @@
   MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
 import { indexRuns, isInRegistry, recordLastingRows, rowOf, type ListedRuns } from './listed-runs.js'
-import { confirmRun, endRun, recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import { recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import { confirmRun, endRun } from './registered-runs.js'
 import { raiseFencingToken } from './fencing-token.js'
-import { isAccepting, retryStart, startWaitingRuns, stopRun } from './orders.js'
-import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
+import { isAccepting, retryStart, startWaitingRuns } from './orders.js'
+import { stopRun } from './stop-orders.js'
+import { isOrdered, ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import { recordRenewal } from './unanswered-renewals.js'
 import type { ListAnswer, ListedCompletion, Listing } from './upstream.js'
 import { recordPace, recordRunTime } from './run-time-reports.js'
@@ -70,7 +72,7 @@
   state: RunRegistryState, ports: RunRegistryPorts, completion: ListedCompletion, now: number
 ): void {
   const record = state.runs.get(completion.task)
-  if (record === undefined || record.state === 'waiting' || record.upstreamRunNumber !== completion.run) return
+  if (record === undefined || !isOrdered(record) || record.upstreamRunNumber !== completion.run) return
   const estimateMilliseconds = record.order.estimateMilliseconds
   if (completion.kind === 'done') {
     const milliseconds = now - record.orderedAt
--- a/packages/runs/src/lone-runs.ts
+++ b/packages/runs/src/lone-runs.ts
@@ -1,6 +1,7 @@
 /** Runs of tasks under which several upstreams have crashed: each has its upstream to itself. */
 import type { RunRecord } from './run-record.js'
-import { mustRunAlone, type RunRegistryState } from './run-registry-state.js'
+import type { RunRegistryState } from './run-registry-state.js'
+import { mustRunAlone } from './registered-runs.js'
 
 /** Whether the upstream is kept free for a lone run, which runs or waits for the others to end. */
 export function isKeptForLoneRun ({ runCounts }: RunRegistryState): boolean {
--- a/packages/runs/src/open-session.ts
+++ b/packages/runs/src/open-session.ts
@@ -3,7 +3,7 @@
 import { createSession, type EntrySession } from './entry-session.js'
 import { applyEvacuations } from './evacuations.js'
 import { exceedFormerFence } from './fencing-token.js'
-import { stopRun } from './orders.js'
+import { stopRun } from './stop-orders.js'
 import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
 
 /**
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -1,15 +1,16 @@
-/** Orders to the upstream: starts within the free capacity, stops, and retries of unanswered orders. */
-import {
-  MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_RUN_NUMBER_ATTEMPTS, ORDER_TIMEOUT_MILLISECONDS
-} from './run-limits.js'
-import {
-  confirmRun, reserveCapacity, endRun, freeCapacity, hasCapacityFor, mustRunAlone, recordUpstreamClock,
-  type RunRegistryPorts, type RunRegistryState
-} from './run-registry-state.js'
+/** Start orders to the upstream within the free capacity, and retries of unanswered ones. */
 import { raiseFencingToken } from './fencing-token.js'
 import { mayStartBesideOthers } from './lone-runs.js'
+import {
+  confirmRun, endRun, freeCapacity, hasCapacityFor, isCurrent, mustRunAlone, reserveCapacity
+} from './registered-runs.js'
 import { renewLease } from './run-lease.js'
-import { hasReservedCapacity, type RunRecord } from './run-record.js'
+import {
+  MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_ORDERS_UNDER_WAY, MAXIMUM_RUN_NUMBER_ATTEMPTS
+} from './run-limits.js'
+import type { RunRecord } from './run-record.js'
+import { recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import { stopRun } from './stop-orders.js'
 import { recordRenewal } from './unanswered-renewals.js'
 import type { OrderAnswer } from './upstream.js'
 
@@ -35,7 +36,6 @@
     return giveBack(state, ports, record, reason, now)
   }
   const isRepeated = record.orderedAt > 0
-  if (!hasReservedCapacity(record)) reserveCapacity(state, record)
   const { task, run } = record.order
   if (isRepeated) {
     ports.logger.info('start repeated', {
@@ -62,6 +62,7 @@
   record.orderedFence = state.fencingToken
   record.absenceConclusiveFrom = undefined
   state.openOrders.add(task, now)
+  state.startsUnderWay.add(record)
   ports.sendStart(record, {
     task,
     run: record.upstreamRunNumber,
@@ -80,28 +81,22 @@
     const mayStart = !isKeptFree && hasCapacityFor(state, record.order.size, now) && mayStartBesideOthers(state, record)
     // After a process pause, listings come before the tick that ends the runs of lost entries.
     if (now >= record.session.leaseUntil) endRun(state, ports, record, 'not-started', 'entry lease ended', now)
-    else if (!isAcceptingRuns || mayStart) orderStart(state, ports, record, now)
+    else if (!isAcceptingRuns) orderStart(state, ports, record, now)
+    else if (mayStart) reserveCapacity(state, record)
     else if (now > record.waitDeadline) endRun(state, ports, record, 'not-started', 'no-room', now)
     else isKeptFree ||= mustRunAlone(record)
   }
+  orderReservedRuns(state, ports, now)
 }
 
-/** Stops a run, or removes it from the queue if it still waits. Idempotent. */
-export function stopRun (
-  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, reason: string, now: number
-): void {
-  if (record.state === 'waiting') return endRun(state, ports, record, 'not-started', reason, now)
-  if (record.state === 'displaced') return
-  state.stops.revision += 1
-  if (record.state === 'stopping') {
-    record.stopReason = reason
-    return
+/** Sends the start orders of runs with reserved capacity, as many as may be under way. */
+function orderReservedRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  for (const record of state.reservedRuns) {
+    if (state.startsUnderWay.size >= MAXIMUM_ORDERS_UNDER_WAY) return
+    state.reservedRuns.delete(record)
+    if (now >= record.session.leaseUntil) endRun(state, ports, record, 'not-started', 'entry lease ended', now)
+    else orderStart(state, ports, record, now)
   }
-  state.stops.runs.add(record)
-  record.state = 'stopping'
-  record.stopReason = reason
-  record.absenceConclusiveFrom = undefined
-  sendStop(state, ports, record, now)
 }
 
 /**
@@ -115,61 +110,6 @@
   else endRun(state, ports, record, 'not-started', reason, now)
 }
 
-/** Logs the second, fourth, eighth ... stop order for a run. */
-function logRepeatedStop (ports: RunRegistryPorts, record: RunRecord, now: number): void {
-  const { stopAttempts } = record
-  if (!Number.isInteger(Math.log2(stopAttempts))) return
-  ports.logger.warn('stop repeated', {
-    task: record.order.task,
-    run: record.upstreamRunNumber,
-    attempt: stopAttempts,
-    reason: record.stopReason,
-    milliseconds: Math.round(now - record.firstStopOrderedAt)
-  })
-}
-
-function sendStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
-  record.isStopDue = false
-  record.stopOrderedAt = now
-  record.stopAttempts += 1
-  if (record.stopAttempts === 1) record.firstStopOrderedAt = now
-  else logRepeatedStop(ports, record, now)
-  ports.sendStop(record, {
-    task: record.order.task,
-    run: record.upstreamRunNumber,
-    fencingToken: state.fencingToken,
-    instance: state.upstream.instance
-  })
-}
-
-/**
- * Raises the fencing token above that of the start order of an unconfirmed run that must not start any more. A listing
- * with the new token then proves that the run is gone, even if no stop gets through.
- */
-function outdateStart (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord): void {
-  if (record.isConfirmed || record.orderedFence < state.fencingToken) return
-  state.fencingToken += 1
-  ports.logger.info('fence raised', { fence: state.fencingToken, reason: 'a stop failed' })
-  ports.listImmediately()
-}
-
-/**
- * Repeats a stop order that failed: at once if it took as long as its timeout, else with the next tick. A connection
- * that is reset, or an upstream that rejects every fencing token, fails an order within a millisecond.
- */
-function repeatStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
-  outdateStart(state, ports, record)
-  if (now - record.stopOrderedAt >= ORDER_TIMEOUT_MILLISECONDS) sendStop(state, ports, record, now)
-  else record.isStopDue = true
-}
-
-/** Sends the stop orders that are due again. */
-export function repeatDueStops (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
-  for (const record of state.runs.values()) {
-    if (record.isStopDue && record.state === 'stopping') sendStop(state, ports, record, now)
-  }
-}
-
 /** Marks a run as unconfirmed: its start order may have been carried out, or may be later. */
 function handleUnansweredStart (ports: RunRegistryPorts, record: RunRecord, now: number): void {
   ports.logger.warn('start got no answer', { task: record.order.task, run: record.upstreamRunNumber })
@@ -194,13 +134,21 @@
   orderStart(state, ports, record, now)
 }
 
-/** Whether the answer to an order for this run counts: the run has not ended, nor its instance of the upstream. */
-function isCurrent (state: RunRegistryState, record: RunRecord): boolean {
-  return state.runs.get(record.order.task) === record && record.state !== 'displaced'
+/** Handles the answer to a start order, and sends the next one that has waited for it. */
+export function handleStartAnswer (
+  state: RunRegistryState,
+  ports: RunRegistryPorts,
+  record: RunRecord,
+  answer: OrderAnswer,
+  usedFencingToken: number,
+  now: number
+): void {
+  state.startsUnderWay.delete(record)
+  applyStartAnswer(state, ports, record, answer, usedFencingToken, now)
+  orderReservedRuns(state, ports, now)
 }
 
-/** Handles the answer to a start order. */
-export function handleStartAnswer (
+function applyStartAnswer (
   state: RunRegistryState,
   ports: RunRegistryPorts,
   record: RunRecord,
@@ -241,37 +189,3 @@
       giveBack(state, ports, record, answer.outcome, now)
   }
 }
-
-/** Handles the answer to a stop order. */
-export function handleStopAnswer (
-  state: RunRegistryState,
-  ports: RunRegistryPorts,
-  record: RunRecord,
-  answer: OrderAnswer,
-  usedFencingToken: number,
-  now: number
-): void {
-  if (!isCurrent(state, record)) return
-  recordUpstreamClock(state, ports, answer.clock, now)
-  switch (answer.outcome) {
-    case 'other-life':
-    case 'unreachable':
-      // A listing shows whether the instance has ended; its successor may yet carry out the start order.
-      repeatStop(state, ports, record, now)
-      return ports.listImmediately()
-    case 'unanswered':
-    case 'late':
-    case 'no-room':
-    case 'unhealthy':
-    case 'invalid':
-      return repeatStop(state, ports, record, now)
-    case 'fenced':
-      raiseFencingToken(state, ports, usedFencingToken)
-      return repeatStop(state, ports, record, now)
-    case 'taken':
-    case 'old-run':
-      record.absenceConclusiveFrom = now
-      state.stops.revision += 1
-      ports.listImmediately()
-  }
-}
--- a/packages/runs/src/run-lease.ts
+++ b/packages/runs/src/run-lease.ts
@@ -1,11 +1,11 @@
 /** Lease of the runs at an upstream: its renewal by list and start orders, and its end. */
 import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
-import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
+import { isOrdered, ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import type { RunRegistryState } from './run-registry-state.js'
 
 /** Whether a run must end, and nothing but the end of the run lease ensures that it does. */
 function dependsOnLeaseEnd (record: RunRecord, now: number): boolean {
-  if (record.state === 'waiting' || record.state === 'displaced') return false
+  if (!isOrdered(record) || record.state === 'displaced') return false
   const isStopping = record.state === 'stopping'
   if (isStopping && record.absenceConclusiveFrom !== undefined) return false
   return now >= record.session.leaseUntil || (isStopping && record.stopReason !== ORDER_UNANSWERED)
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -11,6 +11,11 @@
 export const IDLE_LIST_WAIT_MILLISECONDS = 240
 /** Time beyond its wait after which a list order times out. */
 export const LIST_TIMEOUT_MILLISECONDS = 50
+/**
+ * Largest number of start orders without an answer, and of stop orders. Further ones wait for answers: sent together,
+ * they would time out behind each other, and be repeated.
+ */
+export const MAXIMUM_ORDERS_UNDER_WAY = 32
 /** Consecutive unanswered listings after which the run lease is no longer renewed, so that it expires. */
 export const MAXIMUM_UNANSWERED_LISTINGS = 4
 /** Longest time by which one listing overtakes another: many times the wait and timeout of a list order. */
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -7,13 +7,14 @@
  * State of a run at an agent.
  *
  * - `waiting`: accepted, in the agent's queue;
+ * - `reserved`: its capacity is reserved, and its start order is sent once earlier ones are answered;
  * - `ordered`: the start order was sent;
  * - `unsure`: the start order got no answer; it may have been carried out, or may be later (unconfirmed);
  * - `running`: confirmed by the upstream;
  * - `stopping`: being stopped until its completion, or proof that it can't start;
  * - `displaced`: ordered before the upstream was started again; the order may have reached either instance.
  */
-export type RunState = 'waiting' | 'ordered' | 'unsure' | 'running' | 'stopping' | 'displaced'
+export type RunState = 'waiting' | 'reserved' | 'ordered' | 'unsure' | 'running' | 'stopping' | 'displaced'
 
 /** Stop reason of a run whose start orders got no answer: the run is stopped to be given back to its entry. */
 export const ORDER_UNANSWERED = 'order unanswered'
@@ -70,6 +71,11 @@
   isSuperseded: boolean
 }
 
+/** Whether a start order of the run was sent. */
+export function isOrdered ({ state }: RunRecord): boolean {
+  return state !== 'waiting' && state !== 'reserved'
+}
+
 /** Whether capacity is reserved for the run: it runs at the upstream, or may yet start there. */
 export function hasReservedCapacity (record: RunRecord): boolean {
   return record.state !== 'waiting'
--- a/packages/runs/src/run-registry-state.ts
+++ b/packages/runs/src/run-registry-state.ts
@@ -1,19 +1,15 @@
 /** State of an agent's run registry, and the changes to it that several modules share. */
 import type { EventLogger } from '@baobabpost/common'
-import {
-  addSizes, CRASHES_BEFORE_RUNNING_ALONE, createEvacuationRegister, EMPTY_SIZE, fitsInto, scaleSize, subtractSizes,
-  type EvacuationRegister, type RunOutcome, type Size
-} from '@baobabpost/fleet-calls'
-import { addReport, type EntrySession } from './entry-session.js'
+import { createEvacuationRegister, EMPTY_SIZE, type EvacuationRegister, type Size } from '@baobabpost/fleet-calls'
+import type { EntrySession } from './entry-session.js'
 import { createCrashRecord, type CrashRecord } from './crash-record.js'
 import { createKeptOrders, type KeptOrders } from './kept-orders.js'
 import { createOpenOrders, type OpenOrders } from './open-orders.js'
 import { createUnansweredRenewals, type UnansweredRenewals } from './renewal-record.js'
 import { createRunQueue, type RunQueue } from './run-queue.js'
-import { hasReservedCapacity, type RunRecord } from './run-record.js'
-import { limitCapacity } from './slow-start.js'
+import type { RunRecord } from './run-record.js'
 import {
-  FENCING_TOKEN_STEP, LOGGED_SUSPENSION_MILLISECONDS, OBSERVATION_WEIGHT, TOMBSTONE_RETENTION_MILLISECONDS
+  FENCING_TOKEN_STEP, LOGGED_SUSPENSION_MILLISECONDS, TOMBSTONE_RETENTION_MILLISECONDS
 } from './run-limits.js'
 import type { StartOrder, StopOrder } from './upstream.js'
 import { createUpstreamState, type UpstreamState } from './upstream-state.js'
@@ -46,6 +42,10 @@
 export interface RunningStops {
   /** Runs whose stop began, until they end. */
   readonly runs: Set<RunRecord>
+  /** Runs with a stop order that has no answer. */
+  readonly underWay: Set<RunRecord>
+  /** Runs whose stop order is sent once others are answered. */
+  readonly queued: Set<RunRecord>
   /** Rises whenever a run or an order changes so that the lease may no longer be renewed, or may be again. */
   revision: number
   /** Agent time and revision for which `wasRenewable` was found. */
@@ -61,6 +61,10 @@
   /** The same runs by session. */
   readonly runsBySession: Map<EntrySession, Set<RunRecord>>
   readonly queue: RunQueue
+  /** Runs with a start order that has no answer. */
+  readonly startsUnderWay: Set<RunRecord>
+  /** Runs whose capacity is reserved and whose start order is still to be sent, in their order. */
+  readonly reservedRuns: Set<RunRecord>
   readonly stops: RunningStops
   /** Numbers of the runs that lone runs are compared with. */
   readonly runCounts: RunCounts
@@ -119,7 +123,17 @@
     runs: new Map(),
     runsBySession: new Map(),
     queue: createRunQueue(),
-    stops: { runs: new Set(), revision: 0, checkedAt: -Infinity, checkedRevision: 0, wasRenewable: false },
+    startsUnderWay: new Set(),
+    reservedRuns: new Set(),
+    stops: {
+      runs: new Set(),
+      underWay: new Set(),
+      queued: new Set(),
+      revision: 0,
+      checkedAt: -Infinity,
+      checkedRevision: 0,
+      wasRenewable: false
+    },
     runCounts: { lone: 0, reserved: 0, reservedLone: 0 },
     suspendedMilliseconds: 0,
     sessions: new Map(),
@@ -181,111 +195,3 @@
   for (const session of state.sessions.values()) session.leaseUntil -= suspendedMilliseconds
   state.stops.revision += 1
 }
-
-/** Capacity of the upstream that is not reserved; while it is cold, of the share that new runs may use. */
-export function freeCapacity (state: RunRegistryState, now: number): Size {
-  const capacity = state.upstream.heartbeat?.capacity ?? EMPTY_SIZE
-  const limit = limitCapacity(capacity, state.upstream.slowStart.share(now), state.usualRun)
-  return subtractSizes(limit, state.reserved)
-}
-
-/** Whether a run may start: it fits into the free capacity, or a cold upstream has the capacity and no other run. */
-export function hasCapacityFor (state: RunRegistryState, size: Size, now: number): boolean {
-  if (fitsInto(size, freeCapacity(state, now))) return true
-  const capacity = state.upstream.heartbeat?.capacity ?? EMPTY_SIZE
-  if (state.upstream.slowStart.share(now) >= 1 || !fitsInto(size, capacity)) return false
-  return state.runCounts.reserved === 0
-}
-
-/** Whether a run must have its upstream to itself. */
-export function mustRunAlone ({ order }: RunRecord): boolean {
-  return (order.crashCount ?? 0) >= CRASHES_BEFORE_RUNNING_ALONE
-}
-
-/** Adds a run that waits. */
-export function addRun (state: RunRegistryState, record: RunRecord): void {
-  state.runs.set(record.order.task, record)
-  const runsOfSession = state.runsBySession.get(record.session) ?? new Set()
-  state.runsBySession.set(record.session, runsOfSession.add(record))
-  state.queue.add(record)
-  if (mustRunAlone(record)) state.runCounts.lone += 1
-}
-
-/** Counts a run whose capacity is reserved, or no longer is. */
-function countReserved ({ runCounts }: RunRegistryState, record: RunRecord, change: 1 | -1): void {
-  runCounts.reserved += change
-  if (mustRunAlone(record)) runCounts.reservedLone += change
-}
-
-/** Removes a run, and releases the capacity that is reserved for it. */
-export function removeRun (state: RunRegistryState, record: RunRecord): void {
-  state.runs.delete(record.order.task)
-  const runsOfSession = state.runsBySession.get(record.session)
-  runsOfSession?.delete(record)
-  if (runsOfSession?.size === 0) state.runsBySession.delete(record.session)
-  state.stops.runs.delete(record)
-  state.stops.revision += 1
-  if (mustRunAlone(record)) state.runCounts.lone -= 1
-  if (!hasReservedCapacity(record)) return state.queue.remove(record)
-  state.reserved = subtractSizes(state.reserved, record.order.size)
-  countReserved(state, record, -1)
-}
-
-/** Reserves capacity for a run whose start order is about to be sent. */
-export function reserveCapacity (state: RunRegistryState, record: RunRecord): void {
-  state.queue.remove(record)
-  record.state = 'ordered'
-  countReserved(state, record, 1)
-  state.reserved = addSizes(state.reserved, record.order.size)
-  const weight = state.usualRun.processor === 0 ? 1 : OBSERVATION_WEIGHT
-  state.usualRun = addSizes(scaleSize(state.usualRun, 1 - weight), scaleSize(record.order.size, weight))
-}
-
-/** Records that the upstream has confirmed a run. Its entry is told unless an earlier order of it is still open. */
-export function confirmRun (state: RunRegistryState, record: RunRecord, now: number): void {
-  record.isConfirmed = true
-  const { session, order: { task, run } } = record
-  if (!state.openOrders.has(task, now)) session.confirmed.set(task, { task, run, toldAt: undefined })
-}
-
-/** Removes a run from the registry and reports its outcome to its entry. */
-export function endRun (
-  state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, outcome: RunOutcome, reason: string, now: number
-): void {
-  if (state.runs.get(record.order.task) !== record) return
-  removeRun(state, record)
-  record.session.confirmed.delete(record.order.task)
-  addTombstone(state, record.session, record.order.task, record.order.run, now)
-  if (outcome === 'done' && record.order.crashCount !== undefined) state.crashes.recordCleared(record.order.task, now)
-  const milliseconds = record.orderedAt === 0 ? 0 : now - record.orderedAt
-  const openOrderMilliseconds = Math.ceil(state.openOrders.remainingMilliseconds(record.order.task, now))
-  const reportedOutcome = record.isSuperseded ? 'superseded' : outcome
-  record.group.openRunCount -= 1
-  // The entry acts when all runs of the group are done; any other outcome needs its decision at once.
-  const isUrgent = reportedOutcome !== 'done' || record.group.openRunCount === 0
-  addReport(
-    record.session,
-    {
-      task: record.order.task,
-      run: record.order.run,
-      outcome: reportedOutcome,
-      reason,
-      milliseconds,
-      ...(openOrderMilliseconds > 0 ? { openOrderMilliseconds } : {})
-    },
-    isUrgent
-  )
-  ports.logger.info('run ended', {
-    task: record.order.task,
-    run: record.order.run,
-    entry: record.session.entry,
-    outcome,
-    reason,
-    milliseconds: Math.round(milliseconds),
-    confirmed: record.isConfirmed,
-    open: openOrderMilliseconds,
-    upstreamRun: record.upstreamRunNumber,
-    state: record.state
-  })
-  if (isUrgent) ports.wake(record.session)
-}
--- a/packages/runs/src/upstream-instance.ts
+++ b/packages/runs/src/upstream-instance.ts
@@ -2,8 +2,9 @@
 import { crashCandidates, describeCandidate, logCandidates } from './crash-candidates.js'
 import { MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
 import { isRunLeaseOver } from './run-lease.js'
-import type { RunRecord } from './run-record.js'
-import { endRun, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
+import { isOrdered, type RunRecord } from './run-record.js'
+import type { RunRegistryPorts, RunRegistryState } from './run-registry-state.js'
+import { endRun } from './registered-runs.js'
 import type { UpstreamInstance } from './upstream.js'
 import { createUpstreamState } from './upstream-state.js'
 
@@ -79,9 +80,9 @@
   if (evidence === 'gone') state.crashes.settleSuspected(true)
   for (const record of [...state.runs.values()]) {
     if (record.state === 'displaced') continue
-    if (record.state === 'waiting') endRun(state, ports, record, 'not-started', reason, now)
+    if (!isOrdered(record)) endRun(state, ports, record, 'not-started', reason, now)
     else if (record.isConfirmed && !state.openOrders.has(record.order.task, now)) endRun(state, ports, record, 'lost', reason, now)
-    else displace(record, reason)
+    else displace(state, record, reason)
   }
   if (isFirstFailure) giveUpControl(state)
   endOutdatedRuns(state, ports, now)
@@ -92,7 +93,10 @@
   loseUpstream(state, ports, 'nothing listens at the upstream', 'gone', now)
 }
 
-function displace (record: RunRecord, reason: string): void {
+/** Displaces a run. An order of it that is under way holds up none to the next instance. */
+function displace (state: RunRegistryState, record: RunRecord, reason: string): void {
+  state.startsUnderWay.delete(record)
+  state.stops.underWay.delete(record)
   record.state = 'displaced'
   record.stopReason = reason
 }
@@ -108,11 +112,11 @@
   recordEnd(state, ports, reason, 'replaced', now)
   state.crashes.settleSuspected(true)
   for (const record of [...state.runs.values()]) {
-    if (record.state === 'waiting') {
+    if (!isOrdered(record)) {
       endRun(state, ports, record, 'not-started', reason, now)
       continue
     }
-    displace(record, reason)
+    displace(state, record, reason)
   }
   const { leaseRenewedAt, instance: predecessor } = state.upstream
   state.upstream = {
