Keep an unfinished pass due when a new job is planned

Cause: a new job that was planned at once reset the mark that a pass had left work for the next turn, so that the plan of a large job went on with the next tick, up to 20 ms later. Change: only a pass over the waiting jobs resets it. The scripted agents of the tests can leave calls unanswered.

--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -170,7 +170,6 @@
     if (failIfBlamed(state, ports, job, now) || abandonIfHopeless(state, ports, job, now)) return
     const agents = agentsFor(state, job.request.service, now)
     if (abandonIfEvacuated(state, ports, job, agents, now)) return
-    state.isPassUnfinished = false
     if (assignJob(state, ports, job, agents, createPlanBudget(1, agents), now)) return
     if (state.isPassUnfinished) ports.requestPass?.()
   }
--- a/packages/rehearsal/src/scripted-agents.ts
+++ b/packages/rehearsal/src/scripted-agents.ts
@@ -30,16 +30,16 @@
   submit: (request: Pick<JobRequest, 'id' | 'steps'> & Partial<JobRequest>, now: number) => void
   /** Calls `tick`. */
   tick: (now: number) => void
-  /** Accepts the runs of all start calls that were not answered. Returns their number. */
-  acceptStarts: (now: number) => number
+  /** Accepts the runs of all unanswered start calls, but for those of silent agents. Returns their number. */
+  acceptStarts: (now: number, silent?: ReadonlySet<string>) => number
   /** Reports an outcome for up to a number of runs of an agent in one answer. Returns their number. */
   endRuns: (agent: string, outcome: RunOutcome, maximum: number, now: number) => number
   /** Crashes the upstream of an agent, which tells this and the loss of all runs. */
   crash: (agent: string, now: number) => void
   /** Reports the runs of all stop calls as stopped. */
   confirmStops: (now: number) => void
-  /** Answers a watch of each agent, without reports. */
-  answerWatches: (now: number) => void
+  /** Answers a watch of each agent that is not silent, without reports. */
+  answerWatches: (now: number, silent?: ReadonlySet<string>) => void
   /** Fails all calls to an agent. */
   silence: (agent: string, now: number) => void
   /** Names of the agents, in their order. */
@@ -174,9 +174,10 @@
       runTurn('submit', () => { dispatcher.submit(whole, answer => { answers.push(answer) }, now) })
     },
     tick: now => { runTurn('tick', () => { dispatcher.tick(now) }) },
-    acceptStarts: now => {
+    acceptStarts: (now, silent) => {
       let accepted = 0
       for (const agent of agents.values()) {
+        if (silent?.has(agent.view.name) === true) continue
         for (const start of agent.starts.splice(0)) {
           for (const { task, run, size } of start.orders) agent.runs.set(task, { run, size, route: start.route ?? '' })
           accepted += start.orders.length
@@ -212,7 +213,9 @@
         }
       }
     },
-    answerWatches: now => { for (const agent of agents.values()) answerWatch(agent, [], now) },
+    answerWatches: (now, silent) => {
+      for (const agent of agents.values()) if (silent?.has(agent.view.name) !== true) answerWatch(agent, [], now)
+    },
     silence: (name, now) => {
       const agent = agentOf(name)
       for (const start of agent.starts.splice(0)) {
