Check a plan in progress against what was learned between its turns

A task whose choice was dropped was listed twice, so that a plan that began anew reserved its capacity twice, and an agent that had been started again was dropped in each turn from then on.

Cause: the plan kept its own list of tasks, and the first incarnation of each agent. Change: each turn plans the due tasks that have no choice yet, and drops choices of tasks that are not due any more, of agents that are not usable, and of those that were started again since that choice. Measured: two new tests, of an agent that leaves and of one that starts again between two turns, pass; they were not run on the code before. large-jobs.test.ts, large-starts.test.ts and the tests of dispatching: 173 passed, 0 failed.

--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -51,7 +51,7 @@
   now: number
 ): boolean {
   const agents = agentsForRoute(agentsOfService, job.request.route)
-  const due = state.plans.get(job)?.tasks ?? dueTasks(state, job, now)
+  const due = dueTasks(state, job, now)
   if (due.length === 0) return job.progress.waiting.size === 0
   if (job.releasedAt !== undefined && !mayHaveRun(job)) {
     refuseForCapacity(state, ports, job, due, agents, now)
@@ -64,7 +64,7 @@
 
 /** Tries to send the due tasks of a job so that it is in time, and decides what becomes of one that can't be. */
 function assignWithinObjective (
-  state: DispatcherState, ports: DispatcherPorts, job: Job, due: JobTask[], agents: AgentsByDistance,
+  state: DispatcherState, ports: DispatcherPorts, job: Job, due: readonly JobTask[], agents: AgentsByDistance,
   budget: PlanBudget, now: number
 ): boolean {
   const { request, progress } = job
--- a/packages/dispatching/src/objective-plan.ts
+++ b/packages/dispatching/src/objective-plan.ts
@@ -1,5 +1,4 @@
 /** Plans of jobs within their objectives, which are made in several turns of the event loop if they are large. */
-import type { AgentView } from './agent-view.js'
 import type { DispatcherState } from './dispatcher-state.js'
 import { PROBE_SHARE } from './ejection.js'
 import type { Job, JobTask } from './job.js'
@@ -26,18 +25,16 @@
 /**
  * Plans tasks of a job so that all of them end within its objective, and reserves capacity for them. As soon as one of
  * them can't, nothing is reserved. Reduced shares of upstreams send work elsewhere, but keep none of it waiting.
- *
- * @param tasks - Tasks to plan, unless a plan of the job is in progress.
  */
 export function planWithinObjective (
-  state: DispatcherState, job: Job, tasks: JobTask[], agents: AgentsByDistance, budget: PlanBudget, now: number
+  state: DispatcherState, job: Job, tasks: readonly JobTask[], agents: AgentsByDistance, budget: PlanBudget, now: number
 ): PlanResult {
-  const planning = state.plans.get(job) ?? beginPlan(tasks)
+  const planning = state.plans.get(job) ?? { plan: createJobPlan(), missed: undefined, hasWholeShares: false }
   state.plans.delete(job)
-  dropOutdatedChoices(state, planning, agents, now)
+  dropOutdatedChoices(state, planning.plan, tasks, agents, now)
   for (;;) {
     const currentAgents = planning.hasWholeShares ? withWholeShares(agents) ?? agents : agents
-    const outcome = continuePlan(state, job, planning, currentAgents, budget, now)
+    const outcome = continuePlan(state, job, planning, tasks, currentAgents, budget, now)
     if (outcome === 'planned') return { kind: 'in-time', plan: planning.plan }
     if (outcome === 'unfinished') {
       state.plans.set(job, planning)
@@ -48,50 +45,41 @@
       return { kind: 'missed', missed: planning.missed }
     }
     planning.hasWholeShares = true
-    planning.position = 0
   }
 }
 
-function beginPlan (tasks: JobTask[]): PlanInProgress {
-  return { plan: createJobPlan(), tasks, position: 0, missed: undefined, hasWholeShares: false }
-}
-
 /** Keeps the rest of a plan that is sent in another turn. */
 export function keepPlan (state: DispatcherState, job: Job, plan: JobPlan): void {
-  const tasks = [...plan.choices.keys()]
-  state.plans.set(job, { plan, tasks, position: tasks.length, missed: undefined, hasWholeShares: false })
+  state.plans.set(job, { plan, missed: undefined, hasWholeShares: false })
 }
 
 /**
- * Plans again the tasks of a plan in progress whose agents have become unusable, or whose tasks another upstream may
- * start by an earlier order, as was learned in between.
+ * Removes from a plan what does not hold any more: tasks that are not to be sent now, agents that have become unusable
+ * or were started again, and tasks that another upstream may start by an earlier order.
  */
 function dropOutdatedChoices (
-  state: DispatcherState, { plan, tasks }: PlanInProgress, agents: AgentsByDistance, now: number
+  state: DispatcherState, plan: JobPlan, tasks: readonly JobTask[], agents: AgentsByDistance, now: number
 ): void {
   if (plan.choices.size === 0) return
   const usable = new Set([...agents.near, ...agents.far])
-  const outdated = new Set<AgentView>()
-  for (const [view, incarnation] of plan.incarnations) {
-    if (!usable.has(view) || view.incarnation !== incarnation) outdated.add(view)
-  }
-  if (outdated.size === 0 && state.openOrders.isEmpty()) return
+  const wanted = new Set(tasks)
   for (const [task, { agent }] of [...plan.choices]) {
-    if (!outdated.has(agent) && !state.openOrders.isOpenElsewhere(task.name, agent.name, now)) continue
-    plan.remove(task)
-    tasks.push(task)
+    const holds = wanted.has(task) && usable.has(agent) && plan.isOfIncarnation(task) &&
+      !state.openOrders.isOpenElsewhere(task.name, agent.name, now)
+    if (!holds) plan.remove(task)
   }
 }
 
 /** Plans further tasks, until all are planned, one misses the objective or the budget is used up. */
 function continuePlan (
-  state: DispatcherState, job: Job, planning: PlanInProgress, agents: AgentsByDistance, budget: PlanBudget, now: number
+  state: DispatcherState, job: Job, planning: PlanInProgress, tasks: readonly JobTask[], agents: AgentsByDistance,
+  budget: PlanBudget, now: number
 ): 'planned' | 'missed' | 'unfinished' {
-  const { plan, tasks } = planning
+  const { plan } = planning
   const remainingMilliseconds = remainingMillisecondsOf(job, now)
-  for (; planning.position < tasks.length; planning.position += 1) {
+  for (const task of tasks) {
+    if (plan.choices.has(task)) continue
     if (!budget.takeTask()) return 'unfinished'
-    const task = tasks[planning.position] as JobTask
     const choice = planTask(state, job, task, agents, plan, now)
     if (choice !== undefined && state.admission.fits(choice, remainingMilliseconds, job.refusedOrders, now)) continue
     if (!planning.hasWholeShares) planning.missed = choice
--- a/packages/dispatching/src/plan.ts
+++ b/packages/dispatching/src/plan.ts
@@ -9,8 +9,8 @@
   readonly choices: ReadonlyMap<JobTask, PlacementChoice>
   /** Names of the chosen agents. */
   readonly usedAgents: ReadonlySet<string>
-  /** Chosen agents with their incarnations when they were first chosen. */
-  readonly incarnations: ReadonlyMap<AgentView, string>
+  /** Whether the agent that was chosen for a task has not been started again since. */
+  isOfIncarnation: (task: JobTask) => boolean
   /** Adds a task and reserves capacity for it. */
   add: (task: JobTask, choice: PlacementChoice, isSuspect: boolean) => void
   /** Removes a task that is sent, for which capacity is reserved until its agent has answered. */
@@ -28,10 +28,6 @@
 /** A plan that is made in several turns of the event loop. */
 export interface PlanInProgress {
   readonly plan: JobPlan
-  /** Tasks to plan. */
-  readonly tasks: JobTask[]
-  /** Number of them that have been planned. */
-  position: number
   /** Best choice for the task that missed the objective while upstreams had reduced shares; undefined before. */
   missed: PlacementChoice | undefined
   /** Whether upstreams get whole shares, since the objective was missed without. */
@@ -56,7 +52,7 @@
 export function createJobPlan (): JobPlan {
   const choices = new Map<JobTask, PlacementChoice>()
   const usedAgents = new Set<string>()
-  const incarnations = new Map<AgentView, string>()
+  const incarnations = new Map<JobTask, string>()
   const suspectAgents = new Set<string>()
   /** Numbers of limited tasks, by agent and step. */
   const limitedCounts = new Map<string, number>()
@@ -76,22 +72,26 @@
     return agent
   }
 
+  function isOfIncarnation (task: JobTask): boolean {
+    return incarnations.get(task) === choices.get(task)?.agent.incarnation
+  }
+
   function remove (task: JobTask): void {
+    const hasReservation = isOfIncarnation(task)
     const agent = take(task)
-    if (agent === undefined) return
     // With a new incarnation the reservations of the former one were dropped.
-    if (incarnations.get(agent) === agent.incarnation) releaseReservation(agent, task.step.size)
+    if (agent !== undefined && hasReservation) releaseReservation(agent, task.step.size)
   }
 
   return {
     choices,
     usedAgents,
-    incarnations,
+    isOfIncarnation,
     add: (task, choice, isSuspect) => {
       const { agent } = choice
       choices.set(task, choice)
       usedAgents.add(agent.name)
-      if (!incarnations.has(agent)) incarnations.set(agent, agent.incarnation)
+      incarnations.set(task, agent.incarnation)
       if (isSuspect) suspectAgents.add(agent.name)
       countLimited(task, agent.name, 1)
       agent.unconfirmedSize = addSizes(agent.unconfirmedSize, task.step.size)
--- a/packages/rehearsal/src/scripted-agents.ts
+++ b/packages/rehearsal/src/scripted-agents.ts
@@ -36,6 +36,8 @@
   endRuns: (agent: string, outcome: RunOutcome, maximum: number, now: number) => number
   /** Crashes the upstream of an agent, which tells this and the loss of all runs. */
   crash: (agent: string, now: number) => void
+  /** Tells that an agent accepts no more work, or begins another incarnation of it. */
+  change: (agent: string, change: 'leaves' | 'starts again', now: number) => void
   /** Reports the runs of all stop calls as stopped. */
   confirmStops: (now: number) => void
   /** Answers a watch of each agent that is not silent, without reports. */
@@ -62,6 +64,8 @@
   readonly starts: Start[]
   readonly stops: Stop[]
   crashes: UpstreamCrash[]
+  incarnation: string
+  isAccepting: boolean
   profileVersion: number
   sequence: number
 }
@@ -101,7 +105,7 @@
       failureDomain: FAILURE_DOMAIN,
       capacity: options.capacity,
       labels: [],
-      accepting: true,
+      accepting: agent.isAccepting,
       ...(agent.crashes.length === 0 ? {} : { crashes: { crashes: agent.crashes, cleared: [] } })
     }
   }
@@ -114,7 +118,7 @@
     }
     const releaseRate = (options.capacity.processor - free.processor) / PLAIN_STEP.estimateMilliseconds
     return {
-      incarnation: INCARNATION,
+      incarnation: agent.incarnation,
       clock: now,
       cleared: true,
       room: { free, waiting: [], releaseRate, slowness: 1, failureShare: 0 },
@@ -149,7 +153,15 @@
     const view = dispatcher.agentFound(`agent-${number}`, `10.1.0.${number}:7720`)
     if (view === undefined) continue
     const agent: ScriptedAgent = {
-      view, runs: new Map(), starts: [], stops: [], crashes: [], profileVersion: 1, sequence: 0
+      view,
+      runs: new Map(),
+      starts: [],
+      stops: [],
+      crashes: [],
+      incarnation: INCARNATION,
+      isAccepting: true,
+      profileVersion: 1,
+      sequence: 0
     }
     agents.set(view.name, agent)
     dispatcher.watchAnswered(view, { ...stateOf(agent, 0, true), reports: [] }, 0)
@@ -203,6 +215,13 @@
         answerWatch(agent, reports.slice(first, first + REPORTS_PER_ANSWER), now, first === 0)
       }
     },
+    change: (name, change, now) => {
+      const agent = agentOf(name)
+      agent.profileVersion += 1
+      if (change === 'leaves') agent.isAccepting = false
+      else agent.incarnation += '+'
+      answerWatch(agent, [], now, true)
+    },
     confirmStops: now => {
       for (const agent of agents.values()) {
         const stops = agent.stops.splice(0)
--- a/packages/rehearsal/tests/large-jobs.test.ts
+++ b/packages/rehearsal/tests/large-jobs.test.ts
@@ -1,6 +1,6 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { createScriptedAgents, PLAIN_STEP, type RunTurn, type ScriptedAgents } from '@baobabpost/rehearsal'
-import type { JobStep } from '@baobabpost/dispatching'
+import type { AgentView, JobStep } from '@baobabpost/dispatching'
 import { createStepCounter, type StepCounter } from './step-count.js'
 
 const ID = '5c0e7a21d94b36f8'
@@ -14,6 +14,11 @@
 beforeAll(() => { counter = createStepCounter() })
 afterAll(() => { counter.close() })
 
+function viewOf (agents: ScriptedAgents, name: string): AgentView {
+  for (const view of agents.dispatcher.agents()) if (view.name === name) return view
+  throw new Error(`no agent ${name}`)
+}
+
 /** Steps of the calls of a play, in total and of the longest call. */
 interface PlayedSteps {
   readonly total: number
@@ -128,6 +133,21 @@
     expect(longestOf(MANY_TURNS)).toBeLessThan(MAXIMUM_GROWTH * longestOf(SEVERAL_TURNS))
   })
 
+  it.each(['leaves', 'starts again'] as const)('keeps nothing planned for an agent that %s before the next', change => {
+    const agents = createScriptedAgents({ agents: 8, capacity: CAPACITY })
+    agents.submit({ id: ID, steps: plainSteps(MANY_TURNS) }, 0)
+    const planned = agents.names().filter(name => viewOf(agents, name).unconfirmedSize.processor > 0)
+    for (const name of planned) agents.change(name, change, 10)
+    expect(planned.length).toBeGreaterThan(0)
+    for (let now = 20; now < 600; now += 20) {
+      agents.tick(now)
+      agents.acceptStarts(now + 10)
+    }
+    if (change === 'leaves') for (const name of planned) expect(agents.runningCount(name)).toBe(0)
+    finish(agents, 600)
+    for (const name of agents.names()) expect(viewOf(agents, name).unconfirmedSize.processor).toBe(0)
+  })
+
   // Each answer of an agent was followed by a pass over the waiting jobs, however long the pass took.
   it('has one pass over the waiting jobs, however many answers are read in it', () => {
     let requests = 0
