Measure large jobs in the benchmark of the decisions

Cause: the benchmark knew neither jobs of thousands of tasks nor crashes, so that a cost that grows with the cube of a job's tasks showed with real processes only. Change: `npm run bench:decisions -- 'large jobs'` plays jobs of 200, 600 and 2,000 tasks of three shapes, and with a crash, with 8 and 160 agents.

--- a/packages/bench/src/decisions-main.ts
+++ b/packages/bench/src/decisions-main.ts
@@ -1,6 +1,7 @@
 /** Compares the placement policies in a simulation: `npm run bench:decisions`. */
 import { BASE_RUN, type DecisionRunOptions, runDecisions } from './decision-run/decision-run.js'
 import { measureDecisionCost } from './decision-run/decision-cost.js'
+import { measureLargeJob, type LargeJobOptions } from './decision-run/large-jobs.js'
 import { summarize } from './decision-run/summary.js'
 
 const PUSH_PREFETCH_TASKS = 64
@@ -76,3 +77,24 @@
     }
   }
 }
+
+const LARGE_JOBS: ReadonlyArray<Pick<LargeJobOptions, 'shape' | 'isCrashed'>> = [
+  { shape: 'plain' }, { shape: 'plain', isCrashed: true }, { shape: 'fan-in' }, { shape: 'chain' }
+]
+
+if (scenarioName === undefined || scenarioName === 'all' || scenarioName === 'large jobs') {
+  for (const kind of LARGE_JOBS) {
+    for (const agents of [8, 160]) {
+      for (const tasks of [200, 600, 2_000]) {
+        const options = { ...kind, agents, tasks }
+        // Warm-up run, so that the measured run uses optimized code.
+        measureLargeJob(options)
+        const { microsecondsPerTask, longestMilliseconds } = measureLargeJob(options)
+        process.stdout.write([
+          `large job, ${kind.shape}${kind.isCrashed === true ? ' with a crash' : ''}, ${agents} agents, ${tasks} tasks:`,
+          `${microsecondsPerTask.toFixed(1)} us a task, longest call ${longestMilliseconds.toFixed(1)} ms`
+        ].join(' ') + '\n')
+      }
+    }
+  }
+}
