Send each stop order once before one that is lost is repeated

Callers saw: not seen; found by reading the limit of orders under way. With stops lost at an upstream, 32 runs would have been ordered to stop again and again, and the others not at all until an answer came.

Cause: a stop that timed out was sent again at once, in the place that its answer had freed. Change: it goes behind the stops that are queued. The log line of an evacuation counts runs that hold capacity and were not ordered among those that go back.

--- a/packages/rehearsal/tests/large-starts.test.ts
+++ b/packages/rehearsal/tests/large-starts.test.ts
@@ -190,6 +190,23 @@
     expect(stopped).toBe(LARGE)
   })
 
+  it('of stops that are lost give way to those that were not sent yet', () => {
+    const serving = createServingRegistry()
+    const { registry, stops } = serving
+    const start = startOf(LARGE, 100)
+    registry.answerStart(start, 10_003)
+    answerStarts(serving, 10_004)
+    registry.answerStop({ caller: callerAt(10_004), runs: start.orders }, 10_005)
+    const sent = new Set<string>()
+    for (let round = 1; round <= Math.ceil(LARGE / MAXIMUM_UNDER_WAY); round += 1) {
+      for (const record of stops.splice(0)) {
+        sent.add(record.order.task)
+        registry.handleStopAnswer(record, { outcome: 'unanswered', clock: undefined }, 7, 10_005 + 50 * round)
+      }
+    }
+    expect(sent.size).toBe(LARGE)
+  })
+
   it('go out to the next instance though those to the former one have no answer', () => {
     const { registry, starts } = createServingRegistry()
     registry.answerStart(startOf(LARGE, 100), 10_003)
--- a/packages/runs/src/evacuations.ts
+++ b/packages/runs/src/evacuations.ts
@@ -12,7 +12,7 @@
 ): void {
   if (evacuations.position >= (state.evacuations.state()?.position ?? 0)) state.evacuationsConfirmedAt = now
   if (!state.evacuations.merge(evacuations)) return
-  const returned = isEvacuated(state) ? state.queue.count() : 0
+  const returned = isEvacuated(state) ? state.queue.count() + state.reservedRuns.size : 0
   ports.logger.info('evacuations changed', {
     domains: evacuations.domains.join(' '), position: evacuations.position, source, returned
   })
--- a/packages/runs/src/stop-orders.ts
+++ b/packages/runs/src/stop-orders.ts
@@ -69,12 +69,13 @@
 }
 
 /**
- * Repeats a stop order that failed: at once if it took as long as its timeout, else with the next tick. A connection
- * that is reset, or an upstream that rejects every fencing token, fails an order within a millisecond.
+ * Repeats a stop order that failed: after those that are queued if it took as long as its timeout, else with the next
+ * tick. A connection that is reset, or an upstream that rejects every fencing token, fails an order within a
+ * millisecond.
  */
 function repeatStop (state: RunRegistryState, ports: RunRegistryPorts, record: RunRecord, now: number): void {
   outdateStart(state, ports, record)
-  if (now - record.stopOrderedAt >= ORDER_TIMEOUT_MILLISECONDS) sendStop(state, ports, record, now)
+  if (now - record.stopOrderedAt >= ORDER_TIMEOUT_MILLISECONDS) state.stops.queued.add(record)
   else record.isStopDue = true
 }
 
