Crash the upstream with the most tasks in the plays of large jobs

Cause: the test and the benchmark crashed the first agent once no start call was open. Since plans go over several turns that was before any task was sent, and the first agent may get none, so that nothing crashed under 400 tasks and more. Change: a play goes on until all tasks are accepted, and crashes the upstream with the most; it fails if they are not accepted.

--- a/packages/bench/src/decision-run/large-jobs.ts
+++ b/packages/bench/src/decision-run/large-jobs.ts
@@ -1,5 +1,5 @@
 /** Measures what an entry decides for large jobs, by the clock: the time a task and the longest call. */
-import { createScriptedAgents, PLAIN_STEP, type ScriptedAgents } from '@baobabpost/rehearsal'
+import { createScriptedAgents, PLAIN_STEP } from '@baobabpost/rehearsal'
 import type { JobStep } from '@baobabpost/dispatching'
 
 const CAPACITY = { processor: 200_000, memory: 200_000, accelerators: 0 }
@@ -17,7 +17,7 @@
   readonly shape: JobShape
   readonly tasks: number
   readonly agents: number
-  /** Whether the upstream of the first agent crashes once it has got its tasks. */
+  /** Whether the upstream with the most tasks crashes once all of them are sent. */
   readonly isCrashed?: boolean
 }
 
@@ -37,12 +37,6 @@
   return [...first, { ...PLAIN_STEP, taskCount: tasks - first.length, dependsOn: earlierSteps(first.length) }]
 }
 
-function sendAll (agents: ScriptedAgents, from: number): number {
-  let now = from
-  for (; agents.acceptStarts(now) > 0; now += ROUND_MILLISECONDS) agents.tick(now)
-  return now
-}
-
 /**
  * Plays a job against an entry's dispatcher and measures the calls.
  *
@@ -67,8 +61,8 @@
   agents.submit({ id: '5c0e7a21d94b36f8', steps: stepsOf(options) }, 0)
   let now = ROUND_MILLISECONDS
   if (options.isCrashed === true) {
-    now = sendAll(agents, now)
-    agents.crash('agent-1', now)
+    now = agents.acceptAll(options.tasks, now)
+    agents.crash(agents.busiest(), now)
   }
   for (; agents.answers.length === 0 && now < PLAY_MILLISECONDS; now += ROUND_MILLISECONDS) {
     agents.acceptStarts(now)
--- a/packages/rehearsal/src/scripted-agents.ts
+++ b/packages/rehearsal/src/scripted-agents.ts
@@ -8,6 +8,9 @@
 const FAILURE_DOMAIN = 'domain-1'
 /** Largest number of reports in one answer, as of agents. */
 const REPORTS_PER_ANSWER = 250
+/** Interval of the ticks while runs are accepted, and the time in which they must be. */
+const ROUND_MILLISECONDS = 20
+const ACCEPTING_MILLISECONDS = 2_000
 /** Size, estimate and constraints of a task without any; a job adds its own. */
 export const PLAIN_STEP: JobStep = {
   taskCount: 1,
@@ -32,6 +35,15 @@
   tick: (now: number) => void
   /** Accepts the runs of all unanswered start calls, but for those of silent agents. Returns their number. */
   acceptStarts: (now: number, silent?: ReadonlySet<string>) => number
+  /**
+   * Ticks until a number of runs are accepted.
+   *
+   * @returns the time then.
+   * @throws Error if they are not within two seconds.
+   */
+  acceptAll: (runs: number, from: number) => number
+  /** Returns the agent with the most runs. */
+  busiest: () => string
   /** Reports an outcome for up to a number of runs of an agent in one answer. Returns their number. */
   endRuns: (agent: string, outcome: RunOutcome, maximum: number, now: number) => number
   /** Crashes the upstream of an agent, which tells this and the loss of all runs. */
@@ -149,6 +161,24 @@
     return reports
   }
 
+  function tick (now: number): void {
+    runTurn('tick', () => { dispatcher.tick(now) })
+  }
+
+  function acceptStarts (now: number, silent?: ReadonlySet<string>): number {
+    let accepted = 0
+    for (const agent of agents.values()) {
+      if (silent?.has(agent.view.name) === true) continue
+      for (const start of agent.starts.splice(0)) {
+        for (const { task, run, size } of start.orders) agent.runs.set(task, { run, size, route: start.route ?? '' })
+        accepted += start.orders.length
+        const answer = { ...stateOf(agent, now, false), verdicts: start.orders.map(() => 'accepted') }
+        runTurn('startAnswered', () => { dispatcher.startAnswered(agent.view, start, answer, now) })
+      }
+    }
+    return accepted
+  }
+
   for (let number = 1; number <= options.agents; number += 1) {
     const view = dispatcher.agentFound(`agent-${number}`, `10.1.0.${number}:7720`)
     if (view === undefined) continue
@@ -185,19 +215,20 @@
       }
       runTurn('submit', () => { dispatcher.submit(whole, answer => { answers.push(answer) }, now) })
     },
-    tick: now => { runTurn('tick', () => { dispatcher.tick(now) }) },
-    acceptStarts: (now, silent) => {
+    tick,
+    acceptStarts,
+    acceptAll: (runs, from) => {
       let accepted = 0
-      for (const agent of agents.values()) {
-        if (silent?.has(agent.view.name) === true) continue
-        for (const start of agent.starts.splice(0)) {
-          for (const { task, run, size } of start.orders) agent.runs.set(task, { run, size, route: start.route ?? '' })
-          accepted += start.orders.length
-          const answer = { ...stateOf(agent, now, false), verdicts: start.orders.map(() => 'accepted') }
-          runTurn('startAnswered', () => { dispatcher.startAnswered(agent.view, start, answer, now) })
-        }
+      for (let now = from; now < from + ACCEPTING_MILLISECONDS; now += ROUND_MILLISECONDS) {
+        accepted += acceptStarts(now)
+        if (accepted >= runs) return now
+        tick(now)
       }
-      return accepted
+      throw new Error(`expected ${runs} runs, got ${accepted}`)
+    },
+    busiest: () => {
+      const [busiest] = [...agents.values()].sort((left, right) => right.runs.size - left.runs.size)
+      return busiest?.view.name ?? ''
     },
     endRuns: (name, outcome, maximum, now) => {
       const agent = agentOf(name)
--- a/packages/rehearsal/tests/large-jobs.test.ts
+++ b/packages/rehearsal/tests/large-jobs.test.ts
@@ -62,12 +62,11 @@
   return [...first, { ...PLAIN_STEP, taskCount: tasks - first.length, dependsOn: first.map((_, number) => number) }]
 }
 
-/** Sends a plain job, of which an upstream crashes under the tasks that it has got. */
+/** Sends a plain job, and crashes the upstream that has got most of its tasks. */
 function crashUnderJob (agents: ScriptedAgents, tasks: number): void {
   agents.submit({ id: ID, steps: plainSteps(tasks) }, 0)
-  let now = 10
-  for (; agents.acceptStarts(now) > 0; now += 20) agents.tick(now + 10)
-  agents.crash('agent-1', now)
+  const now = agents.acceptAll(tasks, 10)
+  agents.crash(agents.busiest(), now)
   finish(agents, now + 20)
 }
 
