--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -242,6 +242,18 @@
     return undefined
   }
 
+  /** Leaves a start order without an answer and carries it out `delay` ms later; its time counts from its arrival. */
+  startLater (body, delay) {
+    this.record(`executor ${this.id}: leaves run ${body.run} of ${body.task} without an answer`)
+    setTimeout(() => {
+      if (this.isDown) return
+      const token = body.fencing_token ?? 0
+      const outcome = token < this.fence ? 'fence' : this.startRun({ ...body, until_ms: body.until_ms + delay })
+      this.fence = Math.max(this.fence, token)
+      this.record(`executor ${this.id}: carries the order for ${body.task} out ${delay} ms late: ${outcome ?? 'taken'}`)
+    }, delay)
+  }
+
   stopRun ({ task, run }) {
     this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0))
     const there = this.running.get(task)
@@ -254,6 +266,8 @@
     const expected = incoming.headers['x-expected-instance']
     if (expected !== undefined && expected !== this.id) return answer(421)
     if ((body.fencing_token ?? 0) < this.fence) return answer(409, { reason: 'fence' })
+    const delay = incoming.url === '/run-start' ? this.delayOf?.(body) : undefined
+    if (delay !== undefined) return this.startLater(body, delay)
     this.fence = body.fencing_token ?? 0
     if (incoming.url === '/run-start') {
       const reason = this.startRun(body)
@@ -283,8 +297,11 @@
   }
 }
 
-/** Sends a request on a connection of its own. Rejects if the connection ends without a whole answer. */
-export function send ({ host, port = FRONT_PORT, method = 'GET', path, headers = {}, body }) {
+/**
+ * Sends a request on a connection of its own. Rejects if the connection ends without a whole answer. With a `deadline`,
+ * the client leaves after as many milliseconds.
+ */
+export function send ({ host, port = FRONT_PORT, method = 'GET', path, headers = {}, body, deadline }) {
   return new Promise((resolve, reject) => {
     const outgoing = request({ host, port, method, path, headers, agent: false }, incoming => {
       readBody(incoming).then(text => {
@@ -293,6 +310,10 @@
       }, reject)
     })
     outgoing.on('error', reject)
+    if (deadline !== undefined) {
+      const timer = setTimeout(() => { outgoing.destroy(new Error('the client has left at its deadline')) }, deadline)
+      outgoing.on('close', () => { clearTimeout(timer) })
+    }
     outgoing.end(body)
   })
 }
@@ -424,7 +445,7 @@
     }
     guard.close()
     if (process.env.KEEP !== undefined) console.log(`logs: ${directory}`)
-    else rmSync(directory, { recursive: true })
+    else rmSync(directory, { recursive: true, force: true })
   }
 
   const site = {
@@ -453,6 +474,7 @@
         method: 'POST',
         path: `${path}${id}`,
         body,
+        deadline,
         headers: { host: HOST, 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'X-Deadline-Milliseconds': String(deadline) }
       }).then(
         ({ status, body: text }) => ({ id, sentAt, endedAt: time(), status, text }),
@@ -499,7 +521,7 @@
     code = isBroken ? 1 : 0
     record(isBroken ? 'result: the rule was broken' : 'result: the rule held')
   } catch (failure) {
-    record(`result: the case could not run: ${failure.stack}`)
+    record(`result: the case could not run: ${failure.message}`)
   }
   process.exit(code)
 }
