--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -5,13 +5,15 @@
 const RETRANSMISSION_MILLISECONDS = 250
 const DOWN_MILLISECONDS = 80
 const ROUNDS = 8
+const EXECUTORS = 8
 
 await runCase(import.meta.dirname, async ({ record, isTroubled }) => {
   let isLosing = false
   const site = await startSite({
     record,
-    executors: [{ labels: ['a'] }],
-    held: () => isLosing ? RETRANSMISSION_MILLISECONDS : 0
+    // One executor of eight is of kind a at first.
+    executors: Array.from({ length: EXECUTORS }, (_, index) => ({ labels: [index === 0 ? 'a' : 'b'] })),
+    held: index => isLosing && index === 0 ? RETRANSMISSION_MILLISECONDS : 0
   })
   try {
     let lastJob = 0
@@ -24,7 +26,7 @@
         deadline: 1_500
       }))
     }
-    let executor = site.lives[0]
+    let [executor] = site.lives
     for (let round = 1; round <= ROUNDS; round += 1) {
       record(`round ${round}`)
       for (let count = 0; count < 10; count += 1) {
