--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -2,18 +2,30 @@
 import { pause, runCase, startSite } from '../stand-ins-2/site.mjs'
 
 /** A lost packet is sent again after 200 ms at the earliest. */
-const RETRANSMISSION_MILLISECONDS = 250
+const RETRANSMISSION_MILLISECONDS = 210
 const DOWN_MILLISECONDS = 80
-const ROUNDS = 8
+const ROUNDS = 5
 const EXECUTORS = 8
 
 await runCase(import.meta.dirname, async ({ record, isTroubled }) => {
+  /** Whether the next packet from side-1 to front-1 is lost, and when it is sent again. */
   let isLosing = false
+  let sentAgainAt = -Infinity
+  const held = index => {
+    if (isLosing && index === 0) {
+      isLosing = false
+      sentAgainAt = performance.now() + RETRANSMISSION_MILLISECONDS
+      record('link: a packet from side-1 to front-1 is lost')
+    }
+    return index === 0 ? Math.max(0, sentAgainAt - performance.now()) : 0
+  }
   const site = await startSite({
     record,
     // One executor of eight is of kind a at first.
     executors: Array.from({ length: EXECUTORS }, (_, index) => ({ labels: [index === 0 ? 'a' : 'b'] })),
-    held: index => isLosing && index === 0 ? RETRANSMISSION_MILLISECONDS : 0
+    // The links of a zone to the others lose packets.
+    sideZone: 'dakar-b',
+    held
   })
   try {
     let lastJob = 0
@@ -33,11 +45,7 @@
         submit()
         await pause(60)
       }
-      if (isTroubled) {
-        record('link: a packet from side-1 to front-1 is lost')
-        isLosing = true
-        setTimeout(() => { isLosing = false }, RETRANSMISSION_MILLISECONDS)
-      }
+      isLosing = isTroubled
       await executor.crash()
       await pause(DOWN_MILLISECONDS)
       executor = await site.createExecutor(0, { labels: ['b'] }).start()
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -4,9 +4,9 @@
 /** What is given for the lowest priority: the largest number of 32 bits. */
 const LOWEST_PRIORITY = 2_147_483_647
 const ORDINARY_PRIORITY = 3
-/** Time without any answer from which the entry counts as one that doesn't hand back the processor. */
-const HANG_MILLISECONDS = 10_000
-const OBSERVED_MILLISECONDS = 30_000
+/** Time without any answer from which the entry counts as one that doesn't hand back the processor: `recovery_s`. */
+const HANG_MILLISECONDS = 12_000
+const OBSERVED_MILLISECONDS = 20_000
 const STEPS = [{ count: 4, cpu: 3_000, requested_memory_mb: 64, estimated_ms: 200 }]
 
 await runCase(import.meta.dirname, async ({ record, isTroubled }) => {
@@ -32,7 +32,10 @@
     while (time() - observedFrom < OBSERVED_MILLISECONDS) {
       // The platform's readiness check, once a second, and a job of the other queue.
       const isAnswered = await Promise.race([site.isReady(0), pause(1_000)])
-      others.push(site.submit(0, `0000000000000d${String(others.length).padStart(2, '0')}`, { steps: STEPS, ms: 200, deadline: 1_500 }))
+      const id = `0000000000000d${String(others.length).padStart(2, '0')}`
+      others.push(site.submit(0, id, { steps: STEPS, ms: 200, deadline: 1_500 }).then(({ status }) => {
+        if (status !== undefined) lastAnswerAt = time()
+      }))
       if (isAnswered !== undefined) lastAnswerAt = time()
       longestSilence = Math.max(longestSilence, time() - lastAnswerAt)
       if (isAnswered !== undefined) await pause(1_000)
--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -22,6 +22,8 @@
 const METRICS_PORT = 9464
 const HEARTBEAT_MILLISECONDS = 1_500
 const HOLD_LIMIT_MILLISECONDS = 1_000
+/** `drain_ms`, for which a draining executor says that it goes on at least. */
+const DRAIN_MILLISECONDS = 2_000
 /** A stop takes at most `stop_timeout_ms` of 50. */
 const STOP_MILLISECONDS = 20
 const HOST = 'desk.example'
@@ -177,6 +179,13 @@
     await closed
   }
 
+  /** Deregisters and ends, after it has drained. */
+  async leave () {
+    const { status } = await send({ host: this.host, port: CONTROL_PORT, method: 'POST', path: `/Executors.Deregister/${this.id}` })
+    this.record(`executor ${this.id} deregisters: ${status}`)
+    await this.crash('has drained and ends')
+  }
+
   /** Reports that it drains; resolves when that was acknowledged. */
   async drain () {
     this.state = 'draining'
@@ -198,7 +207,8 @@
       labels: this.labels,
       clock_ms: this.clock(),
       sequence: this.sequence,
-      born: this.born
+      born: this.born,
+      ...(this.state === 'draining' ? { drain_remaining_ms: DRAIN_MILLISECONDS } : {})
     })
     return send({ host: this.host, port: CONTROL_PORT, method: 'POST', path: `/Executors.Heartbeat/${this.id}`, body })
       .then(({ status }) => status, () => undefined)
@@ -319,7 +329,7 @@
 }
 
 /**
- * Forwards connections from `host` to `targetHost`. What the target sends is held for `held()` milliseconds, in its
+ * Forwards connections from `host` to `targetHost`. What the target sends now is held for `held()` milliseconds, in its
  * order, as on a link that loses a packet and sends it again. `rewrite` changes bytes in both directions to as many others.
  */
 async function startProxy (host, port, targetHost, { held = () => 0, rewrite = bytes => bytes }) {
@@ -352,10 +362,11 @@
  * @param options.entries - Number of entries.
  * @param options.executors - For each side machine, the fields of its first executor; undefined for none yet.
  * @param options.routes - Routes of the configuration.
+ * @param options.sideZone - Zone of the side machines; the entries are in dakar-a.
  * @param options.held - How long what side machines send to entries is held on its link now, by the number of the side
  *   machine; the calls between entries and agents then go through proxies. Without it they go directly.
  */
-export async function startSite ({ record, entries = 1, executors = [{}], routes = [{}], held }) {
+export async function startSite ({ record, entries = 1, executors = [{}], routes = [{}], held, sideZone = 'dakar-a' }) {
   const { prefix, guard } = await claimPrefix()
   const directory = mkdtempSync(join(tmpdir(), 'baobabpost-review-'))
   const events = []
@@ -407,8 +418,9 @@
     const settings = join(directory, `${node}.conf`)
     writeFileSync(settings, [
       `node=${node}`, `role=${role}`, `machine_class=${role === 'entry' ? 'front' : 'side'}`,
-      `serves=${role === 'entry' ? 'front,control' : 'side'}`, `ip_address=${host}`, 'zone=dakar-a', 'region=dakar',
-      'zones.dakar-a=dakar', `listen_addresses.control=${host}:${CONTROL_PORT}`, `internal_ports=${CALL_PORT},${CALL_PORT + 15}`,
+      `serves=${role === 'entry' ? 'front,control' : 'side'}`, `ip_address=${host}`, `zone=${role === 'entry' ? 'dakar-a' : sideZone}`, 'region=dakar',
+      'zones.dakar-a=dakar',
+      'zones.dakar-b=dakar', `listen_addresses.control=${host}:${CONTROL_PORT}`, `internal_ports=${CALL_PORT},${CALL_PORT + 15}`,
       `seeds=${seedHosts.slice(0, 3).map(seed => `${seed}:${CONTROL_PORT}`).join(',')}`, 'bootstrap=true',
       'limits.memory_mb=350', 'limits.link_mbps=1000.0', `heartbeat_interval_ms=${HEARTBEAT_MILLISECONDS}`,
       'contracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing', 'bounds.grace_period_s=6',
@@ -429,7 +441,7 @@
 
   function createExecutor (index, fields = {}) {
     const executor = new Executor({
-      id: `i-${index + 1}-${lives.length + 1}`, host: sideHosts[index], zone: 'dakar-a', record, events, ...fields
+      id: `i-${index + 1}-${lives.length + 1}`, host: sideHosts[index], zone: sideZone, record, events, ...fields
     })
     lives.push(executor)
     return executor
