Show what crowds of clients make a process hold

Cause: nothing bounds what all clients of a process make it hold together; only single requests are bounded. Change: tests start the programs as processes on loopback, let a crowd press on one of their servers for 5 s, and then have an ordinary job completed beside it. They run one at a time, after the other tests.

--- a/packages/rehearsal/src/index.ts
+++ b/packages/rehearsal/src/index.ts
@@ -1,10 +1,12 @@
 /** In-process simulation of a fleet with injected time: leased upstreams, an in-memory network, faults and checks. */
+export * from './client-crowd.js'
 export * from './create-fleet.js'
 export * from './contended-workload.js'
 export * from './counter-workload.js'
 export * from './leased-upstream.js'
 export type * from './leased-upstream-options.js'
 export * from './memory-network.js'
+export * from './process-usage.js'
 export * from './run-log.js'
 export * from './uneven-workload.js'
 export * from './scripted-agents.js'
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,8 @@
   },
   test: {
     include: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
+    // They run apart from the others, by vitest.clients.config.ts.
+    exclude: ['**/node_modules/**', '**/tests/clients/**'],
     reporters: ['default', './tools/verdict-reporter.ts'],
     testTimeout: 30_000,
     hookTimeout: 30_000,
