Decide whom to refuse when clients fill a process

Cause: no part of the system knew what all clients of a process make it hold. Change: the package client-limits. client-account.ts decides, without a clock or socket, which connections are refused or closed: bodies that have been open longest without their end when bytes run out; refused, unread, unfinished, new and idle connections, in this order, for a new one; never one that is at work. client-budget.ts derives the limits from memory and descriptors and gives each server a fixed part. client-guard.ts applies this to an HTTP server: it stores bodies in one buffer each, reads very small chunks in turns, answers before a body has ended and closes within a second, closes clients that don't read or await their answers, and reports closings in a bounded volume. The metrics and the log event have their names here.

--- /dev/null
+++ b/packages/client-limits/src/client-connection.ts
@@ -0,0 +1,57 @@
+/** One connection to a server: what it does at the moment, and the bytes that it holds. */
+import type { Socket } from 'node:net'
+import type { ConnectionState } from './client-account.js'
+
+/** Phase of a request; `unread` once its answer is complete and waits to be written. */
+export type RequestPhase = 'reading' | 'working' | 'unread'
+
+export interface ClientConnection {
+  readonly socket: Socket
+  /** Moves a request to another phase; undefined before it begins and after its answer is written. */
+  move: (from: RequestPhase | undefined, to: RequestPhase | undefined) => void
+  /** Replaces the numbers of requests in each phase. */
+  setPhases: (phases: Readonly<Record<RequestPhase, number>>) => void
+  /** Number of requests whose answers are not written. */
+  requestCount: () => number
+  /** Charges for bytes that its requests hold from now on, or takes a charge back if negative. */
+  addHeldBytes: (change: number) => void
+  /** Charges for what a request may hold until its answer. Returns whether there is room for it. */
+  reserve: (bytes: number) => boolean
+  /** Refuses the request that is read; undefined while it can't be answered. */
+  refuse: (() => void) | undefined
+}
+
+export interface ClientConnectionListener {
+  onState: (connection: ClientConnection, state: ConnectionState) => void
+  onHeldBytes: (connection: ClientConnection, change: number) => void
+  onReservation: (connection: ClientConnection, bytes: number) => boolean
+}
+
+/** Creates the record of a connection without requests. */
+export function createClientConnection (socket: Socket, listener: ClientConnectionListener): ClientConnection {
+  let phases = { reading: 0, working: 0, unread: 0 }
+
+  function currentState (): ConnectionState {
+    if (phases.working > 0) return phases.reading > 0 ? 'overlapping' : 'working'
+    if (phases.reading > 0) return 'reading'
+    return phases.unread > 0 ? 'unread' : 'idle'
+  }
+
+  const connection: ClientConnection = {
+    socket,
+    refuse: undefined,
+    move: (from, to) => {
+      if (from !== undefined) phases[from] -= 1
+      if (to !== undefined) phases[to] += 1
+      listener.onState(connection, currentState())
+    },
+    setPhases: newPhases => {
+      phases = { ...newPhases }
+      listener.onState(connection, currentState())
+    },
+    requestCount: () => phases.reading + phases.working + phases.unread,
+    addHeldBytes: change => { listener.onHeldBytes(connection, change) },
+    reserve: bytes => listener.onReservation(connection, bytes)
+  }
+  return connection
+}
--- /dev/null
+++ b/packages/client-limits/src/index.ts
@@ -0,0 +1,10 @@
+/** Limits on what clients can make a process hold: whom to refuse or close, and HTTP servers that keep to it. */
+export * from './body-buffer.js'
+export * from './client-account.js'
+export * from './client-budget.js'
+export type { ClientConnection } from './client-connection.js'
+export * from './client-guard.js'
+export * from './client-guards.js'
+export * from './process-limit-settings.js'
+export * from './client-metrics.js'
+export { endAnswer, type BodyReader, type GuardedRequest } from './guarded-request.js'
--- a/packages/common/src/event-metrics.ts
+++ b/packages/common/src/event-metrics.ts
@@ -18,6 +18,11 @@
   baobabpost_evacuations_age_seconds: { type: 'gauge', about: 'Time since the store, or a process that knows at least as much, last confirmed this knowledge' },
   baobabpost_evacuation_returned_runs_total: { type: 'counter', about: 'Waiting runs that an agent gave back to their entries because its failure domain was evacuated' },
   baobabpost_entries_skipped_total: { type: 'counter', about: 'Entries of lists that could not be decoded and were skipped, by list' },
+  baobabpost_client_connections: { type: 'gauge', about: 'Connections of clients to all servers of the process' },
+  baobabpost_client_connections_limit: { type: 'gauge', about: 'Largest number of such connections' },
+  baobabpost_client_bytes: { type: 'gauge', about: 'Bytes that clients are charged for: those of requests that are read or wait, and a flat charge for each connection' },
+  baobabpost_client_bytes_limit: { type: 'gauge', about: 'Largest number of such bytes' },
+  baobabpost_clients_closed_total: { type: 'counter', about: 'Clients that were refused or closed to keep to a limit, by server and reason' },
   baobabpost_log_lines_dropped: { type: 'gauge', about: 'Log lines dropped since the start' }
 } as const
 
@@ -43,6 +48,14 @@
   readonly ageMilliseconds: number
 }
 
+/** What the clients of a process make it hold, and what they may. */
+export interface ClientReadings {
+  readonly connections: number
+  readonly bytes: number
+  readonly maximumConnections: number
+  readonly maximumBytes: number
+}
+
 /** Functions that return the values of the gauges at each scrape. */
 export interface EventMetricsOptions {
   /** Number of open jobs of an entry, or of open runs of an agent. */
@@ -51,6 +64,8 @@
   readonly offeredShare?: () => number
   /** What is known of evacuated failure domains, or undefined; absent where evacuations are not enabled. */
   readonly evacuations?: () => EvacuationReadings | undefined
+  /** What clients make the process hold; absent where no server has limits. */
+  readonly clients?: () => ClientReadings
   /** Number of log lines dropped since the start. */
   readonly countDroppedLines: () => number
 }
@@ -83,7 +98,14 @@
     labelNames: ['list'],
     registers: [...registries]
   })
+  const closedClients = new Counter({
+    name: 'baobabpost_clients_closed_total',
+    help: EVENT_METRICS.baobabpost_clients_closed_total.about,
+    labelNames: ['server', 'reason'],
+    registers: [...registries]
+  })
   createGauge('baobabpost_open', options.countOpen)
+  if (options.clients !== undefined) createClientGauges(options.clients)
   if (options.offeredShare !== undefined) createGauge('baobabpost_offered_share', options.offeredShare)
   if (options.evacuations !== undefined) createEvacuationGauges(options.evacuations)
   createGauge('baobabpost_log_lines_dropped', options.countDroppedLines)
@@ -117,14 +139,29 @@
     })
   }
 
+  function createClientGauges (read: () => ClientReadings): void {
+    createGauge('baobabpost_client_connections', () => read().connections)
+    createGauge('baobabpost_client_connections_limit', () => read().maximumConnections)
+    createGauge('baobabpost_client_bytes', () => read().bytes)
+    createGauge('baobabpost_client_bytes_limit', () => read().maximumBytes)
+  }
+
+  /** Counts what a line says happened several times. */
+  function countAmounts (event: LogEvent, fields: LogFields): void {
+    const returned = fields['returned']
+    if (event === 'evacuations changed' && typeof returned === 'number') returnedRuns.inc(returned)
+    const skipped = fields['skipped']
+    if (typeof skipped === 'number') skippedEntries.inc({ list: String(fields['list'] ?? '') }, skipped)
+    const clients = fields['clients']
+    if (event !== 'clients closed' || typeof clients !== 'number') return
+    closedClients.inc({ server: String(fields['server']), reason: String(fields['reason']) }, clients)
+  }
+
   return {
     observe: (event, fields) => {
       const outcome = String(fields?.['outcome'] ?? '')
       events.inc({ event, outcome })
-      const returned = fields?.['returned']
-      if (event === 'evacuations changed' && typeof returned === 'number') returnedRuns.inc(returned)
-      const skipped = fields?.['skipped']
-      if (typeof skipped === 'number') skippedEntries.inc({ list: String(fields?.['list'] ?? '') }, skipped)
+      if (fields !== undefined) countAmounts(event, fields)
       const milliseconds = fields?.['milliseconds']
       if (typeof milliseconds !== 'number') return
       if (event === 'job answered') responses.observe({ outcome }, milliseconds / 1_000)
--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -83,6 +83,7 @@
   'entry failed': 'Internal error of the entry: `reason`',
   'error was not handled': 'An error reached no handler; it failed only the event that it occurred in, and the process goes on: `reason` with the first calls of its stack',
   'message failed': 'An unexpected error while a message was handled, which was answered as failed: `path`, `reason`',
+  'clients closed': 'Clients of a server were refused or closed to keep to a limit; at most one line a second for each server and reason: `server`, `reason` (`connections`, `bytes`, `unread` answers, `pipelined` requests), number of `clients` since the last line, `largest` bytes of requests that one held',
   'server failed': 'A listening socket reported an error and still listens: `address`, `reason`',
   'call failed': 'A call from another process could not be answered: `reason`',
   'call connection closed': 'A connection between two processes was closed because of a fault, and its calls failed: `address` of the other end, `reason`',
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -24,6 +24,9 @@
   'configuration.version.offset': { type: 'gauge', about: 'Log offset up to which configuration is applied' },
   'configuration.bad-record.count': { type: 'counter', about: 'Log records skipped because they do not decode' },
   'invariants.violated.count': { type: 'counter', about: 'Violations of asserted invariants; tagged with the name' },
+  'clients.connections.count': { type: 'gauge', about: 'Connections of clients to all servers of the process' },
+  'clients.held.bytes': { type: 'gauge', about: 'Bytes that clients are charged for: those of requests that are read or wait, and a flat charge for each connection' },
+  'clients.closed.count': { type: 'counter', about: 'Clients that were refused or closed to keep to a limit; tagged with the server and the reason' },
   'loop.lag.milliseconds': { type: 'timing', about: 'Delay of the event loop' }
 } as const satisfies Record<string, { type: 'counter' | 'gauge' | 'timing', about: string }>
 
--- a/packages/common/tests/event-metrics.test.ts
+++ b/packages/common/tests/event-metrics.test.ts
@@ -7,8 +7,10 @@
       countOpen: () => 3,
       countDroppedLines: () => 0,
       offeredShare: () => 0.125,
-      evacuations: () => ({ domainCount: 1, position: 7, ageMilliseconds: 1_500 })
+      evacuations: () => ({ domainCount: 1, position: 7, ageMilliseconds: 1_500 }),
+      clients: () => ({ connections: 5, bytes: 90_000, maximumConnections: 3_315, maximumBytes: 91_750_400 })
     })
+    metrics.observe('clients closed', { server: 'callers', reason: 'bytes', clients: 4, largest: 262_144 })
     metrics.observe('job answered', { outcome: 'completed', milliseconds: 84 })
     metrics.observe('run ended', { outcome: 'lapsed', milliseconds: 640 })
     const text = await metrics.toPrometheusText()
@@ -20,6 +22,11 @@
     expect(text).toContain('baobabpost_evacuated_domains 1')
     expect(text).toContain('baobabpost_evacuations_position 7')
     expect(text).toContain('baobabpost_evacuations_age_seconds 1.5')
+    expect(text).toContain('baobabpost_client_connections 5')
+    expect(text).toContain('baobabpost_client_connections_limit 3315')
+    expect(text).toContain('baobabpost_client_bytes 90000')
+    expect(text).toContain('baobabpost_client_bytes_limit 91750400')
+    expect(text).toContain('baobabpost_clients_closed_total{server="callers",reason="bytes"} 4')
   })
 
   // A 0 would say that no domain is evacuated, which a process that knows nothing can't tell.
