Limit what calls between processes make a process hold

What callers saw: whoever reached the address for calls could end an entry or an agent, and an agent's end is the end of its runs' leases. Cause: chunks and parts of frames were kept one by one until a message was complete, and no bytes or connections were counted over all clients. Change: the server for calls keeps to its part of the budget. A body or frame is stored in one buffer; what has arrived of it and what waits to be sent is charged to the connection. A connection with an open call is never closed for another.

--- a/packages/fleet-calls/src/frame-connection.ts
+++ b/packages/fleet-calls/src/frame-connection.ts
@@ -29,6 +29,8 @@
   /** Handles a message; if it throws, the connection is closed with that reason. */
   readonly onMessage: (text: string) => void
   readonly onIdle: () => void
+  /** Called when the bytes change that the connection holds: of an incomplete message, and of messages not yet sent. */
+  readonly onHeldBytes?: (incompleteBytes: number, unsentBytes: number) => void
   /** Called once; no message is handled after it. */
   readonly onClosed: (end: ConnectionEnd) => void
 }
@@ -54,12 +56,17 @@
     options.onClosed(end)
   }
 
+  function reportHeldBytes (): void {
+    if (!isClosed) options.onHeldBytes?.(reader.heldBytes(), waitingBytes + socket.writableLength)
+  }
+
   function flush (): void {
     if (isClosed) return
     const messages = waitingMessages
     waitingMessages = []
     waitingBytes = 0
-    socket.write(encodeFrames(messages))
+    socket.write(encodeFrames(messages), reportHeldBytes)
+    reportHeldBytes()
   }
 
   function send (text: string): void {
@@ -80,6 +87,7 @@
         if (isClosed) return
         options.onMessage(message)
       }
+      reportHeldBytes()
     } catch (failure) {
       close({ reason: String(failure), isFault: true })
     }
--- a/packages/fleet-calls/src/frames.ts
+++ b/packages/fleet-calls/src/frames.ts
@@ -1,4 +1,5 @@
 /** Frames on a connection between two processes: the length of a message in four bytes, then the message in UTF-8. */
+import { createBodyBuffer, type BodyBuffer } from '@baobabpost/client-limits'
 
 const LENGTH_BYTES = 4
 /** Maximum size of a message; a start of 2,000 tasks with the longest specification is smaller. */
@@ -38,6 +39,8 @@
    * @throws FrameError if a length is 0 or above the limit; the connection can't be read any further.
    */
   read: (chunk: Buffer) => string[]
+  /** Bytes that are allocated for the incomplete message. */
+  heldBytes: () => number
 }
 
 /**
@@ -48,11 +51,17 @@
  * for (const message of reader.read(chunk)) handle(message)
  */
 export function createFrameReader (): FrameReader {
-  let waitingChunks: Buffer[] = []
-  let waitingBytes = 0
+  let waiting: BodyBuffer | undefined
   /** Number of waiting bytes with which something is complete: a length, or a message with its length. */
   let neededBytes = LENGTH_BYTES
 
+  /** Keeps the begin of a message, at a cost that does not depend on the chunks in which it comes. */
+  function keep (bytes: Buffer): BodyBuffer {
+    waiting ??= createBodyBuffer()
+    waiting.add(bytes)
+    return waiting
+  }
+
   function takeMessages (buffer: Buffer): string[] {
     const messages: string[] = []
     let position = 0
@@ -68,17 +77,17 @@
       messages.push(buffer.toString('utf8', position + LENGTH_BYTES, position + neededBytes))
       position += neededBytes
     }
-    waitingChunks = position === buffer.length ? [] : [buffer.subarray(position)]
-    waitingBytes = buffer.length - position
+    waiting = undefined
+    if (position < buffer.length) keep(buffer.subarray(position))
     return messages
   }
 
   return {
     read: chunk => {
-      if (waitingBytes === 0) return takeMessages(chunk)
-      waitingChunks.push(chunk)
-      waitingBytes += chunk.length
-      return waitingBytes < neededBytes ? [] : takeMessages(Buffer.concat(waitingChunks, waitingBytes))
-    }
+      if (waiting === undefined) return takeMessages(chunk)
+      const kept = keep(chunk)
+      return kept.length() < neededBytes ? [] : takeMessages(kept.read())
+    },
+    heldBytes: () => waiting?.capacity() ?? 0
   }
 }
--- a/packages/fleet-calls/src/shared-call-server.ts
+++ b/packages/fleet-calls/src/shared-call-server.ts
@@ -1,6 +1,8 @@
 /** Answers the calls that arrive on shared connections: HTTP connections that were upgraded to frames. */
 import type { IncomingMessage, Server } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import type { ClientGuard } from '@baobabpost/client-limits'
 import type { EventLogger } from '@baobabpost/common'
 import {
   createJSONRPCErrorResponse, isJSONRPCRequest, JSONRPCErrorCode, type JSONRPCRequest, type JSONRPCResponse
@@ -43,14 +45,33 @@
  * Makes a server accept shared connections. `closeAllConnections` of the server closes them too.
  *
  * @example
- * acceptSharedConnections(server, createCallMethods(handlers, logger), logger)
+ * acceptSharedConnections(server, createCallMethods(handlers, logger), logger, guard)
  */
-export function acceptSharedConnections (server: Server, answer: AnswerRequest, logger: EventLogger): void {
+export function acceptSharedConnections (
+  server: Server, answer: AnswerRequest, logger: EventLogger, guard: ClientGuard
+): void {
   const connections = new Set<FrameConnection>()
 
   function serve (socket: Duplex, head: Buffer, address: string): void {
     /** Callbacks of the calls in progress for the loss of the connection. */
     const callsInProgress = new Set<Set<() => void>>()
+    const client = guard.findConnection(socket as Socket)
+    let heldBytes = 0
+    let isReading = false
+    let isUnread = false
+
+    function updateClient (): void {
+      client?.setPhases({ reading: isReading ? 1 : 0, working: callsInProgress.size, unread: isUnread ? 1 : 0 })
+    }
+
+    function handleHeldBytes (incompleteBytes: number, unsentBytes: number): void {
+      isReading = incompleteBytes > 0
+      isUnread = unsentBytes > 0
+      updateClient()
+      const change = incompleteBytes + unsentBytes - heldBytes
+      heldBytes += change
+      if (change !== 0) client?.addHeldBytes(change)
+    }
 
     function handleRequest (request: JSONRPCRequest): void {
       if (callsInProgress.size >= MAXIMUM_CALLS_IN_PROGRESS) throw new FrameError('too many calls in progress')
@@ -59,8 +80,10 @@
       const response = answer(request, callConnection)
       if (!(response instanceof Promise)) return connection.send(formatResponse(response))
       callsInProgress.add(lossCallbacks)
+      updateClient()
       response.then(value => {
         callsInProgress.delete(lossCallbacks)
+        updateClient()
         connection.send(formatResponse(value))
       }).catch((failure: unknown) => { logger.error('call failed', { reason: String(failure) }) })
     }
@@ -82,9 +105,11 @@
       idleMilliseconds: IDLE_MILLISECONDS,
       onMessage: text => { handleRequest(parseRequest(text)) },
       onIdle: () => { connection.close({ reason: 'idle', isFault: false }) },
+      onHeldBytes: handleHeldBytes,
       onClosed: handleClosed
     })
     connections.add(connection)
+    updateClient()
   }
 
   server.on('upgrade', (incoming: IncomingMessage, socket: Duplex, head: Buffer) => {
