Limit what clients of the project's own entry and links hold

What callers saw: with the project's own programs, unfinished bodies of chunks of one byte at the callers' address or at a link took more than a gigabyte, and connections that send nothing all descriptors of a VM. Cause: as at the entry on the platform; the only limit was 10,000 connections, above the descriptors of a VM. Open routes read bodies without a key, and a link reads a batch before it checks its signature. Change: the settings memory-limit-megabytes and descriptor-limit give the budget, half to callers and half to links, and all to the link of an agent.

--- a/packages/agent/src/agent-run.ts
+++ b/packages/agent/src/agent-run.ts
@@ -1,4 +1,5 @@
 /** One run of an agent under one identity: connects the link, the execution logic and the upstream. */
+import { createClientGuards, reportClosings, reportReadings } from '@baobabpost/client-limits'
 import {
   createAgentIdentity, type AgentIdentity, type EntryIdentity, type Invariants, type Logger, type Metrics
 } from '@baobabpost/common'
@@ -83,6 +84,12 @@
 export async function startAgentRun (options: AgentRunOptions): Promise<AgentRun> {
   const { settings, logger, metrics } = options
   const identity = createAgentIdentity(settings.name)
+  const clients = createClientGuards({
+    limits: { memoryMegabytes: settings.memoryLimitMegabytes, descriptors: settings.descriptorLimit },
+    shares: { links: 1 },
+    onClosings: closings => { reportClosings(logger, metrics, closings) },
+    now: () => performance.now()
+  })
   let isFlushScheduled = false
 
   function scheduleFlush (): void {
@@ -101,6 +108,7 @@
     keys: settings.linkKeys,
     logger,
     metrics,
+    guard: clients.guards.links,
     onMessage (from, _address, message) {
       execution.receive(from as EntryIdentity, message, Date.now())
       scheduleFlush()
@@ -113,6 +121,7 @@
     const now = Date.now()
     metrics.timing('loop.lag.milliseconds', Math.max(0, now - lastTickAt - TICK_MILLISECONDS))
     lastTickAt = now
+    reportReadings(metrics, clients.readings())
     try {
       execution.tick(now)
       options.onTick()
--- a/packages/agent/src/agent-settings.ts
+++ b/packages/agent/src/agent-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of an agent. */
+import { PROCESS_LIMIT_SETTINGS } from '@baobabpost/client-limits'
 import {
   AddressListSetting, AddressSetting, integerSetting, LogLevel, Name, SecretListSetting, type SettingValues
 } from '@baobabpost/common'
@@ -53,7 +54,8 @@
     schema: integerSetting(0, MAXIMUM_MILLISECONDS),
     about: 'Longest time that a planned stop takes, in milliseconds',
     fallback: '30000'
-  }
+  },
+  ...PROCESS_LIMIT_SETTINGS
 } as const
 
 /** Validated settings of an agent. */
--- a/packages/agent/tests/agent.test.ts
+++ b/packages/agent/tests/agent.test.ts
@@ -27,6 +27,8 @@
     clockSkewMilliseconds: 2_000,
     upstreamIdleMilliseconds: 2_000,
     stopTimeoutMilliseconds: 5_000,
+    memoryLimitMegabytes: 350,
+    descriptorLimit: 4_100,
     ...changes
   }
 }
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -1,5 +1,6 @@
 /** Runs a fleet on loopback within one process: stand-ins, entries in failure domains, and agents beside upstreams. */
 import { startAgent, type RunningAgent } from '@baobabpost/agent'
+import { DEFAULT_PROCESS_LIMITS } from '@baobabpost/client-limits'
 import type { LogLevel } from '@baobabpost/common'
 import { startEntry, type RunningEntry } from '@baobabpost/entry'
 import { createStandInPlatform, type StandInPlatform } from '@baobabpost/stand-in-platform'
@@ -95,7 +96,9 @@
     clockSkewMilliseconds: CLOCK_SKEW_MILLISECONDS,
     logRetentionMilliseconds: LOG_RETENTION_MILLISECONDS,
     maximumQueuedTasks: 200_000,
-    stopTimeoutMilliseconds: STOP_TIMEOUT_MILLISECONDS
+    stopTimeoutMilliseconds: STOP_TIMEOUT_MILLISECONDS,
+    memoryLimitMegabytes: DEFAULT_PROCESS_LIMITS.memoryMegabytes,
+    descriptorLimit: DEFAULT_PROCESS_LIMITS.descriptors
   })
 }
 
@@ -125,7 +128,9 @@
     leaseMilliseconds: 3_000,
     clockSkewMilliseconds: CLOCK_SKEW_MILLISECONDS,
     upstreamIdleMilliseconds: 2_000,
-    stopTimeoutMilliseconds: STOP_TIMEOUT_MILLISECONDS
+    stopTimeoutMilliseconds: STOP_TIMEOUT_MILLISECONDS,
+    memoryLimitMegabytes: DEFAULT_PROCESS_LIMITS.memoryMegabytes,
+    descriptorLimit: DEFAULT_PROCESS_LIMITS.descriptors
   })
 }
 
--- a/packages/entry/src/http/caller-server.ts
+++ b/packages/entry/src/http/caller-server.ts
@@ -2,6 +2,7 @@
 import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer, type ServerOptions } from 'node:https'
 import { authorizeOperator, type Access, type Principal } from '@baobabpost/access'
+import { createDefaultGuard, endAnswer, type ClientGuard, type GuardedRequest } from '@baobabpost/client-limits'
 import { DispatchError, errorAnswer, type ErrorKind, type Logger, type Metrics } from '@baobabpost/common'
 import { createProblem, type Problem } from '@baobabpost/messages'
 import { BODY_TIMEOUT_MILLISECONDS, readBody } from './read-body.js'
@@ -10,7 +11,6 @@
 
 const HEADERS_TIMEOUT_MILLISECONDS = 5_000
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 30_000
-const MAXIMUM_CONNECTIONS = 10_000
 const MAXIMUM_HEADER_BYTES = 16_384
 
 export interface CallerServerOptions {
@@ -19,6 +19,8 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly now: () => number
+  /** Limits on what callers may make the process hold; those of a process without settings by default. */
+  readonly guard?: ClientGuard
   /** Certificate and key; plain HTTP if absent. */
   readonly transportSecurity?: ServerOptions
 }
@@ -51,7 +53,9 @@
     return principal
   }
 
-  async function answer (incoming: IncomingMessage, signal: AbortSignal): Promise<HttpAnswer> {
+  async function answer (
+    incoming: IncomingMessage, request: GuardedRequest, signal: AbortSignal
+  ): Promise<HttpAnswer> {
     const arrivedAt = options.now()
     const url = new URL(incoming.url ?? '/', 'http://entry')
     const match = findRoute(incoming.method ?? '', url.pathname)
@@ -59,7 +63,7 @@
       throw new DispatchError({ kind: 'unknown-route', detail: `${incoming.method ?? ''} ${url.pathname.slice(0, 200)}` })
     }
     const principal = authenticate(match, incoming.headers.authorization)
-    const body = await readBody(incoming)
+    const body = await readBody(incoming, request)
     return await match.route.handle({
       parameters: match.parameters, query: url.searchParams, body, principal, arrivedAt, signal
     })
@@ -87,19 +91,15 @@
     outgoing.setHeader('content-length', Buffer.byteLength(body))
     if (retryAfter !== undefined) outgoing.setHeader('retry-after', Math.max(1, Math.ceil(retryAfter / 1000)))
     if (closeConnection) outgoing.setHeader('connection', 'close')
-    outgoing.end(body)
+    endAnswer(outgoing, body)
   }
 
-  function handle (incoming: IncomingMessage, outgoing: ServerResponse): void {
+  function handle (incoming: IncomingMessage, outgoing: ServerResponse, request: GuardedRequest): void {
     const controller = new AbortController()
     outgoing.on('close', () => { if (!outgoing.writableFinished) controller.abort() })
-    answer(incoming, controller.signal).then(
+    answer(incoming, request, controller.signal).then(
       result => { writeAnswer(outgoing, result, false) },
-      (failure: unknown) => {
-        writeAnswer(outgoing, answerProblem(toProblem(failure)), !incoming.complete)
-        // The rest of a rejected body is not read into memory.
-        if (!incoming.complete) outgoing.once('finish', () => { incoming.destroy() })
-      })
+      (failure: unknown) => { writeAnswer(outgoing, answerProblem(toProblem(failure)), !incoming.complete) })
   }
 
   const serverLimits = {
@@ -109,9 +109,10 @@
     maxHeaderSize: MAXIMUM_HEADER_BYTES
   }
   const server = options.transportSecurity === undefined
-    ? createPlainServer(serverLimits, handle)
-    : createSecureServer({ ...serverLimits, ...options.transportSecurity }, handle)
-  server.maxConnections = MAXIMUM_CONNECTIONS
+    ? createPlainServer(serverLimits)
+    : createSecureServer({ ...serverLimits, ...options.transportSecurity })
+  const guard = options.guard ?? createDefaultGuard('callers')
+  guard.serve(server, handle)
   server.on('clientError', (_failure, socket) => {
     if (!socket.writable) return socket.destroy()
     const problem = createProblem('malformed-request', 'The request is not well-formed HTTP')
--- a/packages/entry/src/running-entry.ts
+++ b/packages/entry/src/running-entry.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createAccess, createKeySource, readCertificates, readKeySettings } from '@baobabpost/access'
+import { createClientGuards, reportClosings, reportReadings } from '@baobabpost/client-limits'
 import {
   createEntryIdentity, createInvariants, createLogger, createMetrics, createRandom, type EntryIdentity, type Logger,
   type Metrics
@@ -18,6 +19,8 @@
 const KEY_REFRESH_INTERVAL_MILLISECONDS = 2_000
 /** Time between reporting unready and closing, during which the load balancer stops routing callers here. */
 const UNREADY_DELAY_MILLISECONDS = 200
+/** Share of each server in what clients may make the process hold; a link holds one of its largest batches. */
+const CLIENT_SHARES = { callers: 0.5, links: 0.5 }
 /** Maximum wait for the append that removes this entry's registration. */
 const LEAVE_TIMEOUT_MILLISECONDS = 2_000
 
@@ -76,6 +79,12 @@
     metrics.count('invariants.violated.count', 1, invariant)
   })
   const now = (): number => Date.now()
+  const clients = createClientGuards({
+    limits: { memoryMegabytes: settings.memoryLimitMegabytes, descriptors: settings.descriptorLimit },
+    shares: CLIENT_SHARES,
+    onClosings: closings => { reportClosings(logger, metrics, closings) },
+    now: () => performance.now()
+  })
   let isFlushScheduled = false
   let isClosed = false
 
@@ -86,6 +95,7 @@
     keys: settings.linkKeys,
     logger,
     metrics,
+    guard: clients.guards.links,
     onMessage: (from, _address, message) => {
       if (isClosed) return
       core.receive(from, message, now())
@@ -163,6 +173,7 @@
     logger,
     metrics,
     now,
+    guard: clients.guards.callers,
     ...(certificates.kind === 'tls' ? { transportSecurity: certificates.options } : {})
   })
 
@@ -184,6 +195,7 @@
   const ticker = setInterval(() => {
     metrics.timing('loop.lag.milliseconds', Math.max(0, now() - lastTickAt - TICK_INTERVAL_MILLISECONDS))
     lastTickAt = now()
+    reportReadings(metrics, clients.readings())
     try {
       core.tick(now())
     } catch (failure) {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of an entry. */
+import { PROCESS_LIMIT_SETTINGS } from '@baobabpost/client-limits'
 import {
   AddressListSetting, AddressSetting, integerSetting, LogLevel, Name, SecretListSetting, type SettingValues
 } from '@baobabpost/common'
@@ -44,7 +45,8 @@
   maximumQueuedTasks: { schema: integerSetting(1, 10_000_000), about: 'Most tasks that wait here', fallback: '200000' },
   stopTimeoutMilliseconds: {
     schema: Milliseconds, about: 'Longest time that a planned stop waits for work in flight', fallback: '60000'
-  }
+  },
+  ...PROCESS_LIMIT_SETTINGS
 } as const
 
 /** Validated values of the settings of an entry. */
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -1,5 +1,6 @@
 /** Creates links: one HTTP server for incoming batches, and one outgoing side per address and addressee. */
 import type { AddressInfo } from 'node:net'
+import { createDefaultGuard } from '@baobabpost/client-limits'
 import type { ProcessIdentity } from '@baobabpost/common'
 import type { LinkMessage } from '@baobabpost/messages'
 import { createIncomingServer, senderIdentity } from './incoming-server.js'
@@ -28,6 +29,7 @@
     identity: options.identity,
     keys: options.keys,
     logger: options.logger,
+    guard: options.guard ?? createDefaultGuard('links'),
     onMessage: (sender, message) => {
       const identity = senderIdentity(sender)
       setPeer(identity, sender.address)
--- a/packages/link/src/incoming-server.ts
+++ b/packages/link/src/incoming-server.ts
@@ -1,5 +1,6 @@
 /** The incoming side of a link: an HTTP server that accepts only signed JSON-RPC batches. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { endAnswer, type ClientGuard, type GuardedRequest } from '@baobabpost/client-limits'
 import type { Logger, ProcessIdentity } from '@baobabpost/common'
 import { LINK_SCHEMAS, MAXIMUM_LINK_BYTES, type LinkMessage, type LinkMethod } from '@baobabpost/messages'
 import { Result, Schema } from 'effect'
@@ -15,6 +16,7 @@
   readonly identity: ProcessIdentity
   readonly keys: readonly string[]
   readonly logger: Logger
+  readonly guard: ClientGuard
   readonly onMessage: (sender: SignedSender, message: LinkMessage) => void
 }
 
@@ -58,31 +60,25 @@
  * Creates the HTTP server of a link without listening yet.
  *
  * Status codes: 204 accepted, 400 not a JSON-RPC batch, 401 wrong or missing signature, 404 unknown route, 413 body too
- * large, 421 addressed to another process.
+ * large, 421 addressed to another process, 503 no room for the body.
  */
 export function createIncomingServer (options: IncomingOptions): Server {
   const methods = createMethods(options)
 
-  function handle (request: IncomingMessage, response: ServerResponse): void {
+  function handle (request: IncomingMessage, response: ServerResponse, body: GuardedRequest): void {
     const sender = readSender(request)
     const signature = request.headers[LINK_HEADERS.signature]
     if (request.method !== 'POST' || request.url !== LINK_PATH) return refuse(request, response, 404)
     if (sender === undefined || typeof signature !== 'string') return refuse(request, response, 401)
-    const chunks: Buffer[] = []
-    let receivedBytes = 0
-    request.on('data', (chunk: Buffer) => {
-      receivedBytes += chunk.length
-      if (receivedBytes > MAXIMUM_LINK_BYTES) {
-        request.removeAllListeners('data')
-        refuse(request, response, 413)
-      } else {
-        chunks.push(chunk)
-      }
-    })
     request.on('error', () => { request.destroy() })
-    request.on('end', () => {
-      if (response.writableEnded) return
-      handleBatch(Buffer.concat(chunks), sender, signature, request, response)
+    body.readBody({
+      maximumBytes: MAXIMUM_LINK_BYTES,
+      onTooLarge: () => { refuse(request, response, 413) },
+      onRefused: () => { refuse(request, response, 503) },
+      onWhole: bytes => {
+        handleBatch(bytes, sender, signature, request, response)
+        body.releaseBody()
+      }
     })
   }
 
@@ -95,7 +91,8 @@
     const batch = parseBatch(body)
     if (batch === undefined) return refuse(request, response, 400)
     methods.receive(batch, sender).then(() => {}, reportFailure)
-    response.writeHead(204).end()
+    response.writeHead(204)
+    endAnswer(response)
   }
 
   function reportFailure (failure: unknown): void {
@@ -104,11 +101,13 @@
 
   function refuse (request: IncomingMessage, response: ServerResponse, status: number): void {
     options.logger.warn('link request refused', { status, from: request.socket.remoteAddress })
-    response.writeHead(status, { connection: 'close' }).end()
-    request.resume()
+    if (response.headersSent) return
+    response.writeHead(status, { connection: 'close', 'content-length': 0 })
+    endAnswer(response)
   }
 
-  const server = createServer({ requestTimeout: REQUEST_TIMEOUT_MILLISECONDS }, handle)
+  const server = createServer({ requestTimeout: REQUEST_TIMEOUT_MILLISECONDS })
+  options.guard.serve(server, handle)
   server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS
   return server
 }
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -1,4 +1,5 @@
 /** Contract of a link, by which a process of the system exchanges messages with the others. */
+import type { ClientGuard } from '@baobabpost/client-limits'
 import type { Logger, Metrics, ProcessIdentity } from '@baobabpost/common'
 import type { LinkMessage } from '@baobabpost/messages'
 
@@ -12,6 +13,8 @@
   readonly keys: readonly string[]
   readonly logger: Logger
   readonly metrics: Metrics
+  /** Limits on what its clients may make the process hold; those of a process without settings by default. */
+  readonly guard?: ClientGuard
   /** Receives every message that is complete, authenticated and valid by its schema. */
   readonly onMessage: (from: ProcessIdentity, fromAddress: string, message: LinkMessage) => void
   /**
