Charge unread answers and calls in progress to their clients

What callers saw: nothing yet; by reading. Answers of 30 KB that up to 64 requests of a connection leave unread, and up to 1,000 calls in progress on a connection, were covered by the flat charge of 16 KiB for a connection. Cause: only bodies and messages were charged. Change: an answer from 4 KiB is charged until it is written, a call in progress with 2 KiB.

--- a/packages/client-limits/src/guarded-request.ts
+++ b/packages/client-limits/src/guarded-request.ts
@@ -8,6 +8,8 @@
 const LINGER_MILLISECONDS = 1_000
 /** Bytes of the rest of an answered request that are read. */
 const LINGER_BYTES = 1_048_576
+/** Size from which an answer that waits to be written is charged; smaller ones are in the charge for a connection. */
+const LARGE_ANSWER_BYTES = 4_096
 /** Chunks of a body after which its connection waits for its turn: a chunk costs a callback, however small it is. */
 const CHUNKS_PER_TURN = 512
 
@@ -142,7 +144,16 @@
     stopReading()?.onWhole(whole)
   }
 
+  function chargeAnswer (text: string | Buffer | undefined): void {
+    if (text === undefined || text.length < LARGE_ANSWER_BYTES) return
+    const bytes = Buffer.byteLength(text)
+    reservedBytes += bytes
+    connection.addHeldBytes(bytes)
+  }
+
   function end (text: string | Buffer | undefined): void {
+    if (phase !== undefined) move('unread')
+    chargeAnswer(text)
     if (!isBodyOpen) {
       outgoing.end(text)
     } else {
@@ -150,7 +161,6 @@
       else outgoing.flushHeaders()
       linger ??= setTimeout(() => { socket.destroy() }, LINGER_MILLISECONDS)
     }
-    if (phase !== undefined) move('unread')
   }
 
   function handleClose (): void {
--- a/packages/fleet-calls/src/shared-call-server.ts
+++ b/packages/fleet-calls/src/shared-call-server.ts
@@ -16,6 +16,8 @@
 const IDLE_MILLISECONDS = 60_000
 /** Largest number of calls in progress on a connection, to bound a faulty client; an entry has one watch. */
 const MAXIMUM_CALLS_IN_PROGRESS = 1_000
+/** Charge for a call in progress: its parameters and callbacks. */
+const CALL_BYTES = 2_048
 
 const UPGRADE_ACCEPTED = [
   'HTTP/1.1 101 Switching Protocols', 'Connection: Upgrade', `Upgrade: ${UPGRADE_PROTOCOL}`, '', ''
@@ -56,20 +58,15 @@
     /** Callbacks of the calls in progress for the loss of the connection. */
     const callsInProgress = new Set<Set<() => void>>()
     const client = guard.findConnection(socket as Socket)
-    let heldBytes = 0
-    let isReading = false
-    let isUnread = false
+    let incompleteBytes = 0
+    let unsentBytes = 0
+    let chargedBytes = 0
 
     function updateClient (): void {
-      client?.setPhases({ reading: isReading ? 1 : 0, working: callsInProgress.size, unread: isUnread ? 1 : 0 })
-    }
-
-    function handleHeldBytes (incompleteBytes: number, unsentBytes: number): void {
-      isReading = incompleteBytes > 0
-      isUnread = unsentBytes > 0
-      updateClient()
-      const change = incompleteBytes + unsentBytes - heldBytes
-      heldBytes += change
+      const working = callsInProgress.size
+      client?.setPhases({ reading: incompleteBytes > 0 ? 1 : 0, working, unread: unsentBytes > 0 ? 1 : 0 })
+      const change = incompleteBytes + unsentBytes + CALL_BYTES * working - chargedBytes
+      chargedBytes += change
       if (change !== 0) client?.addHeldBytes(change)
     }
 
@@ -105,7 +102,11 @@
       idleMilliseconds: IDLE_MILLISECONDS,
       onMessage: text => { handleRequest(parseRequest(text)) },
       onIdle: () => { connection.close({ reason: 'idle', isFault: false }) },
-      onHeldBytes: handleHeldBytes,
+      onHeldBytes: (incomplete, unsent) => {
+        incompleteBytes = incomplete
+        unsentBytes = unsent
+        updateClient()
+      },
       onClosed: handleClosed
     })
     connections.add(connection)
