Bound what a queue of a large priority costs

Cause: the expected wait at an agent was summed by counting from 0 to the priority, for each task and agent, and an agent's list of waiting demand had an entry for each number up to the priority. Change: the sum goes through the list that the agent told, and the list has 64 entries at most, the last one for all later priorities.

--- a/packages/dispatching/src/placement.ts
+++ b/packages/dispatching/src/placement.ts
@@ -57,7 +57,10 @@
 export function expectedWaitMilliseconds (view: AgentView, processor: number, priority: number): number {
   const { load } = view
   let queuedProcessor = view.unconfirmedSize.processor
-  for (let level = 0; level <= priority; level += 1) queuedProcessor += load.waiting[level] ?? 0
+  for (const [level, waitingProcessor] of load.waiting.entries()) {
+    if (level > priority) break
+    queuedProcessor += waitingProcessor
+  }
   const missingProcessor = processor + queuedProcessor - load.free.processor
   if (missingProcessor <= 0) return 0
   return load.releaseRate > 0 ? missingProcessor / load.releaseRate : UNKNOWN_WAIT_MILLISECONDS
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -60,11 +60,17 @@
 })
 export type UpstreamProfile = typeof UpstreamProfile.Type
 
+/** Largest number of priorities whose waiting tasks an agent tells apart; a queue may have any priority. */
+export const WAITING_LEVELS = 64
+
 /** Current load of an upstream, and its recent performance. */
 export const UpstreamLoad = Schema.Struct({
   /** Capacity that is not reserved for runs which run, are being stopped or may yet start. */
   free: Size,
-  /** Processor demand of the waiting tasks by priority, in thousandths of a core. */
+  /**
+   * Processor demand of the waiting tasks by priority, in thousandths of a core; the last of `WAITING_LEVELS` entries
+   * includes all later priorities.
+   */
   waiting: Schema.Array(Amount),
   /** Processor capacity expected to be released per millisecond, in thousandths of a core. */
   releaseRate: Amount,
--- a/packages/runs/src/run-queue.ts
+++ b/packages/runs/src/run-queue.ts
@@ -1,4 +1,5 @@
 /** Queue of the runs that wait at an agent for free capacity, by priority and then by arrival. */
+import { WAITING_LEVELS } from '@baobabpost/fleet-calls'
 import type { RunRecord } from './run-record.js'
 
 export interface RunQueue {
@@ -8,7 +9,7 @@
   count: () => number
   /** Returns the waiting runs in the order in which they start. */
   inOrder: () => RunRecord[]
-  /** Processor demand of the waiting runs by priority, in thousandths of a core. */
+  /** Processor demand of the waiting runs by priority, in thousandths of a core, as `UpstreamLoad` has it. */
   waitingProcessor: () => number[]
 }
 
@@ -53,8 +54,9 @@
     waitingProcessor: () => {
       const sums: number[] = []
       for (const priority of priorities()) {
-        while (sums.length <= priority) sums.push(0)
-        sums[priority] = processorByPriority.get(priority) ?? 0
+        const level = Math.min(Math.floor(priority), WAITING_LEVELS - 1)
+        while (sums.length <= level) sums.push(0)
+        sums[level] = (sums[level] ?? 0) + (processorByPriority.get(priority) ?? 0)
       }
       return sums
     }
