Answer the jobs that are open when an entry ends as planned

Cause: the end of the grace period ended the process whatever was open. Change: before it ends, the entry answers every open job: 503 for one of which no task can have run, 504 for the others, and orders their runs to be stopped.

--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -16,7 +16,7 @@
 import { logShares } from './ejection.js'
 import { endRunsOfUnresponsiveAgents } from './ended-assignments.js'
 import { createJob, mayHaveRun, type Job, type JobAnswer, type JobRequest } from './job.js'
-import { answerJob } from './job-completion.js'
+import { abandonAllJobs, answerJob } from './job-completion.js'
 import { LearnedRunTimes } from './learned-run-times.js'
 import { markOpenTasks } from './learn-open-orders.js'
 import { ObjectivePlacement } from './objective-placement.js'
@@ -46,6 +46,8 @@
   knows: (id: string) => boolean
   /** Cancels a job. Returns whether it was known. */
   cancel: (id: string, now: number) => boolean
+  /** Answers all open jobs: as not run those of which no task can have run, the others as given up. */
+  abandonAll: (reason: string, now: number) => void
   /** Adds an agent, or updates the address of a known one. Returns the view of an agent that was added. */
   agentFound: (name: string, address: string) => AgentView | undefined
   agentForgotten: (name: string) => void
@@ -234,6 +236,7 @@
     submit,
     knows: id => state.jobs.has(id),
     cancel,
+    abandonAll: (reason, now) => { abandonAllJobs(state, ports, reason, now) },
     agentFound,
     agentForgotten: name => {
       const view = state.agents.get(name)
--- a/packages/dispatching/src/job-completion.ts
+++ b/packages/dispatching/src/job-completion.ts
@@ -40,6 +40,14 @@
   answerJob(state, ports, job, { kind: 'refused', reason, retryAfterMilliseconds }, now)
 }
 
+/** Gives up all open jobs. A job that waits for the end of an earlier submission may have run with that. */
+export function abandonAllJobs (state: DispatcherState, ports: DispatcherPorts, reason: string, now: number): void {
+  for (const job of [...state.jobs.values()]) {
+    if (job.successor !== undefined) answerJob(state, ports, job.successor, { kind: 'given-up', reason }, now)
+    abandonJob(state, ports, job, reason, now)
+  }
+}
+
 /** Marks unsent tasks as done and sends stops for assigned ones, whose results arrive as reports. */
 export function stopTasks (state: DispatcherState, job: Job, tasks: readonly JobTask[], now: number): void {
   for (const task of tasks) {
--- a/packages/dispatching/tests/assignments.test.ts
+++ b/packages/dispatching/tests/assignments.test.ts
@@ -111,6 +111,22 @@
   })
 })
 
+describe('an entry that stops', () => {
+  // An entry that was stopped as planned left jobs that waited for an upstream without an answer.
+  it('answers all open jobs, and says of none that it has not run of which a task was sent', () => {
+    const { dispatcher, starts } = createEntry(1, EMPTY)
+    const answers: JobAnswer[] = []
+    submit(dispatcher, 1, { ...STEP, taskCount: 1 }, answers)
+    expect(starts).toHaveLength(1)
+    submit(dispatcher, 2, { ...STEP, label: 'none' }, answers)
+    submit(dispatcher, 1, { ...STEP, taskCount: 1 }, answers)
+    answers.length = 0
+    dispatcher.abandonAll('this entry stops', 10)
+    expect(answers.map(({ kind }) => kind).sort()).toEqual(['given-up', 'refused'])
+    expect(dispatcher.openJobCount()).toBe(0)
+  })
+})
+
 describe('an ejected upstream', () => {
   // The agents were looked up once for a pass: every job of the pass sent its tasks to the ejected upstream as a probe.
   it('gets one task as a probe in a pass', () => {
