Refuse a pipelined request without losing the answer before it

What callers saw: nothing yet; by reading. A body that was refused behind a request which was still handled gave back the charge of that one too, and closed the connection a second later, also if the first answer was not ready. Cause: the account knew the bytes of a connection only as a whole, and the close was timed from the refusal. Change: the account tells the bytes of the unfinished request from the others; a refusal takes back only these, and the connection stays at work until the requests before it are answered.

--- a/packages/client-limits/src/client-account.ts
+++ b/packages/client-limits/src/client-account.ts
@@ -55,7 +55,7 @@
    * room for it, and the connections whose unfinished requests are refused for that.
    */
   reserve: (connection: Connection, bytes: number, now: number) => Reservation<Connection>
-  /** Takes back a charge. */
+  /** Takes back a charge; that of a request that was refused is taken back already. */
   release: (connection: Connection, bytes: number) => void
   /** Removes a connection with all that it holds. */
   leave: (connection: Connection) => void
@@ -71,6 +71,8 @@
   state: ConnectionState
   since: number
   heldBytes: number
+  /** Part of the held bytes that belongs to the request that is read. */
+  unfinishedBytes: number
 }
 
 /** States in which a connection has a request that was not handed on, and can be refused. */
@@ -120,6 +122,7 @@
     entry.state = state
     entry.since = now
     byState[state].add(entry)
+    if (!UNFINISHED_STATES.includes(state)) entry.unfinishedBytes = 0
   }
 
   function remove (entry: Entry<Connection>): void {
@@ -144,13 +147,16 @@
     return { connection, action: 'close', reason, heldBytes }
   }
 
-  /** Takes the bytes of an unfinished request back, whose connection stays until the refusal is read. */
+  /**
+   * Takes the bytes of an unfinished request back. Its connection stays until the refusal is read, and until the
+   * request before it is answered.
+   */
   function refuse (entry: Entry<Connection>, now: number): Closing<Connection> {
-    const { connection, heldBytes } = entry
-    bytes -= heldBytes
-    entry.heldBytes = 0
-    setState(entry, 'closing', now)
-    return { connection, action: 'refuse', reason: 'bytes', heldBytes }
+    const { connection, unfinishedBytes } = entry
+    bytes -= unfinishedBytes
+    entry.heldBytes -= unfinishedBytes
+    setState(entry, entry.state === 'overlapping' ? 'working' : 'closing', now)
+    return { connection, action: 'refuse', reason: 'bytes', heldBytes: unfinishedBytes }
   }
 
   /** Closes connections, the oldest first, until the rest keep to the bytes; none that is at work, and not `except`. */
@@ -168,7 +174,7 @@
     for (const state of UNFINISHED_STATES) {
       for (const entry of byState[state]) {
         if (bytes <= maximumBytes) return closings
-        if (entry !== except && entry.heldBytes > 0) closings.push(refuse(entry, now))
+        if (entry !== except && entry.unfinishedBytes > 0) closings.push(refuse(entry, now))
       }
     }
     return closings
@@ -178,7 +184,7 @@
   function availableBytes (except: Entry<Connection>): number {
     let available = limits.bytes - bytes
     for (const state of UNFINISHED_STATES) {
-      for (const entry of byState[state]) if (entry !== except) available += entry.heldBytes
+      for (const entry of byState[state]) if (entry !== except) available += entry.unfinishedBytes
     }
     return available
   }
@@ -193,7 +199,9 @@
 
   return {
     open: (connection, now) => {
-      const entry: Entry<Connection> = { connection, state: 'new', since: now, heldBytes: 0 }
+      const entry: Entry<Connection> = {
+        connection, state: 'new', since: now, heldBytes: 0, unfinishedBytes: 0
+      }
       entries.set(connection, entry)
       byState.new.add(entry)
       bytes += CONNECTION_BYTES
@@ -216,6 +224,7 @@
       const entry = entries.get(connection)
       if (entry === undefined || entry.state === 'closing') return []
       entry.heldBytes += heldBytes
+      if (UNFINISHED_STATES.includes(entry.state)) entry.unfinishedBytes += heldBytes
       bytes += heldBytes
       return bytes > limits.bytes ? makeRoom(entry, now) : []
     },
@@ -233,6 +242,7 @@
       if (entry === undefined) return
       const released = Math.min(entry.heldBytes, releasedBytes)
       entry.heldBytes -= released
+      entry.unfinishedBytes = Math.min(entry.unfinishedBytes, entry.heldBytes)
       bytes -= released
     },
     leave: connection => {
--- a/packages/client-limits/src/client-connection.ts
+++ b/packages/client-limits/src/client-connection.ts
@@ -11,6 +11,8 @@
   move: (from: RequestPhase | undefined, to: RequestPhase | undefined) => void
   /** Replaces the numbers of requests in each phase. */
   setPhases: (phases: Readonly<Record<RequestPhase, number>>) => void
+  /** Whether a request is handled and not yet answered. */
+  isWorking: () => boolean
   /** Number of requests whose answers are not written. */
   requestCount: () => number
   /** Charges for bytes that its requests hold from now on, or takes a charge back if negative. */
@@ -49,6 +51,7 @@
       phases = { ...newPhases }
       listener.onState(connection, currentState())
     },
+    isWorking: () => phases.working > 0,
     requestCount: () => phases.reading + phases.working + phases.unread,
     addHeldBytes: change => { listener.onHeldBytes(connection, change) },
     reserve: bytes => listener.onReservation(connection, bytes)
--- a/packages/client-limits/src/guarded-request.ts
+++ b/packages/client-limits/src/guarded-request.ts
@@ -98,10 +98,20 @@
   }
 
   function refuse (): void {
-    dropBody()
+    // The account has taken the charge back.
+    heldBytes = 0
+    body = undefined
     stopReading()?.onRefused()
   }
 
+  /** Ends the connection after an answer to a request whose body goes on, once those before it are answered. */
+  function closeLater (): void {
+    linger = setTimeout(() => {
+      if (connection.isWorking()) closeLater()
+      else socket.destroy()
+    }, LINGER_MILLISECONDS)
+  }
+
   /** Stops reading from a connection that sends very small chunks until the other connections had their turn. */
   function takeTurns (): void {
     turnChunks += 1
@@ -159,7 +169,7 @@
     } else {
       if (text !== undefined) outgoing.write(text)
       else outgoing.flushHeaders()
-      linger ??= setTimeout(() => { socket.destroy() }, LINGER_MILLISECONDS)
+      if (linger === undefined) closeLater()
     }
   }
 
