Serve others between reads of very small chunks

What callers saw: while 300 clients sent chunks of one byte, readiness checks waited up to 8.9 s and 8 of 40 ordinary jobs were completed (a trial beside other load); in soaks with crowds, jobs got no answer within 5 s. Cause: one read of 64 KiB can hold 11,000 chunks or 1,800 requests, which the parser handles without a break, and the event loop read from all ready connections before it looked at timers and other servers. Change: after 4,096 chunks in a turn, a request counted as 8, a server stops reading from all connections until the next turn, and goes on with those that were served before and then the newest. A connection with 512 chunks in a turn is read again in its turn, one every 50 ms. The decision has no clock or socket.

--- a/packages/client-limits/src/client-account.ts
+++ b/packages/client-limits/src/client-account.ts
@@ -59,6 +59,8 @@
   release: (connection: Connection, bytes: number) => void
   /** Removes a connection with all that it holds. */
   leave: (connection: Connection) => void
+  /** All connections, in the order in which they were opened. */
+  connections: () => Connection[]
   /** Connections that have been in a state since a time or longer. */
   inStateSince: (state: ConnectionState, time: number) => Connection[]
   connectionCount: () => number
@@ -257,6 +259,7 @@
       }
       return found
     },
+    connections: () => [...entries.keys()],
     connectionCount: () => entries.size,
     bytes: () => bytes
   }
--- a/packages/client-limits/src/client-connection.ts
+++ b/packages/client-limits/src/client-connection.ts
@@ -11,6 +11,11 @@
   move: (from: RequestPhase | undefined, to: RequestPhase | undefined) => void
   /** Replaces the numbers of requests in each phase. */
   setPhases: (phases: Readonly<Record<RequestPhase, number>>) => void
+  /** Whether a request of the connection was answered, or its body has ended. */
+  wasServed: () => boolean
+  /** Whether the connection sent very small chunks and waits for its turn to be read. */
+  isSlow: () => boolean
+  setSlow: (isSlow: boolean) => void
   /** Whether a request is handled and not yet answered. */
   isWorking: () => boolean
   /** Number of requests whose answers are not written. */
@@ -32,6 +37,8 @@
 /** Creates the record of a connection without requests. */
 export function createClientConnection (socket: Socket, listener: ClientConnectionListener): ClientConnection {
   let phases = { reading: 0, working: 0, unread: 0 }
+  let wasServed = false
+  let isSlow = false
 
   function currentState (): ConnectionState {
     if (phases.working > 0) return phases.reading > 0 ? 'overlapping' : 'working'
@@ -45,12 +52,16 @@
     move: (from, to) => {
       if (from !== undefined) phases[from] -= 1
       if (to !== undefined) phases[to] += 1
+      if (to === 'working') wasServed = true
       listener.onState(connection, currentState())
     },
     setPhases: newPhases => {
       phases = { ...newPhases }
       listener.onState(connection, currentState())
     },
+    wasServed: () => wasServed,
+    isSlow: () => isSlow,
+    setSlow: slow => { isSlow = slow },
     isWorking: () => phases.working > 0,
     requestCount: () => phases.reading + phases.working + phases.unread,
     addHeldBytes: change => { listener.onHeldBytes(connection, change) },
--- a/packages/client-limits/src/client-guard.ts
+++ b/packages/client-limits/src/client-guard.ts
@@ -4,7 +4,7 @@
 import { createClientAccount, type ClientLimits, type Closing, type ClosingReason } from './client-account.js'
 import { createClientConnection, type ClientConnection } from './client-connection.js'
 import { createGuardedRequest, type GuardedRequest } from './guarded-request.js'
-import { createTurnLane } from './turn-lane.js'
+import { createReadingTurns, orderForReading } from './reading-turns.js'
 
 /** Largest number of requests of a connection whose answers are not written. */
 const MAXIMUM_UNWRITTEN_REQUESTS = 64
@@ -53,7 +53,7 @@
   const { now } = options
   const account = createClientAccount<ClientConnection>(options.limits)
   const connections = new WeakMap<Socket, ClientConnection>()
-  const lane = createTurnLane(setImmediate)
+  const turns = createReadingTurns({ defer: setImmediate, delay: setTimeout, stopAll })
 
   function execute (closings: ReadonlyArray<Closing<ClientConnection>>): void {
     for (const { connection, action, reason, heldBytes } of closings) {
@@ -66,6 +66,12 @@
     }
   }
 
+  function stopAll (): () => void {
+    const others = orderForReading(account.connections().filter(connection => !connection.isSlow()))
+    for (const { socket } of others) socket.pause()
+    return () => { for (const { socket } of others) socket.resume() }
+  }
+
   function add (socket: Socket): void {
     const connection = createClientConnection(socket, {
       onState: (changed, state) => { account.change(changed, state, now()) },
@@ -118,6 +124,7 @@
       server.on('connection', add)
       if ('setSecureContext' in server) linkSecureSockets(server)
       server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
+        turns.countRequest()
         const connection = connections.get(incoming.socket)
         // The parser goes on with what it has read when a connection is closed.
         if (connection === undefined || incoming.socket.destroyed) return
@@ -126,7 +133,7 @@
           incoming.socket.destroy()
           return
         }
-        handle(incoming, outgoing, createGuardedRequest(incoming, outgoing, connection, lane))
+        handle(incoming, outgoing, createGuardedRequest(incoming, outgoing, connection, turns))
       })
     },
     findConnection: socket => connections.get(socket),
--- a/packages/client-limits/src/guarded-request.ts
+++ b/packages/client-limits/src/guarded-request.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createBodyBuffer, type BodyBuffer } from './body-buffer.js'
 import type { ClientConnection, RequestPhase } from './client-connection.js'
-import type { TurnLane } from './turn-lane.js'
+import type { ReadingTurns } from './reading-turns.js'
 
 /** Time for which the rest of an answered request is read, so that the client gets the answer before the reset. */
 const LINGER_MILLISECONDS = 1_000
@@ -10,8 +10,6 @@
 const LINGER_BYTES = 1_048_576
 /** Size from which an answer that waits to be written is charged; smaller ones are in the charge for a connection. */
 const LARGE_ANSWER_BYTES = 4_096
-/** Chunks of a body after which its connection waits for its turn: a chunk costs a callback, however small it is. */
-const CHUNKS_PER_TURN = 512
 
 /** How the body of a request is read. */
 export interface BodyReader {
@@ -59,7 +57,7 @@
 
 /** Begins to read a request of a connection. */
 export function createGuardedRequest (
-  incoming: IncomingMessage, outgoing: ServerResponse, connection: ClientConnection, lane: TurnLane
+  incoming: IncomingMessage, outgoing: ServerResponse, connection: ClientConnection, turns: ReadingTurns
 ): GuardedRequest {
   const { socket } = incoming
   let phase: RequestPhase | undefined
@@ -69,8 +67,7 @@
   let heldBytes = 0
   let reservedBytes = 0
   let discardedBytes = 0
-  let turnChunks = 0
-  let isWaitingForTurn = false
+  let isSlow = false
   let linger: NodeJS.Timeout | undefined
 
   function move (to: RequestPhase | undefined): void {
@@ -112,25 +109,24 @@
     }, LINGER_MILLISECONDS)
   }
 
-  /** Stops reading from a connection that sends very small chunks until the other connections had their turn. */
-  function takeTurns (): void {
-    turnChunks += 1
-    if (turnChunks < CHUNKS_PER_TURN || isWaitingForTurn) return
-    isWaitingForTurn = true
+  /** Stops reading from a connection that sends very small chunks until it is its turn. */
+  function waitForTurn (): void {
     const readOn = incoming._read.bind(incoming)
+    isSlow = true
+    connection.setSlow(true)
     // The request resumes its socket whenever it may take more.
-    incoming._read = size => { if (!isWaitingForTurn) readOn(size) }
+    incoming._read = size => { if (!isSlow) readOn(size) }
     socket.pause()
-    lane.add(() => {
-      turnChunks = 0
-      isWaitingForTurn = false
-      incoming._read = readOn
-      socket.resume()
-    })
+  }
+
+  function takeTurn (): void {
+    isSlow = false
+    connection.setSlow(false)
+    socket.resume()
   }
 
   function handleChunk (chunk: Buffer): void {
-    takeTurns()
+    if (turn?.count() === true) waitForTurn()
     if (reader === undefined) {
       discardedBytes += chunk.length
       if (discardedBytes > LINGER_BYTES) socket.destroy()
@@ -182,6 +178,7 @@
     if (phase !== undefined) move(undefined)
   }
 
+  const turn = isBodyOpen ? turns.begin(takeTurn) : undefined
   move(isBodyOpen ? 'reading' : 'working')
   requests.set(outgoing, { end })
   outgoing.once('finish', handleClose)
--- /dev/null
+++ b/packages/client-limits/src/reading-turns.ts
@@ -0,0 +1,103 @@
+/** Divides the time in which a server reads among its connections, some of which send very small chunks. */
+
+/** Chunks in one turn of the event loop after which no connection is read any more: each costs a callback. */
+const CHUNKS_PER_TURN = 4_096
+/** Number of chunks that a request counts for: its objects and its answer cost that much more. */
+const CHUNKS_PER_REQUEST = 8
+/** Chunks of one connection in a turn from which it is a slow one. */
+const SLOW_CHUNKS = 512
+/** Time between the reads of two slow connections; a read is up to 64 KiB, which are 11,000 chunks of one byte. */
+const SLOW_INTERVAL_MILLISECONDS = 50
+
+/** The chunks that one connection sent in this turn. */
+export interface ReadingTurn {
+  /** Counts a chunk. Returns whether the connection has become a slow one, which is read again in its turn. */
+  count: () => boolean
+}
+
+/** Decides by the numbers of chunks which connections are read; the ports do it. */
+export interface ReadingTurnsPorts {
+  /** Calls back in the next turn of the event loop. */
+  readonly defer: (run: () => void) => void
+  readonly delay: (run: () => void, milliseconds: number) => void
+  /** Stops reading from all connections. Returns a function that resumes those that are not slow. */
+  readonly stopAll: () => () => void
+}
+
+export interface ReadingTurns {
+  /** Begins to count the chunks of a request; `resume` is called when it is its turn after it has become slow. */
+  begin: (resume: () => void) => ReadingTurn
+  /** Counts a request. */
+  countRequest: () => void
+}
+
+/**
+ * Creates the turns of one server. The parser handles whatever it has read, so a read of many small chunks can't be
+ * interrupted; but after it no other connection is read in the same turn, and timers and other servers are served.
+ *
+ * @example
+ * const turns = createReadingTurns({ defer: setImmediate, delay: setTimeout, stopAll })
+ * const turn = turns.begin(() => { socket.resume() })
+ * if (turn.count()) socket.pause()
+ */
+export function createReadingTurns (ports: ReadingTurnsPorts): ReadingTurns {
+  const slow: Array<() => void> = []
+  let turnChunks = 0
+  let turn = 0
+
+  function endTurn (): void {
+    turn += 1
+    turnChunks = 0
+  }
+
+  function countInTurn (chunks: number): void {
+    if (turnChunks === 0) ports.defer(endTurn)
+    const before = turnChunks
+    turnChunks += chunks
+    if (before >= CHUNKS_PER_TURN || turnChunks < CHUNKS_PER_TURN) return
+    const resume = ports.stopAll()
+    ports.defer(resume)
+  }
+
+  function resumeSlow (): void {
+    const resume = slow.shift()
+    if (slow.length > 0) ports.delay(resumeSlow, SLOW_INTERVAL_MILLISECONDS)
+    resume?.()
+  }
+
+  return {
+    countRequest: () => { countInTurn(CHUNKS_PER_REQUEST) },
+    begin: resume => {
+      let chunks = 0
+      let chunksTurn = -1
+      let isSlow = false
+      return {
+        count: () => {
+          countInTurn(1)
+          if (chunksTurn !== turn) {
+            chunksTurn = turn
+            chunks = 0
+          }
+          chunks += 1
+          if (isSlow || chunks < SLOW_CHUNKS) return false
+          isSlow = true
+          slow.push(() => {
+            isSlow = false
+            resume()
+          })
+          if (slow.length === 1) ports.delay(resumeSlow, SLOW_INTERVAL_MILLISECONDS)
+          return true
+        }
+      }
+    }
+  }
+}
+
+/** Connections in the order in which they are read again: those that were served before, then the newest first. */
+export function orderForReading<Connection extends { readonly wasServed: () => boolean }> (
+  connections: readonly Connection[]
+): Connection[] {
+  const served = connections.filter(connection => connection.wasServed())
+  const others = connections.filter(connection => !connection.wasServed())
+  return [...served, ...others.reverse()]
+}
