Accept new connections before a crowd is read

Cause: the event loop accepts one connection a turn, and a turn lasts 20 ms and more while a crowd is read, so that new connections waited behind those of the crowd to be accepted.

--- a/packages/client-limits/src/client-guard.ts
+++ b/packages/client-limits/src/client-guard.ts
@@ -53,7 +53,7 @@
   const { now } = options
   const account = createClientAccount<ClientConnection>(options.limits)
   const connections = new WeakMap<Socket, ClientConnection>()
-  const turns = createReadingTurns({ defer: setImmediate, delay: setTimeout, stopAll })
+  const turns = createReadingTurns({ defer: setImmediate, delay: setTimeout, stopAll, resumeAll })
 
   function execute (closings: ReadonlyArray<Closing<ClientConnection>>): void {
     for (const { connection, action, reason, heldBytes } of closings) {
@@ -66,10 +66,13 @@
     }
   }
 
-  function stopAll (): () => void {
-    const others = orderForReading(account.connections().filter(connection => !connection.isSlow()))
-    for (const { socket } of others) socket.pause()
-    return () => { for (const { socket } of others) socket.resume() }
+  function stopAll (): void {
+    for (const { socket } of account.connections()) socket.pause()
+  }
+
+  function resumeAll (): void {
+    const others = account.connections().filter(connection => !connection.isSlow())
+    for (const { socket } of orderForReading(others)) socket.resume()
   }
 
   function add (socket: Socket): void {
@@ -88,6 +91,7 @@
     connections.set(socket, connection)
     socket.once('close', () => { account.leave(connection) })
     execute(account.open(connection, now()))
+    if (turns.accept()) socket.pause()
   }
 
   /** With TLS, requests arrive on another socket than the one that was accepted, which has the same addresses. */
--- a/packages/client-limits/src/reading-turns.ts
+++ b/packages/client-limits/src/reading-turns.ts
@@ -6,6 +6,8 @@
 const CHUNKS_PER_REQUEST = 8
 /** Chunks of one connection in a turn from which it is a slow one. */
 const SLOW_CHUNKS = 512
+/** Turns in which connections are only accepted, one in each: new ones must not wait until a crowd is read. */
+const ACCEPTING_TURNS = 256
 /** Time between the reads of two slow connections; a read is up to 64 KiB, which are 11,000 chunks of one byte. */
 const SLOW_INTERVAL_MILLISECONDS = 50
 
@@ -20,8 +22,10 @@
   /** Calls back in the next turn of the event loop. */
   readonly defer: (run: () => void) => void
   readonly delay: (run: () => void, milliseconds: number) => void
-  /** Stops reading from all connections. Returns a function that resumes those that are not slow. */
-  readonly stopAll: () => () => void
+  /** Stops reading from all connections. */
+  readonly stopAll: () => void
+  /** Resumes reading from all connections that are not slow. */
+  readonly resumeAll: () => void
 }
 
 export interface ReadingTurns {
@@ -29,6 +33,8 @@
   begin: (resume: () => void) => ReadingTurn
   /** Counts a request. */
   countRequest: () => void
+  /** Records that a connection is accepted. Returns whether it is to be read later, with the others. */
+  accept: () => boolean
 }
 
 /**
@@ -36,7 +42,7 @@
  * interrupted; but after it no other connection is read in the same turn, and timers and other servers are served.
  *
  * @example
- * const turns = createReadingTurns({ defer: setImmediate, delay: setTimeout, stopAll })
+ * const turns = createReadingTurns({ defer: setImmediate, delay: setTimeout, stopAll, resumeAll })
  * const turn = turns.begin(() => { socket.resume() })
  * if (turn.count()) socket.pause()
  */
@@ -44,6 +50,9 @@
   const slow: Array<() => void> = []
   let turnChunks = 0
   let turn = 0
+  let isStopped = false
+  let hasAccepted = false
+  let acceptingTurns = 0
 
   function endTurn (): void {
     turn += 1
@@ -55,8 +64,23 @@
     const before = turnChunks
     turnChunks += chunks
     if (before >= CHUNKS_PER_TURN || turnChunks < CHUNKS_PER_TURN) return
-    const resume = ports.stopAll()
-    ports.defer(resume)
+    isStopped = true
+    acceptingTurns = 0
+    ports.stopAll()
+    ports.defer(resumeOnceAccepted)
+  }
+
+  /** Goes on reading once no more connections wait to be accepted. */
+  function resumeOnceAccepted (): void {
+    if (hasAccepted && acceptingTurns < ACCEPTING_TURNS) {
+      hasAccepted = false
+      acceptingTurns += 1
+      ports.defer(resumeOnceAccepted)
+      return
+    }
+    hasAccepted = false
+    isStopped = false
+    ports.resumeAll()
   }
 
   function resumeSlow (): void {
@@ -67,6 +91,10 @@
 
   return {
     countRequest: () => { countInTurn(CHUNKS_PER_REQUEST) },
+    accept: () => {
+      hasAccepted = true
+      return isStopped
+    },
     begin: resume => {
       let chunks = 0
       let chunksTurn = -1
--- a/packages/client-limits/tests/reading-turns.test.ts
+++ b/packages/client-limits/tests/reading-turns.test.ts
@@ -14,10 +14,8 @@
   const turns = createReadingTurns({
     defer: run => { deferred.push(run) },
     delay: run => { delayed.push(run) },
-    stopAll: () => {
-      events.push('stop')
-      return () => { events.push('resume') }
-    }
+    stopAll: () => { events.push('stop') },
+    resumeAll: () => { events.push('resume') }
   })
   const endTurn = (): void => {
     const runs = deferred
@@ -57,6 +55,20 @@
     expect(events).toEqual(['stop'])
   })
 
+  it('accept what waits before they read on', () => {
+    const { turns, events, endTurn } = createTurnsUnderTest()
+    expect(turns.accept()).toBe(false)
+    for (let index = 0; index < 512; index += 1) turns.countRequest()
+    for (let index = 0; index < 3; index += 1) {
+      expect(turns.accept()).toBe(true)
+      endTurn()
+      expect(events).toEqual(['stop'])
+    }
+    endTurn()
+    expect(events).toEqual(['stop', 'resume'])
+    expect(turns.accept()).toBe(false)
+  })
+
   it('read slow connections one after the other', () => {
     const { turns, events, delayed } = createTurnsUnderTest()
     for (const name of ['a', 'b', 'c']) {
