--- a/packages/rehearsal/src/index.ts
+++ b/packages/rehearsal/src/index.ts
@@ -1,4 +1,5 @@
 /** In-process simulation of a fleet with injected time: leased upstreams, an in-memory network, faults and checks. */
+export type { CrowdOrder } from './client-crowd-process.js'
 export * from './client-crowd.js'
 export * from './create-fleet.js'
 export * from './contended-workload.js'
