Refuse orders that the present upstream does not suit

Cause: an order named neither the label nor the service that its task requires. An entry that can't hear yet that an upstream was started again as another kind goes on sending tasks there, and the agent, which knows the new kind, starts them. It checked its own incarnation and the age of the entry's view alone.

Change: an order states its service and label. The agent compares them and the size with the present heartbeat when it accepts an order and before each start of it, and logs what was required and what is there. The verdict `unsuitable` brings the profile along, so that the entry does not send the task there again. Orders name requirements and not the instance that they were planned for: with the instance, each order under way would be refused at a harmless restart. The verdict answers only calls that state a service, so builds that do not know it never read it; a task larger than the upstream is `no-room` for them.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -163,6 +163,7 @@
       return
     case 'stale':
     case 'not-accepting':
+    case 'unsuitable':
     case 'no-room':
     case 'stopped':
       endAssignment(state, ports, assignedTask, verdict, now)
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -1,5 +1,5 @@
 /** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
-import { fitsInto } from '@baobabpost/fleet-calls'
+import { findMismatch } from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
 import type { Confinement } from './confinement.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
@@ -68,8 +68,7 @@
 }
 
 function suits ({ profile }: AgentView, { size, label }: JobStep): boolean {
-  if (profile === undefined || !fitsInto(size, profile.capacity)) return false
-  return label === undefined || profile.labels.includes(label)
+  return profile !== undefined && findMismatch(profile, { service: profile.service, label, size }) === undefined
 }
 
 /** Whether a task of a step fits into no upstream of its service, as far as these are known. */
--- a/packages/dispatching/src/send-plan.ts
+++ b/packages/dispatching/src/send-plan.ts
@@ -62,6 +62,7 @@
       task: task.name,
       run: task.lastRun,
       size: task.step.size,
+      ...(task.step.label === undefined ? {} : { label: task.step.label }),
       estimateMilliseconds: task.step.estimateMilliseconds,
       ...state.runTimes.describeOrder(view, task.step),
       ...(crashCount === 0 ? {} : { crashCount })
@@ -85,6 +86,7 @@
   })
   ports.sendStart(view, {
     caller: callerFor(state, view),
+    service: job.request.service,
     specification: job.request.specification,
     priority: job.request.priority + (job.isLate ? LATE_PRIORITY_OFFSET : 0),
     patienceMilliseconds: Math.round(maximumWaitMilliseconds),
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -167,6 +167,8 @@
   task: Schema.String,
   run: Count,
   size: Size,
+  /** Label that the upstream must have; absent for none, and from builds that do not state it. */
+  label: Schema.optionalKey(Schema.String),
   /** Expected run time on an upstream of ordinary speed, in milliseconds. */
   estimateMilliseconds: Amount,
   /** Factor on that time for a task away from the rack of its data; absent near it. */
@@ -179,6 +181,11 @@
 /** Starts tasks of one job. Idempotent. */
 export const Start = Schema.Struct({
   caller: CallingEntry,
+  /**
+   * Service that the upstream must belong to: the upstream that was planned with may have been replaced by one of
+   * another service at its address. Absent from builds that do not state it.
+   */
+  service: Schema.optionalKey(Schema.String),
   specification: Schema.String,
   /** 0 is the highest priority. */
   priority: Amount,
@@ -196,8 +203,13 @@
 })
 export type Start = typeof Start.Type
 
-/** An agent's decision on one order. */
-export const Verdict = Schema.Literals(['accepted', 'stale', 'not-accepting', 'no-room', 'busy', 'stopped'])
+/**
+ * An agent's decision on one order. `unsuitable`: the upstream does not meet a requirement of the order, and the answer
+ * has the upstream's profile. No start call without `service` is answered so: its build does not know the verdict.
+ */
+export const Verdict = Schema.Literals([
+  'accepted', 'stale', 'not-accepting', 'unsuitable', 'no-room', 'busy', 'stopped'
+])
 export type Verdict = typeof Verdict.Type
 const isVerdict = Schema.is(Verdict)
 
--- a/packages/fleet-calls/tests/builds-side-by-side.test.ts
+++ b/packages/fleet-calls/tests/builds-side-by-side.test.ts
@@ -33,7 +33,7 @@
     free: SIZE, waiting: [0], releaseRate: 0, slowness: 1, failureShare: 0, runTimes: [12, 1, 0.1, 0.2, 9], pace: 1.5
   }
 }
-const ORDER = { task: 't', run: 1, size: SIZE, estimateMilliseconds: 60, awayFactor: 2, crashCount: 1 }
+const ORDER = { task: 't', run: 1, size: SIZE, label: 'a', estimateMilliseconds: 60, awayFactor: 2, crashCount: 1 }
 
 /** Messages with all fields of this build. */
 const MESSAGES: Readonly<Record<CallName, { readonly parameters: object, readonly answer: object }>> = {
@@ -47,6 +47,7 @@
   start: {
     parameters: {
       caller: CALLER,
+      service: 'desk',
       specification: '{}',
       priority: 0,
       patienceMilliseconds: 0,
@@ -56,7 +57,7 @@
       remembered: { instance: 5, runTimes: [12, 1, 0.1, 0.2, 9] },
       orders: [ORDER]
     },
-    answer: { ...STATE, verdicts: ['accepted'] }
+    answer: { ...STATE, verdicts: ['accepted', 'unsuitable'] }
   },
   stop: { parameters: { caller: CALLER, runs: [{ task: 't', run: 1 }], isOnlyWaiting: true }, answer: STATE },
   announce: {
--- a/packages/rehearsal/src/create-fleet.ts
+++ b/packages/rehearsal/src/create-fleet.ts
@@ -5,15 +5,16 @@
   type RunTimeEstimates
 } from '@baobabpost/dispatching'
 import {
-  createEvacuationRegister, type CallClient, type CallConnection, type CallHandlers, type EvacuationRegister, type Size
+  createEvacuationRegister, type CallClient, type CallConnection, type CallHandlers, type EvacuationRegister
 } from '@baobabpost/fleet-calls'
 import { startAgentProgram, type AgentProgram, type Upstream } from '@baobabpost/runs'
 import { createLeasedUpstream } from './leased-upstream.js'
-import type { LeasedUpstream, StandInTask } from './leased-upstream-options.js'
+import type { LeasedUpstream, LeasedUpstreamOptions, StandInTask } from './leased-upstream-options.js'
 import { createMemoryNetwork, type MemoryNetwork } from './memory-network.js'
 import { createRunLog, type RunLog } from './run-log.js'
 
-const SERVICE = 'desk'
+/** Service of all upstreams and routes. */
+export const SERVICE = 'desk'
 /** Interval of the upstreams' heartbeats. */
 const HEARTBEAT_MILLISECONDS = 1_500
 /** Time after which a caller whose connection broke resubmits its job. */
@@ -81,8 +82,8 @@
 
 export interface FleetOptions {
   readonly entries: number
-  /** Capacity and speed of each upstream, as in `LeasedUpstreamOptions`; each gets an agent. */
-  readonly upstreams: ReadonlyArray<{ readonly capacity: Size, readonly speed: number }>
+  /** Capacity, speed and labels of each upstream, as in `LeasedUpstreamOptions`; each gets an agent. */
+  readonly upstreams: ReadonlyArray<Pick<LeasedUpstreamOptions, 'capacity' | 'speed' | 'labels'>>
   readonly placement?: () => Placement
   readonly admission?: () => Admission
   /** Run times that entries plan with. */
@@ -202,7 +203,7 @@
     }
   }
 
-  const agents: FleetAgent[] = options.upstreams.map(({ capacity, speed }, index) => {
+  const agents: FleetAgent[] = options.upstreams.map(({ capacity, speed, labels = [] }, index) => {
     const name = `agent-${index + 1}`
     const address = `10.1.0.${index + 1}:7720`
     const standIn = createLeasedUpstream({
@@ -210,6 +211,7 @@
       service: SERVICE,
       failureDomain: domainAt(index),
       capacity,
+      labels,
       speed,
       fixedMilliseconds: options.fixedMilliseconds ?? 0,
       keepsDelayedOrders: options.keepsDelayedOrders === true,
@@ -234,7 +236,7 @@
       size: job.standInTask.size,
       estimateMilliseconds,
       dependsOn: [],
-      label: undefined,
+      label: job.standInTask.requires?.label,
       rack: undefined,
       maximumPerUpstream: undefined
     }
--- a/packages/rehearsal/src/leased-upstream-options.ts
+++ b/packages/rehearsal/src/leased-upstream-options.ts
@@ -1,5 +1,5 @@
 /** Interface of the stand-in upstream: its options, its faults and what it tells an observer. */
-import type { Size } from '@baobabpost/fleet-calls'
+import type { Mismatch, Size } from '@baobabpost/fleet-calls'
 import type { CompletionKind, Upstream, UpstreamHeartbeat, UpstreamInstance } from '@baobabpost/runs'
 
 /** Tasks of a step that crash each upstream which starts them. */
@@ -12,10 +12,18 @@
   readonly downMilliseconds: number
 }
 
+/** What identifies the kind of an upstream; its next instance may be of another one. */
+export interface UpstreamKind {
+  readonly service: string
+  readonly labels: readonly string[]
+}
+
 /** Content of a specification for the stand-in: run time at speed 1, size, and whether the task fails. */
 export interface StandInTask {
   readonly milliseconds: number
   readonly size: Size
+  /** Service and label that the stand-in must have; absent for any. */
+  readonly requires?: { readonly service: string, readonly label?: string }
   readonly fails?: boolean
   /** Factors on the run time by number of the task in its step; 1 for the others. */
   readonly factors?: Readonly<Record<number, number>>
@@ -48,6 +56,8 @@
 /** Notified of starts and ends of runs at the stand-in. */
 export interface UpstreamObserver {
   started: (upstream: string, task: string, overCapacity: boolean) => void
+  /** A task was started at an upstream that does not meet its requirements. */
+  startedUnsuitably?: (upstream: string, task: string, mismatch: Mismatch) => void
   /** A start order was sent, also one that is repeated or delayed. */
   ordered?: () => void
   ended: (upstream: string, task: string, kind: CompletionKind) => void
@@ -80,6 +90,8 @@
   acknowledge: (heartbeat: UpstreamHeartbeat) => void
   /** Ends all runs, loses all state and starts a new instance under the same identity, after a time without any. */
   crash: (downMilliseconds?: number) => void
+  /** Sets the kind of the instances after the present one. */
+  setNextKind: (kind: Partial<UpstreamKind>) => void
   /** Whether nothing listens at the upstream. */
   isDown: () => boolean
   runningCount: () => number
@@ -93,6 +105,8 @@
   /** `domain-1` by default. */
   readonly failureDomain?: string
   readonly capacity: Size
+  /** Labels of the first instance; none by default. */
+  readonly labels?: readonly string[]
   /** Divisor of run times: 2 runs tasks in half the time. */
   readonly speed: number
   /** Part of each run time that does not depend on the task or the speed, in milliseconds; 0 by default. */
--- a/packages/rehearsal/src/leased-upstream.ts
+++ b/packages/rehearsal/src/leased-upstream.ts
@@ -9,6 +9,7 @@
 import {
   createFaults, type LeasedUpstream, type LeasedUpstreamOptions, type StandInTask, type UpstreamFaults
 } from './leased-upstream-options.js'
+import { createUpstreamKinds } from './upstream-kind.js'
 
 /** Maximum length of a lease that the upstream grants. */
 const MAXIMUM_LEASE_MILLISECONDS = 1_000
@@ -98,6 +99,7 @@
   let startCount = 0
   let { speed } = options
   let downUntil = 0
+  const kinds = createUpstreamKinds(options)
   const capacity = createChangingCapacity(options.capacity)
   const completionListeners = new Set<() => void>()
   const deliver = createOrderDelivery({
@@ -142,6 +144,7 @@
     renewLease(order.leaseUntil)
     highestRunByTask.set(order.task, order.run)
     const standInTask = JSON.parse(order.specification) as StandInTask
+    kinds.check(order.task, standInTask)
     const run: SimulatedRun = {
       task: order.task,
       run: order.run,
@@ -225,6 +228,7 @@
     if (options.keepsDelayedOrders === true) clockStart = options.now()
     downUntil = now() + downMilliseconds
     startedAt += 1_000
+    kinds.advance()
     leaseUntil = 0
     clearTimeout(leaseTimer)
     draining = false
@@ -268,10 +272,9 @@
       return {
         instance: instance(),
         sequence,
-        service: options.service,
+        ...kinds.current(),
         failureDomain: options.failureDomain ?? 'domain-1',
         capacity: capacity.current(),
-        labels: [],
         isDraining: draining,
         ...reportCold(faults, options.now())
       }
@@ -284,6 +287,7 @@
     },
     crash: downMilliseconds => { crash(downMilliseconds) },
     isDown,
+    setNextKind: kinds.setNext,
     setCapacity: capacity.change,
     runningCount: () => running.size,
     startCount: () => startCount
--- a/packages/rehearsal/src/memory-network.ts
+++ b/packages/rehearsal/src/memory-network.ts
@@ -19,6 +19,8 @@
   cutRefusing: (left: string, right: string) => void
   /** Ends the partition of two addresses and delivers the held messages. */
   heal: (left: string, right: string) => void
+  /** Holds the answers that leave an address in the next milliseconds until these are over, as a lost packet does. */
+  holdAnswers: (address: string, milliseconds: number) => void
   /** Returns the additional delay of a request, in milliseconds; 0 by default. */
   delayOf: (name: CallName) => number
   /** Number of calls made, by name. */
@@ -43,6 +45,8 @@
   const cuts = new Map<string, Array<() => void>>()
   const refusingCuts = new Set<string>()
   const callCounts = new Map<CallName, number>()
+  /** Ends of the holds of answers, by the address that they leave. */
+  const answersHeld = new Map<string, Promise<void>>()
   /** Functions that fail the calls in progress at an address, or between two. */
   const resets = new Map<string, Set<() => void>>()
 
@@ -93,6 +97,7 @@
     const answer = await answerUnlessReset(
       from, to, () => handle(JSON.parse(JSON.stringify(parameters)), { onLost: () => {} }))
     if (listeners.get(to) !== handlers) throw new CallError('unanswered', 'connection reset')
+    await answersHeld.get(to)
     // An answer that is on its way arrives, also when its sender ends meanwhile.
     await deliver(to, from)
     return JSON.parse(JSON.stringify(answer))
@@ -125,6 +130,12 @@
 
   const network: MemoryNetwork = {
     delayOf: () => 0,
+    holdAnswers: (address, milliseconds) => {
+      const held = pause(milliseconds).then(() => {
+        if (answersHeld.get(address) === held) answersHeld.delete(address)
+      })
+      answersHeld.set(address, held)
+    },
     callCounts,
     clientAt,
     listen: (address, handlers) => { listeners.set(address, handlers) },
--- a/packages/rehearsal/src/run-log.ts
+++ b/packages/rehearsal/src/run-log.ts
@@ -79,6 +79,9 @@
       const tasks = startedTasksByJob.get(jobOf(task)) ?? new Set()
       startedTasksByJob.set(jobOf(task), tasks.add(task))
     },
+    startedUnsuitably: (upstream, task, mismatch) => {
+      addViolation(`${task} starts at ${upstream}, which lacks its ${mismatch}`)
+    },
     ended: (upstream, task, kind) => {
       if (upstreamByTask.get(task) === upstream) upstreamByTask.delete(task)
       if (kind === 'done') doneTasks.add(task)
--- a/packages/runs/src/entry-calls.ts
+++ b/packages/runs/src/entry-calls.ts
@@ -9,6 +9,7 @@
 import { isForEarlierAgent, isOpen, leaseEnd, openSession, toldClock } from './open-session.js'
 import { isAccepting, startWaitingRuns } from './orders.js'
 import { stopRun } from './stop-orders.js'
+import { logMismatch, mismatchOf, mismatchVerdict } from './suitability.js'
 import { addTombstone, hasTombstone, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { addRun, freeCapacity, removeRun } from './registered-runs.js'
 import { isKeptForLoneRun } from './lone-runs.js'
@@ -35,6 +36,9 @@
   }
 }
 
+/** Version of the profile that an entry has which knows none, or an outdated one. */
+const UNKNOWN_PROFILE_VERSION = 0
+
 /** Returns the upstream's profile for the entries. */
 export function describeProfile (state: RunRegistryState, now: number): UpstreamProfile {
   const { heartbeat } = state.upstream
@@ -128,6 +132,8 @@
   const { caller } = start
   if (now >= leaseEnd(state, caller) || isForEarlierAgent(state, caller, now)) return 'stale'
   if (!isAccepting(state, now)) return 'not-accepting'
+  const { service } = start
+  if (mismatchOf(state, { order, service }) !== undefined) return mismatchVerdict(service)
   if (state.queue.count() >= MAXIMUM_WAITING_RUNS) return 'no-room'
   const record: RunRecord = {
     order,
@@ -135,6 +141,7 @@
     session,
     group,
     specification: start.specification,
+    service,
     priority: start.priority,
     waitDeadline: now + start.patienceMilliseconds,
     acceptedAt: now,
@@ -160,6 +167,21 @@
   return 'accepted'
 }
 
+/** Logs the orders of a start call that the upstream does not suit, in one line. Returns whether there are any. */
+function logUnsuitableOrders (
+  state: RunRegistryState, ports: RunRegistryPorts, start: Start, verdicts: readonly Verdict[], now: number
+): boolean {
+  const { caller, service } = start
+  const refused = start.orders.filter((order, position) =>
+    verdicts[position] === mismatchVerdict(service) && mismatchOf(state, { order, service }) !== undefined)
+  const [order] = refused
+  if (order === undefined) return false
+  logMismatch(state, ports, { order, service }, {
+    entry: caller.entry, tasks: refused.length, viewAge: Math.round(toldClock(state, now) - caller.heardAt)
+  })
+  return true
+}
+
 /** Refuses accepted orders that found no free capacity and may not wait, so that the entry can try another agent. */
 function refuseWaitingOrders (state: RunRegistryState, start: Start, verdicts: Verdict[]): void {
   for (const [position, { task }] of start.orders.entries()) {
@@ -200,13 +222,15 @@
   const verdicts: Verdict[] = []
   const group: RunGroup = { openRunCount: 0 }
   for (const order of start.orders) verdicts.push(admitOrder(state, ports, start, order, session, group, now))
+  const isProfileOutdated = logUnsuitableOrders(state, ports, start, verdicts, now)
   if (start.isWhole === true && !areExpectedInTime(state, start, now)) refuseWaitingOrders(state, start, verdicts)
   startWaitingRuns(state, ports, now)
   if (start.patienceMilliseconds <= 0) refuseWaitingOrders(state, start, verdicts)
   for (const [position, { task, run }] of start.orders.entries()) {
     if (verdicts[position] !== 'accepted') addTombstone(state, session, task, run, now)
   }
-  return { ...describeAgent(state, session, start.caller, state.profileVersion, now), verdicts }
+  const profileVersion = isProfileOutdated ? UNKNOWN_PROFILE_VERSION : state.profileVersion
+  return { ...describeAgent(state, session, start.caller, profileVersion, now), verdicts }
 }
 
 /** Prevents the start of a run whose order has not arrived, and reports it as not started. */
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -11,6 +11,7 @@
 import type { RunRecord } from './run-record.js'
 import { recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { stopRun } from './stop-orders.js'
+import { logMismatch, mismatchOf } from './suitability.js'
 import { recordRenewal } from './unanswered-renewals.js'
 import type { OrderAnswer } from './upstream.js'
 
@@ -35,6 +36,10 @@
     const reason = isEvacuated(state) ? 'evacuated' : 'not-accepting'
     return giveBack(state, ports, record, reason, now)
   }
+  if (mismatchOf(state, record) !== undefined) {
+    logMismatch(state, ports, record, { entry: record.session.entry, waited: Math.round(now - record.acceptedAt) })
+    return giveBack(state, ports, record, 'unsuitable', now)
+  }
   const isRepeated = record.orderedAt > 0
   const { task, run } = record.order
   if (isRepeated) {
@@ -81,7 +86,7 @@
     const mayStart = !isKeptFree && hasCapacityFor(state, record.order.size, now) && mayStartBesideOthers(state, record)
     // After a process pause, listings come before the tick that ends the runs of lost entries.
     if (now >= record.session.leaseUntil) endRun(state, ports, record, 'not-started', 'entry lease ended', now)
-    else if (!isAcceptingRuns) orderStart(state, ports, record, now)
+    else if (!isAcceptingRuns || mismatchOf(state, record) !== undefined) orderStart(state, ports, record, now)
     else if (mayStart) reserveCapacity(state, record)
     else if (now > record.waitDeadline) endRun(state, ports, record, 'not-started', 'no-room', now)
     else isKeptFree ||= mustRunAlone(record)
--- a/packages/runs/src/run-record.ts
+++ b/packages/runs/src/run-record.ts
@@ -31,6 +31,8 @@
   readonly session: EntrySession
   readonly group: RunGroup
   readonly specification: string
+  /** Service that the upstream must belong to; undefined if the order does not state it. */
+  readonly service: string | undefined
   readonly priority: number
   /** Agent time up to which the run waits for free capacity. */
   readonly waitDeadline: number
--- a/packages/runs/tests/registry-under-test.ts
+++ b/packages/runs/tests/registry-under-test.ts
@@ -1,6 +1,6 @@
 /** A run registry with recorded orders, whose upstream the test plays. */
 import { silentLogger } from '@baobabpost/common'
-import type { StartAnswer, WatchAnswer } from '@baobabpost/fleet-calls'
+import type { RunOrder, Start, StartAnswer, WatchAnswer } from '@baobabpost/fleet-calls'
 import {
   createRunRegistry, type Listing, type OrderOutcome, type RunRecord, type RunRegistry, type StartOrder, type StopOrder,
   type UpstreamHeartbeat
@@ -34,6 +34,8 @@
   failListing: (outcome: OrderOutcome) => void
   /** Orders a task, by default `TASK`, from the only entry, which has heard of the agent's incarnation `agent-1`. */
   order: (run: number, task?: string, heardFrom?: string) => StartAnswer
+  /** Orders `TASK` for the first time, with the given fields of the order and of its start call. */
+  orderWith: (order: Partial<RunOrder>, start?: Partial<Start>) => StartAnswer
   stop: (run: number, heardFrom?: string) => void
   /** Returns what the entry is told, after it has acknowledged reports. */
   watch: (acknowledged?: number, heardFrom?: string) => WatchAnswer
@@ -83,6 +85,17 @@
     return registry.answerWatch(registry.beginWatch(request, now), request, now)
   }
 
+  function orderWith (order: Partial<RunOrder>, start: Partial<Start> = {}): StartAnswer {
+    return registry.answerStart({
+      caller: caller(),
+      specification: '{}',
+      priority: 0,
+      patienceMilliseconds: 50,
+      orders: [{ task: TASK, run: 1, size: SIZE, estimateMilliseconds: 100, ...order }],
+      ...start
+    }, now)
+  }
+
   function requestListing (): (listing?: Partial<Listing>, clock?: number) => void {
     const requestedAt = now
     const order = registry.nextListOrder(0, requestedAt)
@@ -126,13 +139,8 @@
       now += 1
       registry.handleStopAnswer(record, { outcome, clock: now }, order.fencingToken, now)
     },
-    order: (run, task = TASK, heardFrom) => registry.answerStart({
-      caller: caller(heardFrom),
-      specification: '{}',
-      priority: 0,
-      patienceMilliseconds: 50,
-      orders: [{ task, run, size: SIZE, estimateMilliseconds: 100 }]
-    }, now),
+    order: (run, task = TASK, heardFrom) => orderWith({ task, run }, { caller: caller(heardFrom) }),
+    orderWith,
     stop: (run, heardFrom) => { registry.answerStop({ caller: caller(heardFrom), runs: [{ task: TASK, run }] }, now) },
     watch
   }
