Refuse jobs at once that no known upstream suits

Cause: such a job has no choice of an upstream, and one without a choice may wait as at upstreams that have just started; whether any upstream suits it was asked only after that wait.

Change: it is asked first. The job waits as before while an upstream, its agent or the entry has just started, since what comes may suit it. The reason of the refusal tells a missing label from a missing size.

Measured: 'refuses a job as not run at once if no upstream has its label any more' failed on the code before; 239 tests of dispatching and command-line pass.

--- a/packages/command-line/src/loss-causes.ts
+++ b/packages/command-line/src/loss-causes.ts
@@ -6,7 +6,7 @@
   'no-capacity': 'refused: the wait for capacity exceeds the objective',
   held: 'refused after it waited for capacity, without having run',
   overloaded: 'refused: the entry itself was overloaded',
-  'no-upstream': 'refused: no upstream may run it (evacuated, too small, or a confined route)',
+  'no-upstream': 'refused: no upstream may run it (evacuated, too small, without the required label, or a confined route)',
   released: 'given up: a part of its tasks found no capacity in time',
   configuration: 'refused: its options are not supported',
   'crashing-task': 'a task of it crashes its upstreams',
@@ -37,6 +37,7 @@
   deadline: 'held',
   'this entry is overloaded': 'overloaded',
   'all failure domains are evacuated': 'no-upstream',
+  'no upstream of its service has the required label': 'no-upstream',
   'no upstream of its service is large enough': 'no-upstream',
   'tasks of its route crash their upstreams': 'no-upstream'
 }
--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -1,5 +1,5 @@
 /** Assigns the waiting tasks of jobs to agents, and refuses or abandons jobs that can't be done in time. */
-import { isCapacityArriving } from './arriving-capacity.js'
+import { isAnyUpstreamUnknown, isCapacityArriving } from './arriving-capacity.js'
 import {
   MAXIMUM_ATTEMPTS_PER_PASS, MAXIMUM_WAITING_LATE_JOBS, MINIMUM_ASSIGN_INTERVAL_MILLISECONDS
 } from './dispatch-limits.js'
@@ -7,7 +7,7 @@
 import { abandonIfEvacuated, abandonIfHopeless } from './hopeless-jobs.js'
 import { mayHaveRun, type Job, type JobTask } from './job.js'
 import { abandonJob, answerJob } from './job-completion.js'
-import { agentsFor, agentsForRoute, fitsNowhere, remainingMillisecondsOf, type AgentsByDistance } from './job-plan.js'
+import { agentsFor, agentsForRoute, findCommonMismatch, remainingMillisecondsOf, type AgentsByDistance } from './job-plan.js'
 import { planLateJob } from './late-plan.js'
 import { findTask, jobOfTask, waitingTasks } from './job-progress.js'
 import { isGivenUp, refuseForCapacity, releaseWaitingTasks } from './job-release.js'
@@ -29,10 +29,19 @@
   return true
 }
 
+/** Returns what all known upstreams lack for a job; undefined if that is not so, or a task of it may have run. */
+function reasonUnsuited (job: Job, due: readonly JobTask[], agents: AgentsByDistance): string | undefined {
+  if (mayHaveRun(job)) return undefined
+  for (const step of new Set(due.map(({ step }) => step))) {
+    const mismatch = findCommonMismatch(agents, step)
+    if (mismatch === 'label') return 'no upstream of its service has the required label'
+    if (mismatch !== undefined) return 'no upstream of its service is large enough'
+  }
+  return undefined
+}
+
 /** Returns why no upstream is going to serve a job, if that is known; upstreams of a confined route crash again. */
-function reasonWithoutHope (job: Job, due: readonly JobTask[], agents: AgentsByDistance): string | undefined {
-  const steps = new Set(due.map(({ step }) => step))
-  if ([...steps].some(step => fitsNowhere(agents, step))) return 'no upstream of its service is large enough'
+function reasonWithoutHope (job: Job, agents: AgentsByDistance): string | undefined {
   const isConfined = agents.confinement.agentsByRoute.has(job.request.route)
   if (isConfined && agents.near.length + agents.far.length === 0) return 'tasks of its route crash their upstreams'
   return undefined
@@ -80,6 +89,11 @@
     state.isPassUnfinished = true
     return false
   }
+  const unsuited = reasonUnsuited(job, due, agents)
+  if (unsuited !== undefined && !isAnyUpstreamUnknown(state, now)) {
+    abandonJob(state, ports, job, unsuited, now)
+    return true
+  }
   const decision = state.admission.decideMiss({
     choice: result.missed,
     remainingMilliseconds: remainingMillisecondsOf(job, now),
@@ -90,7 +104,7 @@
   })
   if (decision === 'wait') return false
   job.isLate = true
-  const hopeless = mayHaveRun(job) ? undefined : reasonWithoutHope(job, due, agents)
+  const hopeless = unsuited ?? (mayHaveRun(job) ? undefined : reasonWithoutHope(job, agents))
   if (hopeless !== undefined) {
     abandonJob(state, ports, job, hopeless, now)
     return true
--- a/packages/dispatching/src/job-plan.ts
+++ b/packages/dispatching/src/job-plan.ts
@@ -1,5 +1,5 @@
 /** Plans which agents get the tasks of a job: an agent and the expected times for each task. */
-import { findMismatch } from '@baobabpost/fleet-calls'
+import { findMismatch, type Mismatch } from '@baobabpost/fleet-calls'
 import { isUsable, type AgentView } from './agent-view.js'
 import type { Confinement } from './confinement.js'
 import { PROBE_INTERVAL_MILLISECONDS } from './dispatch-limits.js'
@@ -71,9 +71,15 @@
   return profile !== undefined && findMismatch(profile, { service: profile.service, label, size }) === undefined
 }
 
-/** Whether a task of a step fits into no upstream of its service, as far as these are known. */
-export function fitsNowhere ({ known }: AgentsByDistance, step: JobStep): boolean {
-  return known.length > 0 && !known.some(view => suits(view, step))
+/**
+ * Returns what all known upstreams of the service lack for a task of a step: for `capacity`, some have the label;
+ * undefined if any suits it, or none is known.
+ */
+export function findCommonMismatch ({ known }: AgentsByDistance, step: JobStep): Mismatch | undefined {
+  if (known.length === 0 || known.some(view => suits(view, step))) return undefined
+  const { label } = step
+  const isLabelled = label === undefined || known.some(({ profile }) => profile?.labels.includes(label) === true)
+  return isLabelled ? 'capacity' : 'label'
 }
 
 function mayRun (view: AgentView, task: JobTask, job: Job, plan: JobPlan): boolean {
--- a/packages/dispatching/tests/unsuitable-verdict.test.ts
+++ b/packages/dispatching/tests/unsuitable-verdict.test.ts
@@ -1,9 +1,10 @@
 import { beforeEach, expect, it } from 'vitest'
 import { silentLogger } from '@baobabpost/common'
 import { createDispatcher, type Dispatcher, type JobAnswer } from '@baobabpost/dispatching'
-import type { Start, StartAnswer } from '@baobabpost/fleet-calls'
+import type { Start, StartAnswer, UpstreamProfile } from '@baobabpost/fleet-calls'
 
 const CAPACITY = { processor: 60_000, memory: 65_536, accelerators: 0 }
+/** After the time in which an entry that has just started may not know all upstreams. */
 const LONG_AFTER_START = 5_000
 
 type AgentView = NonNullable<ReturnType<Dispatcher['agentFound']>>
@@ -12,21 +13,23 @@
 let answers: JobAnswer[]
 let dispatcher: Dispatcher
 
-function answerOf (clock: number, labels: readonly string[]): StartAnswer {
+function answerOf (clock: number, labels: readonly string[], fields: Partial<UpstreamProfile> = {}): StartAnswer {
   return {
     incarnation: '1',
     clock,
     cleared: true,
     room: { free: CAPACITY, waiting: [], releaseRate: 0, slowness: 1, failureShare: 0 },
-    profile: { version: clock, service: 'desk', failureDomain: 'a', capacity: CAPACITY, labels, accepting: true },
+    profile: {
+      version: clock, service: 'desk', failureDomain: 'a', capacity: CAPACITY, labels, accepting: true, ...fields
+    },
     verdicts: []
   }
 }
 
-function hear (number: number, labels: readonly string[]): void {
+function hear (number: number, labels: readonly string[], fields?: Partial<UpstreamProfile>): void {
   const view = dispatcher.agentFound(`agent-${number}`, `10.1.0.${number}:7720`)
   if (view === undefined) throw new Error('expected a view of the new agent')
-  dispatcher.watchAnswered(view, { ...answerOf(1, labels), reports: [] }, LONG_AFTER_START - 10)
+  dispatcher.watchAnswered(view, { ...answerOf(1, labels, fields), reports: [] }, LONG_AFTER_START - 10)
 }
 
 function submit (): void {
@@ -92,3 +95,21 @@
   expect(starts[1]?.view).not.toBe(starts[0]?.view)
   expect(answers).toEqual([])
 })
+
+// It waited for a fifth of its objective, although no upstream had the label.
+it('refuses a job as not run at once if no upstream has its label any more', () => {
+  hear(1, ['a'])
+  hear(2, ['b'])
+  submit()
+  refuseStart()
+  expect(starts).toHaveLength(1)
+  expect(answers).toMatchObject([{ kind: 'refused', reason: 'no upstream of its service has the required label' }])
+})
+
+it('lets such a job wait while an upstream is being started, whose labels are not known yet', () => {
+  hear(1, ['a'])
+  hear(2, [], { service: '', accepting: false })
+  submit()
+  refuseStart()
+  expect(answers).toEqual([])
+})
