Drop messages of submissions with more tasks than a job may have

Cause: the owner of a partition keeps a state for each task of a submission that it takes over, as many as the header in a message of an agent or a former owner says. The schema took any safe integer, although callers may submit 2,000 tasks at most.

Change: the header decodes with at most that many tasks; a message with more is dropped like any other that does not decode.

--- a/packages/link/tests/link.test.ts
+++ b/packages/link/tests/link.test.ts
@@ -96,6 +96,22 @@
     expect(received.map(item => item.message)).toEqual([acknowledge])
   })
 
+  // An entry that takes a submission over keeps a state for each of its tasks: the process ended at 100 million.
+  test('a submission with more tasks than a job may have is dropped, and one with as many is not', async () => {
+    const { link, received } = await openLink([KEY])
+    const dispatchOf = (taskCount: number) => {
+      const header = { submission: 'key', digest: 'digest', taskCount, customer: 'customer', template: 'template' }
+      const group = {
+        header, path: '/', timeoutMilliseconds: 1_000, parameters: {}, urgent: false, startBefore: 2_000, tasks: []
+      }
+      return { jsonrpc: '2.0', method: 'dispatch', params: { groups: [group], backlog: 0 } }
+    }
+    const body = JSON.stringify([dispatchOf(Number.MAX_SAFE_INTEGER), dispatchOf(2_001), dispatchOf(2_000)])
+    expect(await post(link.address, body, signBatch(KEY, sender, body))).toBe(204)
+    const largest = { parameters: { groups: [{ header: { taskCount: 2_000 } }] } }
+    expect(received.map(item => item.message)).toMatchObject([largest])
+  })
+
   test('messages are reported as undelivered when the connection is refused', async () => {
     const { link, undelivered } = await openLink([KEY])
     const closedPeer = await openLink([KEY])
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -8,6 +8,7 @@
 import { Schema } from 'effect'
 import { JobRequest, Problem, SubmissionAnswer } from './caller.js'
 import { JsonRecord, Milliseconds, NonNegativeInt } from './json.js'
+import { MAXIMUM_TASKS_PER_JOB } from './limits.js'
 import { Explanation } from './operator.js'
 import { TaskOutcome } from './outcome.js'
 import { RegisterValue } from './register.js'
@@ -16,13 +17,16 @@
 export const PartitionEpoch = Schema.Struct({ partition: NonNegativeInt, epoch: NonNegativeInt })
 export type PartitionEpoch = typeof PartitionEpoch.Type
 
+/** Number of tasks of a submission. Its owner allocates a state for each, so that a larger number ends the process. */
+const TaskCount = Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: MAXIMUM_TASKS_PER_JOB }))
+
 /** Data of a submission that an agent keeps, so that a new owner of the partition can take the submission over. */
 export const SubmissionHeader = Schema.Struct({
   /** A submission key, or the identity of a single call. */
   submission: Schema.String,
   /** Digest of the request body. */
   digest: Schema.String,
-  taskCount: NonNegativeInt,
+  taskCount: TaskCount,
   customer: Name,
   template: Name
 })
