Bound the waiting demand that an agent of an earlier build tells

Cause: agents before tell the waiting demand with one entry for each number up to the largest priority. An entry of this build beside them reads the whole list for each task and agent that it plans with.

Change: an entry keeps the first 64 levels of the list, the last one with the sum of all later, as agents of this build tell it.

Not played with an earlier build.

--- a/packages/dispatching/src/agent-answers.ts
+++ b/packages/dispatching/src/agent-answers.ts
@@ -1,6 +1,6 @@
 /** Handles answers of agents (run reports, verdicts on starts) and failed calls to them. */
 import {
-  EMPTY_SIZE, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
+  boundWaitingLevels, EMPTY_SIZE, readLeases, readOutcome, readVerdict, UNTOLD_LEASES, type RunReport,
   type Start, type StartAnswer, type StopAnswer, type WatchAnswer
 } from '@baobabpost/fleet-calls'
 import { latestStoppedRunEnd, longestRunLease, type AgentView } from './agent-view.js'
@@ -61,7 +61,7 @@
   if (answer.clock < view.lastAgentClock) return true
   view.lastAgentClock = answer.clock
   view.lastContactAt = now
-  view.load = answer.room
+  view.load = boundWaitingLevels(answer.room)
   if (answer.profile !== undefined) {
     view.profile = answer.profile
     view.leases = readLeases(answer.profile.leases)
--- a/packages/dispatching/tests/expected-wait.test.ts
+++ b/packages/dispatching/tests/expected-wait.test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, it } from 'vitest'
-import { expectedWaitMilliseconds } from '@baobabpost/dispatching'
+import { silentLogger } from '@baobabpost/common'
+import { createDispatcher, expectedWaitMilliseconds } from '@baobabpost/dispatching'
+import { WAITING_LEVELS } from '@baobabpost/fleet-calls'
 import type { AgentView } from '../src/agent-view.js'
 
 /** Returns a view of an agent with waiting tasks, and how often an entry of its list was read. */
@@ -28,4 +30,23 @@
     expect(expectedWaitMilliseconds(view, 100, 1_000_000)).toBe(50)
     expect(reads()).toBeLessThanOrEqual(2)
   })
+
+  // Agents of earlier builds tell an entry for each number up to the largest priority, and each plan read them all.
+  it('keeps a bounded list of what an agent tells, with the same sum', () => {
+    const dispatcher = createDispatcher({
+      entry: 'entry-1', incarnation: '1', failureDomain: 'a', logger: silentLogger, sendStart: () => {}, sendStop: () => {}
+    })
+    const view = dispatcher.agentFound('agent-1', '10.1.0.1:7720')
+    if (view === undefined) throw new Error('expected a view of the new agent')
+    const free = { processor: 0, memory: 0, accelerators: 0 }
+    dispatcher.watchAnswered(view, {
+      incarnation: '1',
+      clock: 1,
+      cleared: true,
+      reports: [],
+      room: { free, waiting: Array.from({ length: 1_000_000 }, () => 1), releaseRate: 2, slowness: 1, failureShare: 0 }
+    }, 0)
+    expect(view.load.waiting).toHaveLength(WAITING_LEVELS)
+    expect(expectedWaitMilliseconds(view, 0, 1_000_000)).toBe(500_000)
+  })
 })
--- a/packages/fleet-calls/src/agent-messages.ts
+++ b/packages/fleet-calls/src/agent-messages.ts
@@ -85,6 +85,22 @@
 })
 export type UpstreamLoad = typeof UpstreamLoad.Type
 
+/**
+ * Returns a load whose waiting demand has at most `WAITING_LEVELS` entries: agents of earlier builds tell one for each
+ * number up to the largest priority.
+ *
+ * @example
+ * boundWaitingLevels({ ...load, waiting: Array(5_000_000).fill(0) }).waiting.length // 64
+ */
+export function boundWaitingLevels (load: UpstreamLoad): UpstreamLoad {
+  if (load.waiting.length <= WAITING_LEVELS) return load
+  const waiting = load.waiting.slice(0, WAITING_LEVELS)
+  let later = 0
+  for (const processor of load.waiting.slice(WAITING_LEVELS)) later += processor
+  waiting[WAITING_LEVELS - 1] = (waiting[WAITING_LEVELS - 1] ?? 0) + later
+  return { ...load, waiting }
+}
+
 /**
  * Outcome of a run or of an order: `lapsed` if the run's lease expired, `lost` if the upstream's instance or the run
  * is gone, `superseded` if another entry has the same job now.
