Parse what slow clients send in slices

Cause: Node.js parses a read at once, 64 KiB, which are 10,900 such chunks and 20 ms. A turn of the event loop read one connection and accepted one, for which another one had to go, and each new one cost such a read before it counted as slow, also if its client had left.

Change: while connections are slow, the parser gets 4 KiB of a read a turn; the rest waits in the socket, is charged to the connection and is not parsed once that is closed. Slow connections are read every 4 ms instead of 50, a sixteenth each. Reads are not divided while no connection is slow, nor at servers whose connections may be upgraded.

--- a/packages/client-limits/src/client-connection.ts
+++ b/packages/client-limits/src/client-connection.ts
@@ -1,6 +1,7 @@
 /** One connection to a server: what it does at the moment, and the bytes that it holds. */
 import type { Socket } from 'node:net'
 import type { ConnectionState } from './client-account.js'
+import { sliceReads } from './sliced-reads.js'
 
 /** Phase of a request; `unread` once its answer is complete and waits to be written. */
 export type RequestPhase = 'reading' | 'working' | 'unread'
@@ -16,6 +17,10 @@
   /** Whether the connection sent very small chunks and waits for its turn to be read. */
   isSlow: () => boolean
   setSlow: (isSlow: boolean) => void
+  /** Whether its reads are divided into slices. */
+  isSliced: () => boolean
+  /** Divides what is read from the connection from now on, where the server may; see `sliceReads`. */
+  slice: () => void
   /** Whether a request is handled and not yet answered. */
   isWorking: () => boolean
   /** Number of requests whose answers are not written. */
@@ -32,6 +37,8 @@
   onState: (connection: ClientConnection, state: ConnectionState) => void
   onHeldBytes: (connection: ClientConnection, change: number) => void
   onReservation: (connection: ClientConnection, bytes: number) => boolean
+  /** Whether reads may be divided. */
+  readonly maySlice: boolean
 }
 
 /** Creates the record of a connection without requests. */
@@ -39,6 +46,14 @@
   let phases = { reading: 0, working: 0, unread: 0 }
   let wasServed = false
   let isSlow = false
+  let isSliced = false
+  let unparsedBytes = 0
+
+  function chargeUnparsed (bytes: number): void {
+    const change = bytes - unparsedBytes
+    unparsedBytes = bytes
+    if (change !== 0) listener.onHeldBytes(connection, change)
+  }
 
   function currentState (): ConnectionState {
     if (phases.working > 0) return phases.reading > 0 ? 'overlapping' : 'working'
@@ -62,6 +77,11 @@
     wasServed: () => wasServed,
     isSlow: () => isSlow,
     setSlow: slow => { isSlow = slow },
+    isSliced: () => isSliced,
+    slice: () => {
+      if (isSliced || !listener.maySlice) return
+      isSliced = sliceReads(socket, { onUnparsed: chargeUnparsed, defer: setImmediate })
+    },
     isWorking: () => phases.working > 0,
     requestCount: () => phases.reading + phases.working + phases.unread,
     addHeldBytes: change => { listener.onHeldBytes(connection, change) },
--- a/packages/client-limits/src/client-guard.ts
+++ b/packages/client-limits/src/client-guard.ts
@@ -72,11 +72,16 @@
 
   function resumeAll (): void {
     const others = account.connections().filter(connection => !connection.isSlow())
-    for (const { socket } of orderForReading(others)) socket.resume()
+    const isCrowded = turns.hasSlow()
+    for (const connection of orderForReading(others)) {
+      if (isCrowded) connection.slice()
+      connection.socket.resume()
+    }
   }
 
-  function add (socket: Socket): void {
+  function add (socket: Socket, maySlice: boolean): void {
     const connection = createClientConnection(socket, {
+      maySlice,
       onState: (changed, state) => { account.change(changed, state, now()) },
       onHeldBytes: (holder, change) => {
         if (change > 0) execute(account.hold(holder, change, now()))
@@ -91,6 +96,7 @@
     connections.set(socket, connection)
     socket.once('close', () => { account.leave(connection) })
     execute(account.open(connection, now()))
+    if (turns.hasSlow()) connection.slice()
     if (turns.accept()) socket.pause()
   }
 
@@ -125,7 +131,7 @@
       const timer = setInterval(check, CHECK_INTERVAL_MILLISECONDS)
       timer.unref()
       server.on('close', () => { clearInterval(timer) })
-      server.on('connection', add)
+      server.on('connection', socket => { add(socket, server.listenerCount('upgrade') === 0) })
       if ('setSecureContext' in server) linkSecureSockets(server)
       server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
         turns.countRequest()
--- a/packages/client-limits/src/guarded-request.ts
+++ b/packages/client-limits/src/guarded-request.ts
@@ -114,6 +114,7 @@
     const readOn = incoming._read.bind(incoming)
     isSlow = true
     connection.setSlow(true)
+    connection.slice()
     // The request resumes its socket whenever it may take more.
     incoming._read = size => { if (!isSlow) readOn(size) }
     socket.pause()
@@ -178,7 +179,7 @@
     if (phase !== undefined) move(undefined)
   }
 
-  const turn = isBodyOpen ? turns.begin(takeTurn) : undefined
+  const turn = isBodyOpen ? turns.begin(takeTurn, connection.isSliced) : undefined
   move(isBodyOpen ? 'reading' : 'working')
   requests.set(outgoing, { end })
   outgoing.once('finish', handleClose)
--- a/packages/client-limits/src/reading-turns.ts
+++ b/packages/client-limits/src/reading-turns.ts
@@ -8,8 +8,10 @@
 const SLOW_CHUNKS = 512
 /** Turns in which connections are only accepted, one in each: new ones must not wait until a crowd is read. */
 const ACCEPTING_TURNS = 256
-/** Time between the reads of two slow connections; a read is up to 64 KiB, which are 11,000 chunks of one byte. */
+/** Time after the read of a slow connection; a read is up to 64 KiB, which are 11,000 chunks of one byte. */
 const SLOW_INTERVAL_MILLISECONDS = 50
+/** The same for one whose reads are divided into slices, which are a sixteenth of that. */
+const SLICE_INTERVAL_MILLISECONDS = 4
 
 /** The chunks that one connection sent in this turn. */
 export interface ReadingTurn {
@@ -28,9 +30,21 @@
   readonly resumeAll: () => void
 }
 
+/** A connection that waits for its turn to be read. */
+interface SlowConnection {
+  readonly resume: () => void
+  readonly isSliced: () => boolean
+}
+
 export interface ReadingTurns {
-  /** Begins to count the chunks of a request; `resume` is called when it is its turn after it has become slow. */
-  begin: (resume: () => void) => ReadingTurn
+  /**
+   * Begins to count the chunks of a request; `resume` is called when it is its turn after it has become slow.
+   *
+   * @param isSliced - Whether the reads of the connection are divided into slices; they are not by default.
+   */
+  begin: (resume: () => void, isSliced?: () => boolean) => ReadingTurn
+  /** Whether slow connections wait for their turns. */
+  hasSlow: () => boolean
   /** Counts a request. */
   countRequest: () => void
   /** Records that a connection is accepted. Returns whether it is to be read later, with the others. */
@@ -47,12 +61,14 @@
  * if (turn.count()) socket.pause()
  */
 export function createReadingTurns (ports: ReadingTurnsPorts): ReadingTurns {
-  const slow: Array<() => void> = []
+  const slow: SlowConnection[] = []
   let turnChunks = 0
   let turn = 0
   let isStopped = false
   let hasAccepted = false
   let acceptingTurns = 0
+  /** Whether a call of `resumeSlow` is due. */
+  let isTurnDue = false
 
   function endTurn (): void {
     turn += 1
@@ -83,19 +99,29 @@
     ports.resumeAll()
   }
 
+  /** Schedules the next read of a slow connection, unless that is due, after the read of one. */
+  function scheduleTurn ({ isSliced }: Pick<SlowConnection, 'isSliced'>): void {
+    if (isTurnDue) return
+    isTurnDue = true
+    ports.delay(resumeSlow, isSliced() ? SLICE_INTERVAL_MILLISECONDS : SLOW_INTERVAL_MILLISECONDS)
+  }
+
   function resumeSlow (): void {
-    const resume = slow.shift()
-    if (slow.length > 0) ports.delay(resumeSlow, SLOW_INTERVAL_MILLISECONDS)
-    resume?.()
+    const next = slow.shift()
+    isTurnDue = false
+    if (next === undefined) return
+    if (slow.length > 0) scheduleTurn(next)
+    next.resume()
   }
 
   return {
+    hasSlow: () => slow.length > 0,
     countRequest: () => { countInTurn(CHUNKS_PER_REQUEST) },
     accept: () => {
       hasAccepted = true
       return isStopped
     },
-    begin: resume => {
+    begin: (resume, isSliced = () => false) => {
       let chunks = 0
       let chunksTurn = -1
       let isSlow = false
@@ -109,11 +135,14 @@
           chunks += 1
           if (isSlow || chunks < SLOW_CHUNKS) return false
           isSlow = true
-          slow.push(() => {
-            isSlow = false
-            resume()
+          slow.push({
+            isSliced,
+            resume: () => {
+              isSlow = false
+              resume()
+            }
           })
-          if (slow.length === 1) ports.delay(resumeSlow, SLOW_INTERVAL_MILLISECONDS)
+          scheduleTurn({ isSliced })
           return true
         }
       }
--- /dev/null
+++ b/packages/client-limits/src/sliced-reads.ts
@@ -0,0 +1,68 @@
+/** Divides what is read from a connection, so that the parser does not go through many small chunks in one turn. */
+import type { Socket } from 'node:net'
+
+/** Bytes that the parser is given in one turn: 700 chunks of one byte. */
+const SLICE_BYTES = 4_096
+
+export interface SlicedReadsOptions {
+  /** Called after each slice with the number of bytes that are read and not yet parsed. */
+  readonly onUnparsed: (bytes: number) => void
+  /** Calls back in the next turn of the event loop. */
+  readonly defer: (run: () => void) => void
+}
+
+/**
+ * Gives the parser of an HTTP connection one slice a turn of each read from now on. The rest waits in the socket:
+ * while that is paused, and when it is closed, nothing of it is parsed. Without slices Node.js parses as it reads, 64 KiB
+ * at a time, which costs less for ordinary requests. Not for connections that may be upgraded: their parser hands them on.
+ *
+ * @returns whether the reads are divided; not if nothing parses them.
+ * @example
+ * sliceReads(socket, { onUnparsed: bytes => { charge(bytes) }, defer: setImmediate })
+ */
+export function sliceReads (socket: Socket, options: SlicedReadsOptions): boolean {
+  const [parse] = socket.listeners('data')
+  if (parse === undefined) return false
+  const pause = socket.pause.bind(socket)
+  const resumeSocket = socket.resume.bind(socket)
+  let isPaused = socket.isPaused()
+  let isHeld = false
+  let hasRead = false
+
+  function resume (): Socket {
+    resumeSocket()
+    // The parser has read beside the stream, which waits for data and would not start to read again.
+    if (!hasRead) socket._read(SLICE_BYTES)
+    return socket
+  }
+
+  // The parser resumes its socket whenever a request may take more, also while the next slice waits for its turn.
+  socket.pause = () => {
+    isPaused = true
+    return pause()
+  }
+  socket.resume = () => {
+    isPaused = false
+    return isHeld ? socket : resume()
+  }
+
+  function release (): void {
+    isHeld = false
+    if (!isPaused && !socket.destroyed) resume()
+  }
+
+  socket.removeListener('data', parse as (data: Buffer) => void)
+  socket.on('data', (data: Buffer) => {
+    if (socket.destroyed) return
+    hasRead = true
+    const rest = data.subarray(SLICE_BYTES)
+    isHeld = rest.length > 0 || socket.readableLength > 0
+    if (isHeld) pause()
+    if (rest.length > 0) socket.unshift(rest)
+    parse.call(socket, data.subarray(0, SLICE_BYTES))
+    if (isHeld) options.defer(release)
+    options.onUnparsed(socket.destroyed ? 0 : socket.readableLength)
+  })
+  if (!isPaused) resume()
+  return true
+}
