--- a/packages/client-limits/src/sliced-reads.ts
+++ b/packages/client-limits/src/sliced-reads.ts
@@ -12,9 +12,9 @@
 }
 
 /**
- * Gives the parser of an HTTP connection one slice a turn of each read from now on. The rest waits in the socket:
- * while that is paused, and when it is closed, nothing of it is parsed. Without slices Node.js parses as it reads, 64 KiB
- * at a time, which costs less for ordinary requests. Not for connections that may be upgraded: their parser hands them on.
+ * Gives the parser of an HTTP connection one slice a turn of each read from now on. The rest waits in the socket: while
+ * that is paused, and when it is closed, nothing of it is parsed. Without slices Node.js parses as it reads, 64 KiB at
+ * a time, which costs less for ordinary requests. Not for connections that may be upgraded, whose parser hands them on.
  *
  * @returns whether the reads are divided; not if nothing parses them.
  * @example
