Refuse late jobs at once that no known upstream suits any more

What callers saw: a job that waits past its objective for room, none of whose tasks has been sent, was refused only after three objectives if the upstreams with its label had become others meanwhile.

Cause: whether any upstream suits a job was asked until it became late, and not again.

Change: it is asked before a late job is planned, too, with the same exception while an upstream is being started.

Measured: 'refuses a late job that waits for room once no upstream has its label any more' failed on the code before; 166 tests of dispatching and one of rehearsal pass.

--- a/packages/dispatching/src/assignments.ts
+++ b/packages/dispatching/src/assignments.ts
@@ -40,6 +40,20 @@
   return undefined
 }
 
+/**
+ * Abandons a job that no known upstream suits, none of whose tasks has been sent, unless the properties of an upstream
+ * are not known yet. Returns whether it did.
+ */
+function abandonIfUnsuited (
+  state: DispatcherState, ports: DispatcherPorts, job: Job, due: readonly JobTask[], agents: AgentsByDistance,
+  now: number
+): boolean {
+  const reason = reasonUnsuited(job, due, agents)
+  if (reason === undefined || isAnyUpstreamUnknown(state, now)) return false
+  abandonJob(state, ports, job, reason, now)
+  return true
+}
+
 /** Returns why no upstream is going to serve a job, if that is known; upstreams of a confined route crash again. */
 function reasonWithoutHope (job: Job, agents: AgentsByDistance): string | undefined {
   const isConfined = agents.confinement.agentsByRoute.has(job.request.route)
@@ -89,11 +103,7 @@
     state.isPassUnfinished = true
     return false
   }
-  const unsuited = reasonUnsuited(job, due, agents)
-  if (unsuited !== undefined && !isAnyUpstreamUnknown(state, now)) {
-    abandonJob(state, ports, job, unsuited, now)
-    return true
-  }
+  if (abandonIfUnsuited(state, ports, job, due, agents, now)) return true
   const decision = state.admission.decideMiss({
     choice: result.missed,
     remainingMilliseconds: remainingMillisecondsOf(job, now),
@@ -104,7 +114,7 @@
   })
   if (decision === 'wait') return false
   job.isLate = true
-  const hopeless = unsuited ?? (mayHaveRun(job) ? undefined : reasonWithoutHope(job, agents))
+  const hopeless = reasonUnsuited(job, due, agents) ?? (mayHaveRun(job) ? undefined : reasonWithoutHope(job, agents))
   if (hopeless !== undefined) {
     abandonJob(state, ports, job, hopeless, now)
     return true
@@ -122,6 +132,7 @@
   state: DispatcherState, ports: DispatcherPorts, job: Job, due: readonly JobTask[], agents: AgentsByDistance,
   budget: PlanBudget, now: number
 ): boolean {
+  if (abandonIfUnsuited(state, ports, job, due, agents, now)) return true
   const { plan, triedCount } = planLateJob(state, job, due, agents, budget, now)
   const hasRoom = plan.choices.size > 0
   sendLatePlan(state, ports, job, plan, now)
--- a/packages/dispatching/tests/unsuitable-verdict.test.ts
+++ b/packages/dispatching/tests/unsuitable-verdict.test.ts
@@ -106,6 +106,19 @@
   expect(answers).toMatchObject([{ kind: 'refused', reason: 'no upstream of its service has the required label' }])
 })
 
+// A late job waited for three objectives for an upstream that was another one by then.
+it('refuses a late job that waits for room once no upstream has its label any more', () => {
+  hear(1, ['a'], { accepting: false })
+  submit()
+  for (let now = LONG_AFTER_START; now < LONG_AFTER_START + 200; now += 20) dispatcher.tick(now)
+  expect(answers).toEqual([])
+  const [view] = dispatcher.agents()
+  if (view === undefined) throw new Error('expected a view of the agent')
+  dispatcher.watchAnswered(view, { ...answerOf(300, ['b']), reports: [] }, LONG_AFTER_START + 200)
+  dispatcher.tick(LONG_AFTER_START + 220)
+  expect(answers).toMatchObject([{ kind: 'refused', reason: 'no upstream of its service has the required label' }])
+})
+
 it('lets such a job wait while an upstream is being started, whose labels are not known yet', () => {
   hear(1, ['a'])
   hear(2, [], { service: '', accepting: false })
