Show that a task runs twice when an executor refuses its agent

Cause: the agent takes a refused connection for the end of its executor's life, and ends the runs there as lost while they go on within their lease.

--- a/review/stand-ins-3/executor.mjs
+++ b/review/stand-ins-3/executor.mjs
@@ -38,7 +38,11 @@
       isUp: true,
       isSilent: false
     })
-    if (this.server?.listening === true) return this.announce()
+    if (this.server?.listening !== true) await this.listen()
+    this.announce()
+  }
+
+  async listen () {
     this.sockets = new Set()
     this.server = createServer((incoming, outgoing) => { this.handle(incoming, outgoing) })
     this.server.on('connection', socket => {
@@ -50,7 +54,6 @@
       this.server.once('error', reject)
       this.server.listen(this.port, this.host, resolve)
     })
-    this.announce()
   }
 
   announce () {
@@ -85,6 +88,22 @@
     this.record.write('cut healed', { executor: this.name, id: this.id, labels: this.labels })
   }
 
+  /**
+   * Cuts the executor off so that open connections are reset and new ones refused. What runs there goes on, within its
+   * lease. Resolves when the cut has healed.
+   */
+  async cutOffWithResets (milliseconds) {
+    this.record.write('executor cut off', { executor: this.name, id: this.id, milliseconds, running: [...this.running.keys()] })
+    this.isCut = true
+    for (const listener of [...this.listeners]) listener()
+    this.server.close()
+    for (const socket of [...this.sockets]) socket.resetAndDestroy()
+    await new Promise(resolve => { setTimeout(resolve, milliseconds) })
+    this.isCut = false
+    await this.listen()
+    this.record.write('cut healed', { executor: this.name, id: this.id })
+  }
+
   /** Ends this life: all that runs ends with it, and nothing listens any more. */
   crash () {
     if (!this.isUp) return
