Choose the ports of the review's cases on loopback only

Cause: the stand-ins looked for free ports with a listener on all addresses; every address in a case is to be a loopback one. Change: they listen on an address of the case's own loopback prefix.

--- a/review/stand-ins-3/site.mjs
+++ b/review/stand-ins-3/site.mjs
@@ -51,14 +51,14 @@
   throw new Error('no free loopback addresses')
 }
 
-/** Chooses ports that are free on all addresses. */
-async function choosePorts () {
+/** Chooses ports that are free on an address of the prefix; a listener on all addresses would hold them there too. */
+async function choosePorts (host) {
   const servers = []
   for (const name of Object.keys(PORTS)) {
     const server = createTcpServer()
     await new Promise((resolve, reject) => {
       server.once('error', reject)
-      server.listen(0, '0.0.0.0', resolve)
+      server.listen(0, host, resolve)
     })
     PORTS[name] = server.address().port
     servers.push(server)
@@ -179,7 +179,7 @@
 
   async start () {
     const { prefix, guard } = await claimPrefix()
-    await choosePorts()
+    await choosePorts(`${prefix}.251`)
     this.prefix = prefix
     this.closers.push(() => { guard.close() })
     this.store = new Store()
