Let no answer leave a stand-in executor that is down or cut off

Cause: a stand-in of the third review could answer a waiting listing while it was down or cut off, so that its cases were measured beside an executor that is not sound. Change: its answers are dropped then.

--- a/review/stand-ins-3/executor.mjs
+++ b/review/stand-ins-3/executor.mjs
@@ -182,8 +182,9 @@
     incoming.on('error', () => {})
   }
 
+  /** Sends an answer; none leaves an executor that is down or cut off. */
   send (outgoing, status, fields) {
-    if (outgoing.destroyed) return
+    if (outgoing.destroyed || !this.isUp || this.isCut === true) return
     const text = JSON.stringify({ clock_ms: this.clock(), ...fields })
     outgoing.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }).end(text)
   }
