Keep the runs of an upstream that refuses connections until their end is proven

Cause: the agent took one refused listing for the end of the instance (`handleUnreachable`): it reported confirmed runs lost at once, so that entries started their tasks elsewhere, and recorded a certain crash under them. A refusal looks the same for an upstream that has stopped listening, is cut off or has a full backlog. Ruled out: the entries, which moved tasks only on the agent's report. Change: `isEndProven` states what proves the end of a run: its completion, its absence from a listing that shows all there is of it, or the end of the run lease; another instance displaces runs until its listing shows them gone. All places that end or blame runs ask it. Until then the agent starts nothing there and gives back what it has not ordered. A crash is suspected when the lease is over, and certain when another instance answers; an entry sends a task no more after three crashes while one of them is only suspected, and counts none for blame that its agent may take back. A crash that becomes certain is told to the agents that keep it. The price is the wait where an upstream really ends. Entries rely on the longest lease, as before. Logs: `upstream refuses connections`, `upstream answers again`, and `upstream life ended` with its outcome, each with the age of the last renewal; `baobabpost_refused_upstream_seconds` has the time until the proof.

--- a/packages/common/src/event-metrics.ts
+++ b/packages/common/src/event-metrics.ts
@@ -11,6 +11,7 @@
   baobabpost_events_total: { type: 'counter', about: 'Events of the log, by event and outcome; lines that were dropped are counted too' },
   baobabpost_job_response_seconds: { type: 'histogram', about: 'Time from the arrival of a job to its final answer, by outcome' },
   baobabpost_run_seconds: { type: 'histogram', about: 'Time from the order to the end of a run, by outcome' },
+  baobabpost_refused_upstream_seconds: { type: 'histogram', about: 'Time for which runs at an upstream that refused connections waited until it was proven that they had ended or go on, by outcome' },
   baobabpost_open: { type: 'gauge', about: 'Jobs without an answer at an entry; runs that run, wait or may yet start at an agent' },
   baobabpost_offered_share: { type: 'gauge', about: 'Share of its upstream’s capacity that an agent offers for new runs, 0 to 1; below 1 while the upstream is cold' },
   baobabpost_evacuated_domains: { type: 'gauge', about: 'Number of failure domains that the process knows to be evacuated; absent while it knows no position of the operators’ log' },
@@ -34,9 +35,11 @@
   toPrometheusText: () => Promise<string>
 }
 
-type GaugeName = {
-  [Name in keyof typeof EVENT_METRICS]: (typeof EVENT_METRICS)[Name]['type'] extends 'gauge' ? Name : never
+type NameOf<Type extends string> = {
+  [Name in keyof typeof EVENT_METRICS]: (typeof EVENT_METRICS)[Name]['type'] extends Type ? Name : never
 }[keyof typeof EVENT_METRICS]
+type GaugeName = NameOf<'gauge'>
+type HistogramName = NameOf<'histogram'>
 
 /** What a process knows of evacuated failure domains. */
 export interface EvacuationReadings {
@@ -87,6 +90,7 @@
   })
   const responses = createHistogram('baobabpost_job_response_seconds')
   const runs = createHistogram('baobabpost_run_seconds')
+  const refusedUpstreams = createHistogram('baobabpost_refused_upstream_seconds')
   const returnedRuns = new Counter({
     name: 'baobabpost_evacuation_returned_runs_total',
     help: EVENT_METRICS.baobabpost_evacuation_returned_runs_total.about,
@@ -110,7 +114,7 @@
   if (options.evacuations !== undefined) createEvacuationGauges(options.evacuations)
   createGauge('baobabpost_log_lines_dropped', options.countDroppedLines)
 
-  function createHistogram (name: 'baobabpost_job_response_seconds' | 'baobabpost_run_seconds'): Histogram<'outcome'> {
+  function createHistogram (name: HistogramName): Histogram<'outcome'> {
     return new Histogram({
       name, help: EVENT_METRICS[name].about, labelNames: ['outcome'], buckets: BUCKET_BOUNDS_SECONDS, registers: [...registries]
     })
@@ -166,6 +170,8 @@
       if (typeof milliseconds !== 'number') return
       if (event === 'job answered') responses.observe({ outcome }, milliseconds / 1_000)
       if (event === 'run ended') runs.observe({ outcome }, milliseconds / 1_000)
+      const isRefusalOver = event === 'upstream life ended' || event === 'upstream answers again'
+      if (isRefusalOver && Number(fields?.['runs']) > 0) refusedUpstreams.observe({ outcome }, milliseconds / 1_000)
     },
     toPrometheusText: () => registries[0].metrics()
   }
--- a/packages/dispatching/src/crash-evidence.ts
+++ b/packages/dispatching/src/crash-evidence.ts
@@ -19,7 +19,8 @@
  *
  * - `clear`: no upstream crashed under it without another known cause, or it was done since;
  * - `suspect`: one upstream did;
- * - `held`: several did, and others that were there may be the cause; it is not to be sent yet;
+ * - `held`: several did, and others that were there may be the cause, or it is uncertain whether all of them crashed
+ *   and one more would be too many; it is not to be sent yet;
  * - `lone`: as before, and waiting has not shown the cause; it is to run alone;
  * - `blamed`: several did, and everything else that was there has been done since.
  */
@@ -30,7 +31,7 @@
   /**
    * Adds what an incarnation of an agent tells; undefined if it knows of none.
    *
-   * @returns the crashes that were not known.
+   * @returns the crashes that were not known, and those that were only suspected and are certain now.
    */
   merge: (incarnation: string, facts: CrashFacts | undefined, now: number) => UpstreamCrash[]
   /**
@@ -97,9 +98,15 @@
     return provenCauses
   }
 
+  /** Whether the agent that told the crash may yet tell that it was none. */
+  function isUnsettled ({ isSuspected, incarnation }: KnownCrash): boolean {
+    return isSuspected && incarnation !== ''
+  }
+
   function isBlamed (task: string): boolean {
     if (isProvenCause(task)) return true
-    return index.crashesOf(task).length >= CRASHES_BEFORE_BLAME && index.causedBy(task).size > 0
+    const settled = index.crashesOf(task).filter(crash => !isUnsettled(crash))
+    return settled.length >= CRASHES_BEFORE_BLAME && index.causedBy(task).size > 0
   }
 
   function isExplainedByOther (task: string, { open }: KnownCrash): boolean {
@@ -120,6 +127,7 @@
     if (last === undefined) return 'clear'
     if (isBlamed(task)) return 'blamed'
     if (unexplained.length < CRASHES_BEFORE_RUNNING_ALONE) return 'suspect'
+    if (unexplained.length >= CRASHES_BEFORE_BLAME && unexplained.some(isUnsettled)) return 'held'
     return now - last.learnedAt < HOLD_MILLISECONDS ? 'held' : 'lone'
   }
 
@@ -156,11 +164,16 @@
       lastMergeAt = now
       if (facts === undefined && index.crashes.size === 0) return []
       const told = new Map(facts?.crashes.map(crash => [crash.id, crash]))
+      const confirmed: UpstreamCrash[] = []
       for (const crash of [...index.crashes.values()]) {
         if (crash.incarnation !== incarnation || !crash.isSuspected) continue
         const toldCrash = told.get(crash.id)
-        if (toldCrash === undefined) index.remove(crash)
-        else index.setSuspected(crash, toldCrash.isSuspected === true)
+        if (toldCrash === undefined) {
+          index.remove(crash)
+        } else if (toldCrash.isSuspected !== true) {
+          index.setSuspected(crash, false)
+          confirmed.push(toldCrash)
+        }
       }
       const added = [...told.values()].filter(({ id }) => !index.crashes.has(id))
       for (const crash of added) index.add(incarnation, crash, now)
@@ -170,7 +183,7 @@
         index.close(task)
       }
       routes = undefined
-      return added
+      return [...added, ...confirmed]
     },
     addLost: (incarnation, candidates, now) => {
       const id = `lost with ${incarnation}`
--- a/packages/dispatching/src/learn-crashes.ts
+++ b/packages/dispatching/src/learn-crashes.ts
@@ -13,7 +13,9 @@
       const assignment = state.assigned.get(task)?.task.assignment
       if (assignment !== undefined) state.suspects.add(assignment.agent, task)
     }
-    ports.logger.info('crash of an upstream', { agent: view.name, crash: id, candidates: candidates.length })
+    ports.logger.info('crash of an upstream', {
+      outcome: isSuspected === true ? 'suspected' : 'certain', agent: view.name, crash: id, candidates: candidates.length
+    })
     // A crash that was kept elsewhere is not passed on, so that it ends with its retention.
     if (isSuspected === true || !id.startsWith(`${view.incarnation}/`)) continue
     for (const keeper of keepingAgents(state, view, id)) ports.tellCrashes?.(keeper, [crash])
--- a/packages/fleet-calls/src/lease-lengths.ts
+++ b/packages/fleet-calls/src/lease-lengths.ts
@@ -14,11 +14,14 @@
 /** Time for which an agent keeps an entry's runs after it sent the newest answer that the entry has received. */
 export const ENTRY_LEASE_MILLISECONDS = 570
 
-/** Time for which an upstream keeps runs after the agent last renewed their lease. */
+/** Longest time for which an upstream keeps runs after the agent last renewed their lease. */
 export const RUN_LEASE_MILLISECONDS = 640
 
-/** Longest real duration of a run lease: an upstream's clock may be 2 % slow. */
-export const RUN_LEASE_BOUND_MILLISECONDS = RUN_LEASE_MILLISECONDS * 1.02
+/** Largest real duration of a lease over its length: an upstream's clock may be 2 % slow. */
+export const MAXIMUM_LEASE_STRETCH = 1.02
+
+/** Longest real duration of a run lease. */
+export const RUN_LEASE_BOUND_MILLISECONDS = RUN_LEASE_MILLISECONDS * MAXIMUM_LEASE_STRETCH
 
 /** Allowance for late timers and for messages in transit when one process relies on a lease kept by another. */
 export const LEASE_MARGIN_MILLISECONDS = 20
--- a/packages/rehearsal/src/leased-upstream-options.ts
+++ b/packages/rehearsal/src/leased-upstream-options.ts
@@ -51,6 +51,8 @@
   reportsCold: boolean
   /** No order is answered. */
   isUnresponsive: boolean
+  /** Open connections are reset and new ones refused, while runs go on. */
+  refusesConnections: boolean
 }
 
 /** Notified of starts and ends of runs at the stand-in. */
@@ -135,6 +137,7 @@
     failsAll: false,
     coldUntil: 0,
     reportsCold: true,
-    isUnresponsive: false
+    isUnresponsive: false,
+    refusesConnections: false
   }
 }
--- a/packages/runs/src/create-run-registry.ts
+++ b/packages/runs/src/create-run-registry.ts
@@ -139,7 +139,8 @@
   }
 
   function listingWaitMilliseconds (): number {
-    if (state.upstream.unansweredListings > 0 || state.upstream.phase !== 'serving') return 0
+    const { unansweredListings, refusedSince, phase } = state.upstream
+    if (unansweredListings > 0 || refusedSince !== undefined || phase !== 'serving') return 0
     return state.runs.size > 0 ? LIST_WAIT_MILLISECONDS : IDLE_LIST_WAIT_MILLISECONDS
   }
 
@@ -174,6 +175,7 @@
     },
     nextListOrder: (waitMilliseconds, now) => {
       const isRenewing = state.upstream.phase === 'serving' && state.upstream.unansweredListings < MAXIMUM_UNANSWERED_LISTINGS
+      if (!isRenewing) state.upstream.renewals.addOther(now)
       return {
         fencingToken: state.fencingToken,
         leaseUntil: isRenewing ? renewLease(state, now) : undefined,
--- a/packages/runs/src/listings.ts
+++ b/packages/runs/src/listings.ts
@@ -3,36 +3,50 @@
   FENCING_TOKEN_STEP, MAXIMUM_COMPLETION_GAP, MAXIMUM_COMPLETION_NUMBER, MAXIMUM_OVERTAKING_MILLISECONDS,
   MAXIMUM_UNANSWERED_LISTINGS, MAXIMUM_UNANSWERED_REPETITIONS, STALL_TIMEOUT_MILLISECONDS
 } from './run-limits.js'
-import { indexRuns, isInRegistry, recordLastingRows, rowOf, type ListedRuns } from './listed-runs.js'
+import { indexRuns, isInRegistry, recordLastingRows, rowOf } from './listed-runs.js'
 import { recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
 import { confirmRun, endRun } from './registered-runs.js'
 import { raiseFencingToken } from './fencing-token.js'
 import { isAccepting, retryStart, startWaitingRuns } from './orders.js'
 import { stopRun } from './stop-orders.js'
-import { isOrdered, ORDER_UNANSWERED, type RunRecord } from './run-record.js'
+import { isEndProven, isListingConclusive, type RunObservation } from './run-end-proof.js'
+import { settleRenewal } from './run-lease.js'
+import { ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import { recordRenewal } from './unanswered-renewals.js'
 import type { ListAnswer, ListedCompletion, Listing } from './upstream.js'
 import { recordPace, recordRunTime } from './run-time-reports.js'
-import { beginInstance, endExpiredRuns, handleUnreachable } from './upstream-instance.js'
+import { beginInstance, endExpiredRuns, handleReachable, handleUnreachable } from './upstream-instance.js'
+
+type ObservedListing = Extract<RunObservation, { readonly kind: 'listing' }>
+
+function observe (
+  state: RunRegistryState, listing: Listing, usedFencingToken: number, requestedAt: number
+): ObservedListing {
+  return { kind: 'listing', listedRuns: indexRuns(state, listing), fencingToken: usedFencingToken, requestedAt }
+}
 
 /**
- * Ends the displaced runs of whose tasks a listing shows none, and stops the others. It may show an earlier run number
- * of a task, whose order got no answer before a later one was confirmed.
+ * Ends the displaced runs of whose tasks a listing shows none, and stops the others.
  *
  * @returns the number of those that are left.
  */
 function settleDisplacedRuns (
-  state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number
+  state: RunRegistryState,
+  ports: RunRegistryPorts,
+  listing: Listing,
+  usedFencingToken: number,
+  requestedAt: number,
+  now: number
 ): number {
-  const listedRuns = indexRuns(state, listing)
+  const observation = observe(state, listing, usedFencingToken, requestedAt)
   let remainingCount = 0
   for (const record of [...state.runs.values()]) {
-    const { order: { task }, upstreamRunNumber: run } = record
-    if (!listedRuns.hasTask(task) && !listedRuns.isDoubtful(task)) {
+    if (isEndProven(state, record, observation)) {
       endRun(state, ports, record, 'lost', record.stopReason, now)
       continue
     }
     remainingCount += 1
+    const { order: { task }, upstreamRunNumber: run } = record
     ports.stopUnknownRun({ task, run, fencingToken: state.fencingToken, instance: state.upstream.instance })
   }
   return remainingCount
@@ -72,7 +86,7 @@
   state: RunRegistryState, ports: RunRegistryPorts, completion: ListedCompletion, now: number
 ): void {
   const record = state.runs.get(completion.task)
-  if (record === undefined || !isOrdered(record) || record.upstreamRunNumber !== completion.run) return
+  if (record === undefined || !isEndProven(state, record, { kind: 'completion', completion })) return
   const estimateMilliseconds = record.order.estimateMilliseconds
   if (completion.kind === 'done') {
     const milliseconds = now - record.orderedAt
@@ -86,30 +100,20 @@
   endRun(state, ports, record, completion.kind, completion.kind === 'stopped' ? record.stopReason : '', now)
 }
 
-/**
- * Whether a run is gone if a listing does not show it. After a listing, the upstream rejects a start order with a lower
- * fencing token.
- */
-function isAbsenceConclusive (record: RunRecord, usedFencingToken: number, requestedAt: number): boolean {
-  if (record.state === 'stopping' && record.orderedFence < usedFencingToken) return true
-  return record.absenceConclusiveFrom !== undefined && requestedAt >= record.absenceConclusiveFrom
-}
-
 /** Ends runs that are neither listed nor completed: the upstream never started them, or lost them. */
 function endMissingRuns (
-  state: RunRegistryState,
-  ports: RunRegistryPorts,
-  listedRuns: ListedRuns,
-  usedFencingToken: number,
-  requestedAt: number,
-  now: number
+  state: RunRegistryState, ports: RunRegistryPorts, observation: ObservedListing, now: number
 ): void {
+  const { listedRuns, fencingToken, requestedAt } = observation
   for (const record of [...state.runs.values()]) {
-    if (!isAbsenceConclusive(record, usedFencingToken, requestedAt)) continue
-    const isListed = listedRuns.has(record.order.task, record.upstreamRunNumber)
-    if (!isListed && listedRuns.isDoubtful(record.order.task)) continue
-    if (record.state === 'unsure') resolveUnconfirmedRun(state, ports, record, isListed, now)
-    else if (!isListed) endMissingRun(state, ports, record, now)
+    const isGone = isEndProven(state, record, observation)
+    if (record.state !== 'unsure') {
+      if (isGone) endMissingRun(state, ports, record, now)
+      continue
+    }
+    const isConfirmed = isListingConclusive(state, record, fencingToken, requestedAt) &&
+      listedRuns.has(record.order.task, record.upstreamRunNumber)
+    if (isGone || isConfirmed) resolveUnconfirmedRun(state, ports, record, isConfirmed, now)
   }
 }
 
@@ -198,10 +202,17 @@
  * Stops the runs of an earlier incarnation of the agent, and those ordered before the upstream was started again; once
  * a listing has none, the upstream serves.
  */
-function clearEarlierRuns (state: RunRegistryState, ports: RunRegistryPorts, listing: Listing, now: number): void {
+function clearEarlierRuns (
+  state: RunRegistryState,
+  ports: RunRegistryPorts,
+  listing: Listing,
+  usedFencingToken: number,
+  requestedAt: number,
+  now: number
+): void {
   handleCompletions(state, ports, listing, now)
   stopUnknownRuns(state, ports, listing)
-  const displacedCount = settleDisplacedRuns(state, ports, listing, now)
+  const displacedCount = settleDisplacedRuns(state, ports, listing, usedFencingToken, requestedAt, now)
   if (state.upstream.unknownRunCount + displacedCount > 0) {
     state.upstream.phase = 'clearing'
     return
@@ -236,6 +247,7 @@
 ): void {
   if (!reconcileInstance(state, ports, listing, requestedAt, now)) return
   state.crashes.settleSuspected(false)
+  handleReachable(state, ports, now)
   recordUpstreamClock(state, ports, reading, now)
   state.upstream.lastListingAt = now
   const isOutOfOrder = recordListingClock(state, reading)
@@ -243,15 +255,15 @@
   if (!isOutOfOrder && usedFencingToken >= state.fencingToken) recordLastingRows(state, listing, requestedAt)
   if (state.upstream.phase !== 'serving') {
     // An earlier token leaves room for a delayed order to start after the listing.
-    if (!isOutOfOrder && usedFencingToken >= state.fencingToken) clearEarlierRuns(state, ports, listing, now)
-    return
+    if (isOutOfOrder || usedFencingToken < state.fencingToken) return
+    return clearEarlierRuns(state, ports, listing, usedFencingToken, requestedAt, now)
   }
   handleCompletions(state, ports, listing, now)
   if (isOutOfOrder) return
   stopUnknownRuns(state, ports, listing)
   recordPace(state, ports, listing, now)
   recordProgress(state, ports, listing, now)
-  endMissingRuns(state, ports, indexRuns(state, listing), usedFencingToken, requestedAt, now)
+  endMissingRuns(state, ports, observe(state, listing, usedFencingToken, requestedAt), now)
 }
 
 /** Handles the answer to a list order that was sent at `requestedAt`. */
@@ -263,6 +275,7 @@
   requestedAt: number,
   now: number
 ): void {
+  settleRenewal(state, answer.outcome, requestedAt, now)
   recordRenewal(state, ports, answer.outcome, usedFencingToken, now)
   if (answer.outcome === 'fenced') return raiseFencingToken(state, ports, usedFencingToken)
   if (answer.outcome === 'unreachable') return handleUnreachable(state, ports, now)
--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -4,7 +4,7 @@
 import {
   confirmRun, endRun, freeCapacity, hasCapacityFor, isCurrent, mustRunAlone, reserveCapacity
 } from './registered-runs.js'
-import { renewLease } from './run-lease.js'
+import { renewLease, settleRenewal } from './run-lease.js'
 import {
   MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_ORDERS_UNDER_WAY, MAXIMUM_RUN_NUMBER_ATTEMPTS
 } from './run-limits.js'
@@ -22,9 +22,10 @@
 
 /** Whether new runs may be accepted and started. */
 export function isAccepting (state: RunRegistryState, now: number): boolean {
-  if (state.isShuttingDown || state.upstream.hasDeparted || state.upstream.phase !== 'serving') return false
-  if (state.upstream.heartbeat === undefined || state.upstream.isLeaving || isEvacuated(state)) return false
-  return now - state.upstream.lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
+  const { phase, hasDeparted, refusedSince, heartbeat, isLeaving, lastListingAt } = state.upstream
+  if (state.isShuttingDown || hasDeparted || refusedSince !== undefined || phase !== 'serving') return false
+  if (heartbeat === undefined || isLeaving || isEvacuated(state)) return false
+  return now - lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
 }
 
 /**
@@ -162,6 +163,7 @@
   now: number
 ): void {
   if (answer.outcome !== 'unanswered') state.openOrders.close(record.order.task, record.orderedAt)
+  settleRenewal(state, answer.outcome, record.orderedAt, now)
   recordRenewal(state, ports, answer.outcome, usedFencingToken, now)
   if (!isCurrent(state, record)) return
   recordUpstreamClock(state, ports, answer.clock, now)
@@ -185,11 +187,15 @@
       return retryStart(state, ports, record, answer.outcome, now)
     case 'late':
       return retryStart(state, ports, record, answer.outcome, now)
+    case 'unreachable':
+      // A listing shows whether the upstream refuses all connections.
+      ports.listImmediately()
+      state.upstream.observations.recordFailure()
+      return giveBack(state, ports, record, answer.outcome, now)
     case 'no-room':
     case 'unhealthy':
     case 'invalid':
     case 'other-life':
-    case 'unreachable':
       state.upstream.observations.recordFailure()
       giveBack(state, ports, record, answer.outcome, now)
   }
--- a/packages/runs/src/run-lease.ts
+++ b/packages/runs/src/run-lease.ts
@@ -1,7 +1,9 @@
 /** Lease of the runs at an upstream: its renewal by list and start orders, and its end. */
-import { LEASE_MARGIN_MILLISECONDS, RUN_LEASE_BOUND_MILLISECONDS, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { LEASE_MARGIN_MILLISECONDS, MAXIMUM_LEASE_STRETCH, RUN_LEASE_MILLISECONDS } from '@baobabpost/fleet-calls'
+import { FULL_LEASE_PERIOD_MILLISECONDS, SHORT_RUN_LEASE_MILLISECONDS } from './run-limits.js'
 import { isOrdered, ORDER_UNANSWERED, type RunRecord } from './run-record.js'
 import type { RunRegistryState } from './run-registry-state.js'
+import type { OrderOutcome } from './upstream.js'
 
 /** Whether a run must end, and nothing but the end of the run lease ensures that it does. */
 function dependsOnLeaseEnd (record: RunRecord, now: number): boolean {
@@ -31,6 +33,12 @@
   return false
 }
 
+/** Returns the length of the lease that is granted now, in milliseconds of the upstream's clock. */
+function leaseLength ({ upstream }: RunRegistryState, now: number): number {
+  const isFull = now - upstream.lastUnansweredAt < FULL_LEASE_PERIOD_MILLISECONDS
+  return isFull ? RUN_LEASE_MILLISECONDS : SHORT_RUN_LEASE_MILLISECONDS
+}
+
 /**
  * Returns the lease end that an order sent now carries, on the upstream's clock; undefined while that clock is unknown.
  * The lease holds for all runs there, so it keeps the end that was granted before while one of them must end and its
@@ -39,12 +47,27 @@
 export function renewLease (state: RunRegistryState, now: number): number | undefined {
   const { upstream } = state
   if (isRenewable(state, now)) {
-    upstream.leaseRenewedAt = now
     const clock = upstream.clock.timeAt(now)
-    upstream.leaseUntil = clock === undefined ? undefined : clock + RUN_LEASE_MILLISECONDS
+    const length = leaseLength(state, now)
+    upstream.renewals.add(now, clock === undefined ? undefined : clock + length, now + length * MAXIMUM_LEASE_STRETCH)
+  } else {
+    upstream.renewals.addOther(now)
   }
-  if (upstream.leaseUntil !== undefined) upstream.leaseFence = state.fencingToken
-  return upstream.leaseUntil
+  const leaseUntil = upstream.renewals.leaseUntil()
+  if (leaseUntil !== undefined) upstream.leaseFence = state.fencingToken
+  return leaseUntil
+}
+
+/**
+ * Takes in whether an order that was sent at `sentAt` may have renewed the lease. One that was refused at the
+ * connection reached nobody; one that was rejected counts, as its rejection may be of a repetition.
+ */
+export function settleRenewal (
+  { upstream }: RunRegistryState, outcome: OrderOutcome, sentAt: number, now: number
+): void {
+  if (outcome === 'unanswered') upstream.lastUnansweredAt = now
+  if (outcome === 'unreachable') upstream.renewals.withdraw(sentAt)
+  else upstream.renewals.settle(sentAt)
 }
 
 /**
@@ -53,5 +76,5 @@
  * has carried out a later order with a higher fencing token, and rejects it.
  */
 export function isRunLeaseOver (state: RunRegistryState, now: number): boolean {
-  return now - state.upstream.leaseRenewedAt >= RUN_LEASE_BOUND_MILLISECONDS + LEASE_MARGIN_MILLISECONDS
+  return now >= state.upstream.renewals.overBy() + LEASE_MARGIN_MILLISECONDS
 }
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -16,6 +16,13 @@
  * they would time out behind each other, and be repeated.
  */
 export const MAXIMUM_ORDERS_UNDER_WAY = 32
+/**
+ * Run lease that is granted while orders are answered. Four listings in a row fit in, of which three may be lost; a
+ * shorter lease lets the tasks of an upstream that has ended start elsewhere sooner.
+ */
+export const SHORT_RUN_LEASE_MILLISECONDS = 400
+/** Time after an order without an answer in which the full run lease is granted: more orders may be lost. */
+export const FULL_LEASE_PERIOD_MILLISECONDS = 10_000
 /** Consecutive unanswered listings after which the run lease is no longer renewed, so that it expires. */
 export const MAXIMUM_UNANSWERED_LISTINGS = 4
 /** Longest time by which one listing overtakes another: many times the wait and timeout of a list order. */
--- a/packages/runs/src/upstream-state.ts
+++ b/packages/runs/src/upstream-state.ts
@@ -1,4 +1,5 @@
 /** What an agent knows of the current instance of its upstream. */
+import { createLeaseRenewals, type LeaseRenewals } from './lease-renewals.js'
 import { createSlowStart, type SlowStart } from './slow-start.js'
 import { createLastingRows, type LastingRows } from './lasting-rows.js'
 import { createObservations, type Observations } from './observations.js'
@@ -53,10 +54,12 @@
   lastListingClock: number
   /** Number of consecutive unanswered listings. */
   unansweredListings: number
-  /** Agent time of the last order that renewed the lease of all runs: a list or a start order. */
-  leaseRenewedAt: number
-  /** Lease end that this order carried, on the upstream's clock; undefined before the first. */
-  leaseUntil: number | undefined
+  /** Agent time of the first refused connection since the last listing; undefined without one. */
+  refusedSince: number | undefined
+  /** Agent time at which a list or start order last got no answer; `-Infinity` without one. */
+  lastUnansweredAt: number
+  /** The list and start orders that renewed the lease of all runs. */
+  readonly renewals: LeaseRenewals
   /** Fencing token of the last order that carried a lease end; 0 before the first. */
   leaseFence: number
   /** Rows of the newest listing that show unknown runs or don't decode. */
@@ -69,11 +72,12 @@
  * Creates the state of an instance that has not been heard of, or of which only the identity is known.
  *
  * @param routeFactor - Returns the newest factor on the estimates of a route.
+ * @param former - Lease renewals of the instance before; absent without one.
  * @example
  * state.upstream = createUpstreamState({ id: 'i-7f3a91c2', startedAt: 1_791_652_171_802 }, () => 1)
  */
 export function createUpstreamState (
-  instance: UpstreamInstance | undefined, routeFactor: (route: string) => number
+  instance: UpstreamInstance | undefined, routeFactor: (route: string) => number, former?: LeaseRenewals
 ): UpstreamState {
   return {
     instance,
@@ -95,8 +99,9 @@
     lastListingAt: 0,
     lastListingClock: 0,
     unansweredListings: 0,
-    leaseRenewedAt: 0,
-    leaseUntil: undefined,
+    refusedSince: undefined,
+    lastUnansweredAt: -Infinity,
+    renewals: createLeaseRenewals(former),
     leaseFence: 0,
     lastingRows: createLastingRows(),
     unknownRunCount: 0
