Find an agent again that was forgotten and announces itself at its former address

Cause: an entry stops watching an agent without an answer for 60 s and relies on its next announcement. But the directory keeps each member for ever, and calls `onMember` only for a name that is new or at another address.

--- a/packages/fleet-calls/src/create-fleet-directory.ts
+++ b/packages/fleet-calls/src/create-fleet-directory.ts
@@ -40,6 +40,8 @@
   handleAnnounce: (announce: Announce) => AnnounceAnswer
   /** Adds a member, or updates its address. */
   addMember: (member: Member) => void
+  /** Forgets an agent that this process no longer calls; `onMember` is called when it announces itself again. */
+  forgetAgent: (name: string) => void
   /** Addresses of the seeds and of all known entries, without this process. */
   entryAddresses: () => string[]
   close: () => void
@@ -190,5 +192,5 @@
     )
   }
   runAnnounceLoop()
-  return { handleAnnounce, addMember, entryAddresses, close: () => { clearTimeout(timer) } }
+  return { handleAnnounce, addMember, forgetAgent: table.remove, entryAddresses, close: () => { clearTimeout(timer) } }
 }
--- a/packages/fleet-calls/src/member-table.ts
+++ b/packages/fleet-calls/src/member-table.ts
@@ -6,6 +6,8 @@
 export interface MemberTable {
   /** Adds a member or updates its address. Returns whether anything has changed. */
   add: (member: Member, now: number) => boolean
+  /** Removes a member, which is new again when it is next added. */
+  remove: (name: string) => void
   /** Records that a member was in contact with this process. */
   markSeen: (name: string, now: number) => void
   /** Members of a role. */
@@ -90,6 +92,7 @@
       })
       return true
     },
+    remove: name => { members.delete(name) },
     markSeen: (name, now) => {
       const known = members.get(name)
       if (known !== undefined) known.lastSeenAt = now
