Start nothing while a listing has no answer

Cause: an agent accepted and started runs for 700 ms after the last listing, also while its listings got no answer, so it trusted the last heartbeat when the cut had healed and it did not know yet who answered. Change: after a listing without an answer waiting runs are held until the next one, 20 ms later if the upstream answers; after two in a row the agent accepts nothing and gives back what it holds, so that entries place their tasks elsewhere.

--- a/packages/runs/src/orders.ts
+++ b/packages/runs/src/orders.ts
@@ -6,7 +6,8 @@
 } from './registered-runs.js'
 import { renewLease, settleRenewal } from './run-lease.js'
 import {
-  MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_ORDERS_UNDER_WAY, MAXIMUM_RUN_NUMBER_ATTEMPTS
+  MAXIMUM_LISTING_AGE_MILLISECONDS, MAXIMUM_ORDERS_UNDER_WAY, MAXIMUM_RUN_NUMBER_ATTEMPTS,
+  UNANSWERED_LISTINGS_BEFORE_REFUSING
 } from './run-limits.js'
 import type { RunRecord } from './run-record.js'
 import { recordUpstreamClock, type RunRegistryPorts, type RunRegistryState } from './run-registry-state.js'
@@ -22,9 +23,10 @@
 
 /** Whether new runs may be accepted and started. */
 export function isAccepting (state: RunRegistryState, now: number): boolean {
-  const { phase, hasDeparted, refusedSince, heartbeat, isLeaving, lastListingAt } = state.upstream
+  const { phase, hasDeparted, refusedSince, heartbeat, isLeaving, lastListingAt, unansweredListings } = state.upstream
   if (state.isShuttingDown || hasDeparted || refusedSince !== undefined || phase !== 'serving') return false
   if (heartbeat === undefined || isLeaving || isEvacuated(state)) return false
+  if (unansweredListings >= UNANSWERED_LISTINGS_BEFORE_REFUSING) return false
   return now - lastListingAt <= MAXIMUM_LISTING_AGE_MILLISECONDS
 }
 
@@ -79,10 +81,18 @@
   })
 }
 
+/**
+ * Whether starts are held back although runs are accepted: the last listing got no answer, and whoever answers the next
+ * one may be another instance, of another kind.
+ */
+function areStartsHeld (state: RunRegistryState, now: number): boolean {
+  return state.upstream.unansweredListings > 0 && isAccepting(state, now)
+}
+
 /** Starts the waiting runs that fit into the free capacity, and ends those whose maximum wait has passed. */
 export function startWaitingRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
   const isAcceptingRuns = isAccepting(state, now)
-  let isKeptFree = false
+  let isKeptFree = areStartsHeld(state, now)
   for (const record of state.queue.inOrder()) {
     const mayStart = !isKeptFree && hasCapacityFor(state, record.order.size, now) && mayStartBesideOthers(state, record)
     // After a process pause, listings come before the tick that ends the runs of lost entries.
@@ -97,6 +107,7 @@
 
 /** Sends the start orders of runs with reserved capacity, as many as may be under way. */
 function orderReservedRuns (state: RunRegistryState, ports: RunRegistryPorts, now: number): void {
+  if (areStartsHeld(state, now)) return
   for (const record of state.reservedRuns) {
     if (state.startsUnderWay.size >= MAXIMUM_ORDERS_UNDER_WAY) return
     state.reservedRuns.delete(record)
--- a/packages/runs/src/run-limits.ts
+++ b/packages/runs/src/run-limits.ts
@@ -25,6 +25,8 @@
 export const FULL_LEASE_PERIOD_MILLISECONDS = 10_000
 /** Consecutive unanswered listings after which the run lease is no longer renewed, so that it expires. */
 export const MAXIMUM_UNANSWERED_LISTINGS = 4
+/** Consecutive unanswered listings after which no new runs are accepted; after the first one none is started. */
+export const UNANSWERED_LISTINGS_BEFORE_REFUSING = 2
 /** Longest time by which one listing overtakes another: many times the wait and timeout of a list order. */
 export const MAXIMUM_OVERTAKING_MILLISECONDS = 5_000
 /** Largest number of heartbeats that overtake one: those of many minutes. */
