--- a/packages/fleet-calls/src/call-error.ts
+++ b/packages/fleet-calls/src/call-error.ts
@@ -3,7 +3,7 @@
 /**
  * Why a call failed.
  *
- * - `refused`: nothing listens at the address, so the call was not received and no process runs there;
+ * - `refused`: nothing listens at the address, so this call was not received; a process may run there;
  * - `unanswered`: the call may or may not have been processed;
  * - `rejected`: the other process answered with an error or an invalid answer.
  */
--- a/packages/runs/src/run-lease.ts
+++ b/packages/runs/src/run-lease.ts
@@ -60,7 +60,7 @@
 
 /**
  * Takes in whether an order that was sent at `sentAt` may have renewed the lease. One that was refused at the
- * connection reached nobody; one that was rejected counts, as its rejection may be of a repetition.
+ * connection reached nobody. One that the upstream rejected counts, which at worst prolongs the wait.
  */
 export function settleRenewal (
   { upstream }: RunRegistryState, outcome: OrderOutcome, sentAt: number, now: number
