--- a/packages/common/src/log-events.ts
+++ b/packages/common/src/log-events.ts
@@ -20,7 +20,7 @@
   'route confined': 'Tasks of a route crash upstreams, and the route may use only some of those of its service: `service`, `route`, number of `agents` `of` those of the service',
   'route not confined any more': 'A route may use all upstreams of its service again: `service`, `route`',
   'no such route': 'A request matches no route of the configuration: `host`, `path`, `version` of the configuration',
-  'agent forgotten': 'An agent has not answered for a minute and is watched no more until it announces itself: `agent`, `address`, `heardAgo` in ms',
+  'agent forgotten': 'An agent has not answered for a minute and is watched no more until it announces itself: `agent`, `heardAgo` in ms',
   'agent added': 'An agent became known: `agent`, `address`',
   'agent found': 'An agent answered for the first time since it started: `agent`, `incarnation`',
   'agent does not answer': 'An agent stopped answering: `agent`, `refused` if it refused the connection, `heardAgo` in ms since the last contact',
--- a/packages/dispatching/src/create-dispatcher.ts
+++ b/packages/dispatching/src/create-dispatcher.ts
@@ -50,7 +50,7 @@
   abandonAll: (reason: string, now: number) => void
   /** Adds an agent, or updates the address of a known one. Returns the view of an agent that was added. */
   agentFound: (name: string, address: string) => AgentView | undefined
-  agentForgotten: (name: string) => void
+  agentForgotten: (name: string, silentMilliseconds: number) => void
   nextWatch: (view: AgentView) => Watch
   watchAnswered: (view: AgentView, answer: WatchAnswer, now: number) => void
   watchFailed: (view: AgentView, isRefused: boolean, now: number) => void
@@ -238,10 +238,11 @@
     cancel,
     abandonAll: (reason, now) => { abandonAllJobs(state, ports, reason, now) },
     agentFound,
-    agentForgotten: name => {
+    agentForgotten: (name, silentMilliseconds) => {
       const view = state.agents.get(name)
       if (view !== undefined) state.runTimes.forget(view)
       state.agents.delete(name)
+      ports.logger.warn('agent forgotten', { agent: name, heardAgo: Math.round(silentMilliseconds) })
     },
     nextWatch: view => {
       const unanswered = stops.unanswered(view.name)
--- a/packages/dispatching/src/entry-program.ts
+++ b/packages/dispatching/src/entry-program.ts
@@ -65,7 +65,7 @@
   readonly runTimes?: RunTimeEstimates
   /** Register of the evacuated failure domains, where evacuations are enabled. */
   readonly evacuations?: EvacuationRegister
-  /** Called with an agent that has not answered for so long that the entry watches it no more. */
+  /** Called with an agent that the entry watches no more; it is found again when it announces itself. */
   readonly onAgentForgotten?: (name: string) => void
   readonly client?: CallClient
   readonly logger: EventLogger
@@ -168,13 +168,6 @@
     logger.error('entry failed', { reason: String(failure) })
   }
 
-  /** Forgets an agent. It is found again when it announces itself. */
-  function forget ({ name, address }: AgentView, answeredAt: number): void {
-    dispatcher.agentForgotten(name)
-    logger.warn('agent forgotten', { agent: name, address, heardAgo: Math.round(now() - answeredAt) })
-    options.onAgentForgotten?.(name)
-  }
-
   async function watch (view: AgentView): Promise<void> {
     let answeredAt = now()
     while (!status.isClosed) {
@@ -186,7 +179,10 @@
         dispatcher.watchAnswered(view, answer, answeredAt)
       } catch (failure) {
         dispatcher.watchFailed(view, isRefusal(failure), now())
-        if (now() - answeredAt > FORGET_AFTER_MILLISECONDS) return forget(view, answeredAt)
+        if (now() - answeredAt > FORGET_AFTER_MILLISECONDS) {
+          dispatcher.agentForgotten(view.name, now() - answeredAt)
+          return options.onAgentForgotten?.(view.name)
+        }
         await new Promise(resolve => { setTimeout(resolve, WATCH_RETRY_MILLISECONDS) })
       }
     }
