Forget closed connections that wait for their turn to be read

Callers: the entry ran out of memory and ended beside a crowd whose clients send chunks of one byte and connect anew when they are closed; all callers of that entry lost their connections. Cause: a connection that sends many small chunks waits in a queue for its turn to be read. The queue serves 20 to 250 a second and kept closed connections as well, each with its request, its socket and what had been read from it, while the limit on connections closed some 700 a second. Change: a connection leaves the queue when its socket closes. The queue is a set, so that this costs the same at any length.

Clients of a crowd may connect anew now (`reconnects`).

--- a/packages/client-limits/src/guarded-request.ts
+++ b/packages/client-limits/src/guarded-request.ts
@@ -118,10 +118,17 @@
     // The request resumes its socket whenever it may take more.
     incoming._read = size => { if (!isSlow) readOn(size) }
     socket.pause()
+    socket.once('close', leaveTurns)
+  }
+
+  /** A connection that waited on after it is closed would keep all that was read from it. */
+  function leaveTurns (): void {
+    turn?.leave()
   }
 
   function takeTurn (): void {
     isSlow = false
+    socket.off('close', leaveTurns)
     connection.setSlow(false)
     socket.resume()
   }
--- a/packages/client-limits/src/reading-turns.ts
+++ b/packages/client-limits/src/reading-turns.ts
@@ -17,6 +17,8 @@
 export interface ReadingTurn {
   /** Counts a chunk. Returns whether the connection has become a slow one, which is read again in its turn. */
   count: () => boolean
+  /** Gives up the turn of a connection that was closed; nothing is called back for it any more. */
+  leave: () => void
 }
 
 /** Decides by the numbers of chunks which connections are read; the ports do it. */
@@ -61,7 +63,7 @@
  * if (turn.count()) socket.pause()
  */
 export function createReadingTurns (ports: ReadingTurnsPorts): ReadingTurns {
-  const slow: SlowConnection[] = []
+  const slow = new Set<SlowConnection>()
   let turnChunks = 0
   let turn = 0
   let isStopped = false
@@ -107,15 +109,16 @@
   }
 
   function resumeSlow (): void {
-    const next = slow.shift()
+    const [next] = slow
     isTurnDue = false
     if (next === undefined) return
-    if (slow.length > 0) scheduleTurn(next)
+    slow.delete(next)
+    if (slow.size > 0) scheduleTurn(next)
     next.resume()
   }
 
   return {
-    hasSlow: () => slow.length > 0,
+    hasSlow: () => slow.size > 0,
     countRequest: () => { countInTurn(CHUNKS_PER_REQUEST) },
     accept: () => {
       hasAccepted = true
@@ -124,7 +127,7 @@
     begin: (resume, isSliced = () => false) => {
       let chunks = 0
       let chunksTurn = -1
-      let isSlow = false
+      const connection: SlowConnection = { resume, isSliced }
       return {
         count: () => {
           countInTurn(1)
@@ -133,18 +136,12 @@
             chunks = 0
           }
           chunks += 1
-          if (isSlow || chunks < SLOW_CHUNKS) return false
-          isSlow = true
-          slow.push({
-            isSliced,
-            resume: () => {
-              isSlow = false
-              resume()
-            }
-          })
-          scheduleTurn({ isSliced })
+          if (chunks < SLOW_CHUNKS || slow.has(connection)) return false
+          slow.add(connection)
+          scheduleTurn(connection)
           return true
-        }
+        },
+        leave: () => { slow.delete(connection) }
       }
     }
   }
--- a/packages/client-limits/tests/reading-turns.test.ts
+++ b/packages/client-limits/tests/reading-turns.test.ts
@@ -82,6 +82,17 @@
     expect(events).toEqual(['interval', 'a', 'interval', 'b', 'interval', 'c'])
   })
 
+  // Closed connections waited until it was their turn, with all that was read from them.
+  it('forget a connection that leaves while it waits', () => {
+    const { turns, events, delayed } = createTurnsUnderTest()
+    const waiting = ['a', 'b'].map(name => turns.begin(() => { events.push(name) }))
+    for (const turn of waiting) for (let index = 0; index < 600; index += 1) turn.count()
+    waiting[0]?.leave()
+    delayed.shift()?.()
+    expect(events).toEqual(['b'])
+    expect(turns.hasSlow()).toBe(false)
+  })
+
   it('go on with the connections that were served before, then with the newest', () => {
     const connections = [false, true, false, true].map((served, number) => ({ number, wasServed: () => served }))
     expect(orderForReading(connections).map(({ number }) => number)).toEqual([1, 3, 2, 0])
--- a/packages/rehearsal/src/client-crowd.ts
+++ b/packages/rehearsal/src/client-crowd.ts
@@ -5,6 +5,8 @@
 const DEFAULT_PACE = { connections: 50, pauseMilliseconds: 0 }
 /** Size of the pieces in which an endless body is sent. */
 const PIECE_BYTES = 16_384
+/** Time after which a client connects anew. */
+const RECONNECT_MILLISECONDS = 100
 
 /** What each client of a crowd does on its connection. */
 export interface ClientBehaviour {
@@ -16,9 +18,11 @@
   readonly pace?: { readonly connections: number, readonly pauseMilliseconds: number }
   /** Whether the client sends further bytes as long as its connection is open. */
   readonly sendsOn?: boolean
+  /** Whether the client connects anew, after a moment, whenever its connection is closed. */
+  readonly reconnects?: boolean
 }
 
-/** Connections of a crowd; each is opened once. */
+/** Connections of a crowd. */
 export interface ClientCrowd {
   /** Number of connections that are open. */
   readonly openCount: () => number
@@ -55,37 +59,45 @@
   const sameOpening = typeof opening === 'function' ? undefined : Buffer.from(opening)
   const piece = Buffer.alloc(PIECE_BYTES, 'x')
   const sockets = new Set<Socket>()
+  let isClosed = false
 
   function sendOn (socket: Socket): void {
     if (!socket.destroyed) socket.write(piece, () => { setImmediate(sendOn, socket) })
   }
 
-  function openOne (index: number): Promise<void> {
-    return new Promise(resolve => {
-      const socket = connect(target)
-      sockets.add(socket)
-      socket.on('error', () => {})
-      socket.on('close', () => {
-        sockets.delete(socket)
-        resolve()
-      })
-      socket.on('connect', () => {
-        socket.write(sameOpening ?? (opening as (index: number) => string)(index))
-        if (behaviour.reads ?? true) socket.resume()
-        if (behaviour.sendsOn === true) sendOn(socket)
-        resolve()
-      })
+  /** Opens a connection, and calls back once it is connected or closed. */
+  function open (index: number, onSettled: () => void): void {
+    const socket = connect(target)
+    sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => {
+      sockets.delete(socket)
+      onSettled()
+      if (behaviour.reconnects === true) setTimeout(reopen, RECONNECT_MILLISECONDS, index)
     })
+    socket.on('connect', () => {
+      socket.write(sameOpening ?? (opening as (index: number) => string)(index))
+      if (behaviour.reads ?? true) socket.resume()
+      if (behaviour.sendsOn === true) sendOn(socket)
+      onSettled()
+    })
+  }
+
+  function reopen (index: number): void {
+    if (!isClosed) open(index, () => {})
   }
 
   const { connections: batchSize, pauseMilliseconds } = behaviour.pace ?? DEFAULT_PACE
   for (let opened = 0; opened < count; opened += batchSize) {
     const batch = Array.from({ length: Math.min(batchSize, count - opened) }, (_, index) => opened + index)
-    await Promise.all(batch.map(openOne))
+    await Promise.all(batch.map(index => new Promise<void>(resolve => { open(index, resolve) })))
     if (pauseMilliseconds > 0) await new Promise(resolve => { setTimeout(resolve, pauseMilliseconds) })
   }
   return {
     openCount: () => sockets.size,
-    close: () => { for (const socket of sockets) socket.destroy() }
+    close: () => {
+      isClosed = true
+      for (const socket of sockets) socket.destroy()
+    }
   }
 }
