Read no more from a connection that is paused again before it is parsed

Callers: the entry took up to 1.1 GB of the 350 MB of its VM beside a crowd of clients of all kinds. Cause: while a crowd presses, all connections are resumed and, after the first chunks, paused again. The wrapped `resume` of a sliced connection started a read each time until the first data was parsed, and the stream another one with its delayed resumption, so that each cycle added 64 KiB to every connection that was not reached. Change: a read starts only when the buffer is empty, and none while the connection is paused or waits for its next slice. After a slice without a rest the wrapper starts the next read itself, as the stream may take one to be under way that was not begun.

Tests: 'keep at most one read of a connection that is paused again before it is parsed' fails before (1,022,949 bytes, bound 65,536). 'hand on every request in its order' pauses and resumes the connection now.

--- a/packages/client-limits/src/sliced-reads.ts
+++ b/packages/client-limits/src/sliced-reads.ts
@@ -25,17 +25,28 @@
   if (parse === undefined) return false
   const pause = socket.pause.bind(socket)
   const resumeSocket = socket.resume.bind(socket)
+  const read = socket._read.bind(socket)
   let isPaused = socket.isPaused()
   let isHeld = false
-  let hasRead = false
+
+  function mayRead (): boolean {
+    return !isPaused && !isHeld
+  }
+
+  /** Reads on, also if the stream takes a read to be under way: the parser has read beside it, or it was held. */
+  function readOn (): void {
+    if (socket.readableLength === 0) read(SLICE_BYTES)
+  }
 
   function resume (): Socket {
     resumeSocket()
-    // The parser has read beside the stream, which waits for data and would not start to read again.
-    if (!hasRead) socket._read(SLICE_BYTES)
+    readOn()
     return socket
   }
 
+  // A stream that is paused again before it has resumed would start to read, each time 64 KiB more.
+  socket._read = size => { if (mayRead()) read(size) }
+
   // The parser resumes its socket whenever a request may take more, also while the next slice waits for its turn.
   socket.pause = () => {
     isPaused = true
@@ -54,13 +65,13 @@
   socket.removeListener('data', parse as (data: Buffer) => void)
   socket.on('data', (data: Buffer) => {
     if (socket.destroyed) return
-    hasRead = true
     const rest = data.subarray(SLICE_BYTES)
     isHeld = rest.length > 0 || socket.readableLength > 0
     if (isHeld) pause()
     if (rest.length > 0) socket.unshift(rest)
     parse.call(socket, data.subarray(0, SLICE_BYTES))
     if (isHeld) options.defer(release)
+    else if (!isPaused) readOn()
     options.onUnparsed(socket.destroyed ? 0 : socket.readableLength)
   })
   if (!isPaused) resume()
--- a/packages/client-limits/tests/sliced-reads.test.ts
+++ b/packages/client-limits/tests/sliced-reads.test.ts
@@ -5,6 +5,8 @@
 import { sliceReads } from '../src/sliced-reads.js'
 
 const SLICE_BYTES = 4_096
+/** Most bytes that Node.js reads from a socket at once. */
+const READ_BYTES = 65_536
 const CHUNK = '1\r\nx\r\n'
 const CHUNKED_HEAD = 'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
 
@@ -92,6 +94,24 @@
     expect(chunksByTurn.reduce((sum, count) => sum + count)).toBe(pausedAt)
   })
 
+  // Each time that all connections were resumed and paused again, 64 KiB more were read from those not yet parsed.
+  it('keep at most one read of a connection that is paused again before it is parsed', async () => {
+    server.on('connection', slice)
+    const client = open()
+    await expect.poll(() => accepted.length).toBe(1)
+    const [socket] = accepted as [Socket]
+    socket.pause()
+    client.write(CHUNKED_HEAD + CHUNK.repeat(200_000) + '0\r\n\r\n')
+    for (let turn = 0; turn < 20; turn += 1) {
+      socket.resume()
+      socket.pause()
+      await new Promise(resolve => { setTimeout(resolve, 5) })
+    }
+    expect(socket.readableLength).toBeLessThanOrEqual(READ_BYTES)
+    socket.resume()
+    await expect.poll(() => bodies, { timeout: 10_000 }).toEqual([200_000])
+  })
+
   it('leave a connection without a parser as it is', () => {
     expect(slice(connect((server.address() as AddressInfo).port, '127.0.0.1').on('error', () => {}))).toBe(false)
   })
@@ -111,9 +131,12 @@
       const cut = random.below(text.length)
       client.write(text.slice(0, cut))
       if (random.below(2) === 0) await new Promise(resolve => { setImmediate(resolve) })
+      if (random.below(4) === 0) accepted[0]?.pause()
+      if (random.below(2) === 0) accepted[0]?.resume()
       client.write(text.slice(cut))
       if (number === 3 * seed) await expect.poll(() => accepted.length).toBe(1).then(() => slice(accepted[0]))
     }
+    accepted[0]?.resume()
     await expect.poll(() => bodies, { timeout: 10_000 }).toEqual(expected)
   })
 })
