Charge connections for received bytes until they end

Callers: none saw this alone; the entry kept more than its limit on bytes allows beside a crowd, for up to a second a refusal. Cause: what is received from a connection and not yet parsed counted as part of its unfinished request. A refusal took that charge back at once, while the bytes stay until the connection ends, and a refused connection was charged for none. A read that was under way when the connection was paused was not counted before its next slice. Change: the account has these bytes apart (`setUnparsed`), reported after each read as well; only the end of the connection takes them back. A connection whose refusal would not make enough room is closed.

Tests: the two of 'bytes that are received and not parsed' and 'keep at most one read ... and tell it' fail before; the property test draws unparsed bytes as well.

--- a/packages/client-limits/src/client-account.ts
+++ b/packages/client-limits/src/client-account.ts
@@ -50,6 +50,11 @@
   change: (connection: Connection, state: ConnectionState, now: number) => void
   /** Charges a connection for bytes that it holds from now on. Returns the connections that have to go. */
   hold: (connection: Connection, bytes: number, now: number) => Array<Closing<Connection>>
+  /**
+   * Sets the charge for the bytes that are received from a connection and not yet parsed. Only its end takes them back,
+   * not the refusal of its request. Returns the connections that have to go.
+   */
+  setUnparsed: (connection: Connection, bytes: number, now: number) => Array<Closing<Connection>>
   /**
    * Charges a connection for what it may hold until its answer, such as the tasks of a job. Returns whether there is
    * room for it, and the connections whose unfinished requests are refused for that.
@@ -75,6 +80,7 @@
   heldBytes: number
   /** Part of the held bytes that belongs to the request that is read. */
   unfinishedBytes: number
+  unparsedBytes: number
 }
 
 /** States in which a connection has a request that was not handed on, and can be refused. */
@@ -130,7 +136,7 @@
   function remove (entry: Entry<Connection>): void {
     entries.delete(entry.connection)
     byState[entry.state].delete(entry)
-    bytes -= CONNECTION_BYTES + entry.heldBytes
+    bytes -= CONNECTION_BYTES + entry.heldBytes + entry.unparsedBytes
   }
 
   function findOldest (now: number, except: Entry<Connection>): Entry<Connection> | undefined {
@@ -195,14 +201,15 @@
   function makeRoom (holder: Entry<Connection>, now: number): Array<Closing<Connection>> {
     const closings = refuseOldest(limits.bytes, holder, now)
     closeOldest(holder, now, closings)
-    if (bytes <= limits.bytes) return closings
-    return [...closings, UNFINISHED_STATES.includes(holder.state) ? refuse(holder, now) : close(holder, 'bytes')]
+    const excess = bytes - limits.bytes
+    if (excess <= 0) return closings
+    return [...closings, excess <= holder.unfinishedBytes ? refuse(holder, now) : close(holder, 'bytes')]
   }
 
   return {
     open: (connection, now) => {
       const entry: Entry<Connection> = {
-        connection, state: 'new', since: now, heldBytes: 0, unfinishedBytes: 0
+        connection, state: 'new', since: now, heldBytes: 0, unfinishedBytes: 0, unparsedBytes: 0
       }
       entries.set(connection, entry)
       byState.new.add(entry)
@@ -230,6 +237,14 @@
       bytes += heldBytes
       return bytes > limits.bytes ? makeRoom(entry, now) : []
     },
+    setUnparsed: (connection, unparsedBytes, now) => {
+      const entry = entries.get(connection)
+      if (entry === undefined) return []
+      const change = unparsedBytes - entry.unparsedBytes
+      entry.unparsedBytes = unparsedBytes
+      bytes += change
+      return change > 0 && bytes > limits.bytes ? makeRoom(entry, now) : []
+    },
     reserve: (connection, reservedBytes, now) => {
       const entry = entries.get(connection)
       const needed = reservedBytes / RESERVATION_SHARE
--- a/packages/client-limits/src/client-connection.ts
+++ b/packages/client-limits/src/client-connection.ts
@@ -36,6 +36,8 @@
 export interface ClientConnectionListener {
   onState: (connection: ClientConnection, state: ConnectionState) => void
   onHeldBytes: (connection: ClientConnection, change: number) => void
+  /** Called with the number of bytes that are received and not yet parsed. */
+  onUnparsedBytes: (connection: ClientConnection, bytes: number) => void
   onReservation: (connection: ClientConnection, bytes: number) => boolean
   /** Whether reads may be divided. */
   readonly maySlice: boolean
@@ -47,13 +49,6 @@
   let wasServed = false
   let isSlow = false
   let isSliced = false
-  let unparsedBytes = 0
-
-  function chargeUnparsed (bytes: number): void {
-    const change = bytes - unparsedBytes
-    unparsedBytes = bytes
-    if (change !== 0) listener.onHeldBytes(connection, change)
-  }
 
   function currentState (): ConnectionState {
     if (phases.working > 0) return phases.reading > 0 ? 'overlapping' : 'working'
@@ -80,7 +75,9 @@
     isSliced: () => isSliced,
     slice: () => {
       if (isSliced || !listener.maySlice) return
-      isSliced = sliceReads(socket, { onUnparsed: chargeUnparsed, defer: setImmediate })
+      isSliced = sliceReads(socket, {
+        onUnparsed: bytes => { listener.onUnparsedBytes(connection, bytes) }, defer: setImmediate
+      })
     },
     isWorking: () => phases.working > 0,
     requestCount: () => phases.reading + phases.working + phases.unread,
--- a/packages/client-limits/src/client-guard.ts
+++ b/packages/client-limits/src/client-guard.ts
@@ -87,6 +87,7 @@
         if (change > 0) execute(account.hold(holder, change, now()))
         else account.release(holder, -change)
       },
+      onUnparsedBytes: (holder, bytes) => { execute(account.setUnparsed(holder, bytes, now())) },
       onReservation: (holder, bytes) => {
         const { isReserved, closings } = account.reserve(holder, bytes, now())
         execute(closings)
--- a/packages/client-limits/src/sliced-reads.ts
+++ b/packages/client-limits/src/sliced-reads.ts
@@ -5,7 +5,7 @@
 const SLICE_BYTES = 4_096
 
 export interface SlicedReadsOptions {
-  /** Called after each slice with the number of bytes that are read and not yet parsed. */
+  /** Called after each read and each slice with the number of bytes that are read and not yet parsed. */
   readonly onUnparsed: (bytes: number) => void
   /** Calls back in the next turn of the event loop. */
   readonly defer: (run: () => void) => void
@@ -26,6 +26,7 @@
   const pause = socket.pause.bind(socket)
   const resumeSocket = socket.resume.bind(socket)
   const read = socket._read.bind(socket)
+  const push = socket.push.bind(socket)
   let isPaused = socket.isPaused()
   let isHeld = false
 
@@ -33,6 +34,10 @@
     return !isPaused && !isHeld
   }
 
+  function reportUnparsed (): void {
+    options.onUnparsed(socket.destroyed ? 0 : socket.readableLength)
+  }
+
   /** Reads on, also if the stream takes a read to be under way: the parser has read beside it, or it was held. */
   function readOn (): void {
     if (socket.readableLength === 0) read(SLICE_BYTES)
@@ -46,6 +51,12 @@
 
   // A stream that is paused again before it has resumed would start to read, each time 64 KiB more.
   socket._read = size => { if (mayRead()) read(size) }
+  // A read that is under way when the stream is paused arrives all the same.
+  socket.push = (data: unknown, encoding?: BufferEncoding) => {
+    const mayPushMore = push(data, encoding)
+    reportUnparsed()
+    return mayPushMore
+  }
 
   // The parser resumes its socket whenever a request may take more, also while the next slice waits for its turn.
   socket.pause = () => {
@@ -72,7 +83,7 @@
     parse.call(socket, data.subarray(0, SLICE_BYTES))
     if (isHeld) options.defer(release)
     else if (!isPaused) readOn()
-    options.onUnparsed(socket.destroyed ? 0 : socket.readableLength)
+    reportUnparsed()
   })
   if (!isPaused) resume()
   return true
--- a/packages/client-limits/tests/client-account.test.ts
+++ b/packages/client-limits/tests/client-account.test.ts
@@ -83,6 +83,29 @@
   })
 })
 
+describe('bytes that are received and not parsed', () => {
+  // The refusal of a request took their charge back while its connection still kept them.
+  it('stay charged when the request is refused, until the connection goes', () => {
+    const account = createClientAccount<string>(LIMITS)
+    open(account, ['a', 'b'], 'reading', 0)
+    account.hold('a', BODY_BYTES, 0)
+    expect(account.setUnparsed('a', 2 * BODY_BYTES, 0)).toEqual([])
+    const before = account.bytes()
+    expect(names(account.hold('b', 5 * BODY_BYTES, 0))).toEqual(['refuse a'])
+    expect(account.bytes()).toBe(before + 4 * BODY_BYTES)
+    account.leave('a')
+    expect(account.bytes()).toBe(CONNECTION_BYTES + 5 * BODY_BYTES)
+  })
+
+  it('are charged for a connection that is refused already, which is closed for them', () => {
+    const account = createClientAccount<string>(LIMITS)
+    open(account, ['a', 'b'], 'closing', 0)
+    expect(names(account.setUnparsed('a', 9 * BODY_BYTES, 0))).toEqual(['close b'])
+    expect(names(account.setUnparsed('a', 11 * BODY_BYTES, 0))).toEqual(['close a'])
+    expect(account.bytes()).toBe(0)
+  })
+})
+
 describe('a reservation', () => {
   it('takes an eighth of the free bytes at most, so that a small one finds room beside large ones', () => {
     const account = createClientAccount<string>({ connections: 40, bytes: 40 * CONNECTION_BYTES })
@@ -117,6 +140,7 @@
       state: fc.constantFrom<ConnectionState>('reading', 'working', 'overlapping', 'unread', 'idle')
     }),
     fc.record({ kind: fc.constant('hold' as const), name: fc.nat(11), bytes: fc.integer({ min: 1, max: 60_000 }) }),
+    fc.record({ kind: fc.constant('unparsed' as const), name: fc.nat(11), bytes: fc.nat(130_000) }),
     fc.record({ kind: fc.constant('reserve' as const), name: fc.nat(11), bytes: fc.integer({ min: 1, max: 20_000 }) }),
     fc.record({ kind: fc.constant('release' as const), name: fc.nat(11), bytes: fc.nat(60_000) }),
     fc.record({ kind: fc.constant('leave' as const), name: fc.nat(11) })
@@ -139,6 +163,7 @@
           if (states.has(name) && states.get(name) !== 'closing') states.set(name, rest.state)
         }
         if (kind === 'hold' && 'bytes' in rest) closings = account.hold(name, rest.bytes, now)
+        if (kind === 'unparsed' && 'bytes' in rest) closings = account.setUnparsed(name, rest.bytes, now)
         if (kind === 'reserve' && 'bytes' in rest) closings = account.reserve(name, rest.bytes, now).closings
         if (kind === 'release' && 'bytes' in rest) account.release(name, rest.bytes)
         if (kind === 'leave') {
--- a/packages/client-limits/tests/sliced-reads.test.ts
+++ b/packages/client-limits/tests/sliced-reads.test.ts
@@ -95,7 +95,7 @@
   })
 
   // Each time that all connections were resumed and paused again, 64 KiB more were read from those not yet parsed.
-  it('keep at most one read of a connection that is paused again before it is parsed', async () => {
+  it('keep at most one read of a connection that is paused again before it is parsed, and tell it', async () => {
     server.on('connection', slice)
     const client = open()
     await expect.poll(() => accepted.length).toBe(1)
@@ -108,6 +108,7 @@
       await new Promise(resolve => { setTimeout(resolve, 5) })
     }
     expect(socket.readableLength).toBeLessThanOrEqual(READ_BYTES)
+    expect(unparsed.at(-1) ?? 0).toBe(socket.readableLength)
     socket.resume()
     await expect.poll(() => bodies, { timeout: 10_000 }).toEqual([200_000])
   })
