Leave the age of a renewal out of the log while the run lease was never renewed

An operator who read `upstream refuses connections` of an agent that had just started saw the time since the start of its process as `renewedAgo`, as if the lease had been renewed then. `renewedAt` is undefined without a renewal now, and the field absent.

--- a/packages/runs/src/lease-renewals.ts
+++ b/packages/runs/src/lease-renewals.ts
@@ -20,8 +20,8 @@
   withdraw: (sentAt: number) => void
   /** Takes in that an order may have arrived, so that renewals before it need not be told apart any more. */
   settle: (sentAt: number) => void
-  /** Time of the newest renewal; that of the instance before without one. */
-  renewedAt: () => number
+  /** Time of the newest renewal; that of the instance before without one, undefined without any. */
+  renewedAt: () => number | undefined
   /** Lease end that the newest renewal carried; undefined without one. */
   leaseUntil: () => number | undefined
   /** Time by which the leases of all renewals are over, even on the slowest clock. */
@@ -40,7 +40,7 @@
  * renewals.overBy() // -Infinity
  */
 export function createLeaseRenewals (former: LeaseRenewals | undefined): LeaseRenewals {
-  const renewedBefore = former?.renewedAt() ?? 0
+  const renewedBefore = former?.renewedAt()
   let settledOverBy = former?.overBy() ?? -Infinity
   let renewals: LeaseRenewal[] = []
   /** The newest orders that renewed nothing. */
--- a/packages/runs/src/listed-runs.ts
+++ b/packages/runs/src/listed-runs.ts
@@ -39,5 +39,5 @@
 ): void {
   const rows = new Set(doubtfulTasks)
   for (const { task, run } of running) if (!isInRegistry(state, task, run)) rows.add(rowOf(task, run))
-  state.upstream.lastingRows.record(rows, requestedAt, state.upstream.renewals.renewedAt())
+  state.upstream.lastingRows.record(rows, requestedAt, state.upstream.renewals.renewedAt() ?? -Infinity)
 }
--- a/packages/runs/src/upstream-instance.ts
+++ b/packages/runs/src/upstream-instance.ts
@@ -1,5 +1,6 @@
 /** The lifetime of an upstream's instances: what ends with one, and how the agent takes control of the next. */
 import { crashCandidates, describeCandidate, logCandidates } from './crash-candidates.js'
+import type { LeaseRenewals } from './lease-renewals.js'
 import { MAXIMUM_UNANSWERED_LISTINGS } from './run-limits.js'
 import { startWaitingRuns } from './orders.js'
 import { isEndProven } from './run-end-proof.js'
@@ -10,6 +11,12 @@
 import type { UpstreamInstance } from './upstream.js'
 import { createUpstreamState } from './upstream-state.js'
 
+/** Returns the time since the run lease was renewed, in ms; undefined if it never was. */
+function ageOfRenewal (renewals: LeaseRenewals, now: number): number | undefined {
+  const renewedAt = renewals.renewedAt()
+  return renewedAt === undefined ? undefined : Math.round(now - renewedAt)
+}
+
 /**
  * Logs the end of an instance with the runs that were there, and records a crash unless the instance was leaving. To be
  * called once the end is proven, and before the runs are ended.
@@ -34,7 +41,7 @@
     bornAt: instance?.startedAt,
     leaving: isLeaving || hasDeparted,
     runs: candidates.length,
-    renewedAgo: Math.round(now - renewals.renewedAt()),
+    renewedAgo: ageOfRenewal(renewals, now),
     milliseconds: refusedSince === undefined ? undefined : Math.round(now - refusedSince),
     last: logCandidates(candidates, now)
   })
@@ -62,7 +69,7 @@
     upstream: instance?.id,
     bornAt: instance?.startedAt,
     orderedAgo: Math.round(now - record.orderedAt),
-    renewedAgo: Math.round(now - renewals.renewedAt())
+    renewedAgo: ageOfRenewal(renewals, now)
   })
 }
 
@@ -113,7 +120,7 @@
       bornAt: instance?.startedAt,
       phase,
       runs: state.runs.size,
-      renewedAgo: Math.round(now - renewals.renewedAt())
+      renewedAgo: ageOfRenewal(renewals, now)
     })
   }
   startWaitingRuns(state, ports, now)
@@ -130,7 +137,7 @@
     upstream: instance?.id,
     bornAt: instance?.startedAt,
     runs: state.runs.size,
-    renewedAgo: Math.round(now - renewals.renewedAt()),
+    renewedAgo: ageOfRenewal(renewals, now),
     milliseconds: Math.round(now - refusedSince)
   })
 }
