Test that a suspected crash is kept elsewhere once it is certain

The path had no test of its own: an entry that starts after the agent of the crashed upstream is gone learns of the crash from the agents that keep it.

--- a/packages/dispatching/tests/kept-crashes.test.ts
+++ b/packages/dispatching/tests/kept-crashes.test.ts
@@ -24,7 +24,13 @@
   }
 }
 
-it('has two other agents keep a crash, once, if the agent of the upstream told it and it is certain', () => {
+const candidates = [{ task: '5c0e7a21d94b36f8.0.0.0', route: 'desk' }]
+
+/** Agents of which the first tells crashes, and what the others are told. */
+function startAgents (): {
+  readonly told: Array<{ readonly agent: string, readonly crashes: readonly string[] }>
+  readonly tell: (clock: number, crashes: readonly UpstreamCrash[]) => void
+} {
   const told: Array<{ readonly agent: string, readonly crashes: readonly string[] }> = []
   const dispatcher = createDispatcher({
     entry: 'entry-1',
@@ -43,12 +49,18 @@
   })
   const [first] = views
   if (first === undefined) throw new Error('expected a view')
-  const candidates = [{ task: '5c0e7a21d94b36f8.0.0.0', route: 'desk' }]
+  return {
+    told, tell: (clock, crashes) => { dispatcher.watchAnswered(first, answerOf('i-1', clock, crashes), clock) }
+  }
+}
+
+it('has two other agents keep a crash, once, if the agent of the upstream told it and it is certain', () => {
+  const { told, tell } = startAgents()
   const crashes = [
     { id: 'i-1/1', candidates }, { id: 'i-1/2', candidates, isSuspected: true }, { id: 'i-9/1', candidates }
   ]
-  dispatcher.watchAnswered(first, answerOf('i-1', 200, crashes), 10)
-  dispatcher.watchAnswered(first, answerOf('i-1', 300, crashes), 20)
+  tell(200, crashes)
+  tell(300, crashes)
   expect(told).toHaveLength(2)
   expect(new Set(told.map(({ agent }) => agent)).size).toBe(2)
   for (const { agent, crashes: ids } of told) {
@@ -56,3 +68,13 @@
     expect(ids).toEqual(['i-1/1'])
   }
 })
+
+// An entry that starts later knew nothing of a crash that was only suspected at first.
+it('has them keep a suspected crash once it is certain, and none that is dropped', () => {
+  const { told, tell } = startAgents()
+  tell(200, [{ id: 'i-1/1', candidates, isSuspected: true }, { id: 'i-1/2', candidates, isSuspected: true }])
+  expect(told).toEqual([])
+  tell(300, [{ id: 'i-1/1', candidates }])
+  tell(400, [{ id: 'i-1/1', candidates }])
+  expect(told.map(({ crashes }) => crashes)).toEqual([['i-1/1'], ['i-1/1']])
+})
