--- a/packages/dispatching/tests/crash-evidence.test.ts
+++ b/packages/dispatching/tests/crash-evidence.test.ts
@@ -53,6 +53,14 @@
     expect(evidence.crashCountOf('a/1')).toBe(2)
   })
 
+  // An agent that was silent for a while and told of the crash later made two of it, and a third one blamed the task.
+  it('counts a crash once if the agent that was lost with the task tells it after all', () => {
+    const evidence = createCrashEvidence()
+    evidence.addLost('agent-1', [{ task: 'a/1', route: 'a' }], 0)
+    evidence.merge('agent-1', { crashes: [crash('agent-1/1', ['a/1'])], cleared: [] }, 10)
+    expect(evidence.crashCountOf('a/1')).toBe(1)
+  })
+
   it('blames a task after three crashes if it alone is left at one, or had no answer to its start order', () => {
     const unresolved = [crash('1', ['a/1', 'b/1']), crash('2', ['a/1', 'b/2'])]
     expect(evidenceOf(...unresolved, crash('3', ['a/1'])).suspicionOf('a/1', 900)).toBe('blamed')
